Add design page, kernel, settings and store client

The repository was empty. The design page states the requirements and the mechanisms; the kernel, settings, configuration replica, store client and store stand-in are the base of the first request path.

Not measured yet.

--- /dev/null
+++ b/primroseturn/__init__.py
@@ -0,0 +1,3 @@
+"""primroseturn: a proxy fleet for upstreams with gray failures."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/primroseturn/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API and its client."""
--- /dev/null
+++ b/primroseturn/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and measurements."""
--- /dev/null
+++ b/primroseturn/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of operations that must not repeat."""
--- /dev/null
+++ b/primroseturn/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, thin over the library."""
--- /dev/null
+++ b/primroseturn/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects, change log, replica and keys."""
--- /dev/null
+++ b/primroseturn/configuration/log.py
@@ -0,0 +1,109 @@
+"""The ordered change log in the store: proposing and reading changes."""
+
+from time import time
+
+from expression import Error, Ok, Result
+from msgspec.json import decode, encode
+from msgspec.structs import replace
+
+from primroseturn.configuration.models import Change
+from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
+from primroseturn.store.client import StoreClient
+
+LOG_PREFIX = "config/log/"
+ATTEMPTS = 20
+
+
+class ChangeConflict(Failure):
+    """The object was changed by somebody else since the stated version."""
+
+    code = "change-conflict"
+
+    def __init__(self, kind: str, name: str, expected: int, found: int) -> None:
+        super().__init__(
+            f"{kind} {name!r} is at version {found}, not at version {expected}"
+        )
+        self.expected = expected
+        self.found = found
+
+
+class ChangeInDoubt(Failure):
+    """The store did not say whether it accepted the change."""
+
+    code = "change-in-doubt"
+
+    def __init__(self, operation_id: str) -> None:
+        super().__init__(
+            f"operation {operation_id}: the store did not answer; "
+            "repeat it with the same operation id"
+        )
+        self.operation_id = operation_id
+
+
+def log_key(version: int) -> str:
+    """Return the store key of a change; keys sort by version."""
+    return f"{LOG_PREFIX}{version:012d}"
+
+
+async def read_changes(store: StoreClient, after_version: int) -> list[Change]:
+    """Return all changes after a version, in order."""
+    objects = await store.list(LOG_PREFIX, log_key(after_version))
+    return [decode(item.value, type=Change) for item in objects]
+
+
+async def propose_change(
+    store: StoreClient, change: Change, known: list[Change]
+) -> Result[Change, Failure]:
+    """Append a change to the log.
+
+    Parameters
+    ----------
+    change
+        The change; its version is chosen here.
+    known
+        All changes since a version at or before the operator's view; extended
+        by what is read from the store.
+
+    Returns
+    -------
+    Result
+        The accepted change, also when an earlier try with the same operation id
+        was accepted, or the conflict.
+    """
+    for _ in range(ATTEMPTS):
+        accepted = next(
+            (item for item in known if item.operation_id == change.operation_id), None
+        )
+        if accepted:
+            return Ok(accepted)
+        conflict = find_conflict(change, known)
+        if conflict:
+            return Error(conflict)
+        version = known[-1].version + 1 if known else change.version + 1
+        numbered = replace(change, version=version, at_unix_s=time())
+        try:
+            await store.create(log_key(version), encode(numbered))
+            return Ok(numbered)
+        except VersionConflict:
+            pass
+        except StoreUnavailable as failure:
+            if not failure.maybe_applied:
+                return Error(failure)
+        try:
+            known = known + await read_changes(store, version - 1)
+        except StoreUnavailable:
+            return Error(ChangeInDoubt(change.operation_id))
+    return Error(ChangeInDoubt(change.operation_id))
+
+
+def find_conflict(change: Change, known: list[Change]) -> ChangeConflict | None:
+    """Return the conflict with a later change of the same object, if any."""
+    if change.expected_version is None:
+        return None
+    for item in known:
+        same = (item.kind, item.name) == (change.kind, change.name)
+        if same and item.version > change.expected_version:
+            return ChangeConflict(
+                change.kind, change.name, change.expected_version, item.version
+            )
+    return None
--- /dev/null
+++ b/primroseturn/control/__init__.py
@@ -0,0 +1,1 @@
+"""Typed control messages and the bus between daemons."""
--- /dev/null
+++ b/primroseturn/control/messages.py
@@ -0,0 +1,98 @@
+"""Typed control messages between daemons, encoded as msgpack."""
+
+from typing import Any, ClassVar
+
+from expression import Error, Ok, Result
+from msgspec import convert, MsgspecError, Struct
+from msgspec.structs import replace
+from msgspec.msgpack import decode, Encoder
+
+from primroseturn.failures import Failure
+
+PROTOCOL_VERSION = 1
+MESSAGE_LIMIT_BYTES = 262_144
+
+types_by_tag: dict[str, type["Message"]] = {}
+encoder = Encoder()
+
+
+class MessageInvalid(Failure):
+    """A control frame could not be decoded."""
+
+    code = "message-invalid"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"control message refused: {reason}")
+        self.reason = reason
+
+
+class Message(Struct, frozen=True, array_like=True):
+    """Base of all control messages. Subclasses register by `message`."""
+
+    tag: ClassVar[str] = ""
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    """What travels on the wire around each message.
+
+    Attributes
+    ----------
+    sender, incarnation
+        VM name and the id of this start of its process.
+    number
+        Counts the sender's messages; replies name it in `reply_to`.
+    """
+
+    protocol: int
+    tag: str
+    sender: str
+    incarnation: str
+    number: int
+    reply_to: int
+    body: Any
+
+
+def message(tag: str):
+    """Register the decorated message type under its wire tag."""
+
+    def register(kind: type[Message]) -> type[Message]:
+        kind.tag = tag
+        types_by_tag[tag] = kind
+        return kind
+
+    return register
+
+
+def encode_message(
+    body: Message, sender: str, incarnation: str, number: int, reply_to: int = 0
+) -> bytes:
+    """Return the frame of a message.
+
+    Raises
+    ------
+    MessageInvalid
+        If the frame would exceed `MESSAGE_LIMIT_BYTES`.
+    """
+    envelope = Envelope(
+        PROTOCOL_VERSION, body.tag, sender, incarnation, number, reply_to, body
+    )
+    frame = encoder.encode(envelope)
+    if len(frame) > MESSAGE_LIMIT_BYTES:
+        raise MessageInvalid(f"{body.tag} of {len(frame)} bytes is too large")
+    return frame
+
+
+def decode_message(frame: bytes) -> Result[Envelope, MessageInvalid]:
+    """Return the envelope of a frame, with its body as the typed message."""
+    if len(frame) > MESSAGE_LIMIT_BYTES:
+        return Error(MessageInvalid(f"frame of {len(frame)} bytes is too large"))
+    try:
+        envelope = decode(frame, type=Envelope)
+        if envelope.protocol != PROTOCOL_VERSION:
+            return Error(MessageInvalid(f"protocol version {envelope.protocol}"))
+        kind = types_by_tag.get(envelope.tag)
+        if kind is None:
+            return Error(MessageInvalid(f"unknown type {envelope.tag!r}"))
+        return Ok(replace(envelope, body=convert(envelope.body, kind)))
+    except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Error(MessageInvalid(str(error)))
--- /dev/null
+++ b/primroseturn/detection/__init__.py
@@ -0,0 +1,1 @@
+"""Observations of upstreams and failure detectors."""
--- /dev/null
+++ b/primroseturn/ejection/__init__.py
@@ -0,0 +1,1 @@
+"""Ejection and re-admission of targets above the floor."""
--- /dev/null
+++ b/primroseturn/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Micro-kernel: registers, orders, starts and stops services."""
--- /dev/null
+++ b/primroseturn/kernel/registry.py
@@ -0,0 +1,37 @@
+"""Registry of service factories, filled by the `service` decorator."""
+
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from typing import Any, NamedTuple, TypeVar
+
+Factory = Callable[[Any], AbstractAsyncContextManager[Any]]
+F = TypeVar("F", bound=Factory)
+
+
+class ServiceEntry(NamedTuple):
+    """A registered service factory and the names of the services it needs."""
+
+    name: str
+    needs: tuple[str, ...]
+    factory: Factory
+
+
+entries_by_name: dict[str, ServiceEntry] = {}
+
+
+def service(name: str, needs: tuple[str, ...] = ()) -> Callable[[F], F]:
+    """Register the decorated context manager as the factory of a service.
+
+    Parameters
+    ----------
+    name
+        Name under which other services find it.
+    needs
+        Names of the services that must run before it starts.
+    """
+
+    def register(factory: F) -> F:
+        entries_by_name[name] = ServiceEntry(name, needs, factory)
+        return factory
+
+    return register
--- /dev/null
+++ b/primroseturn/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of workspaces over the whole fleet."""
--- /dev/null
+++ b/primroseturn/limits/bucket.py
@@ -0,0 +1,46 @@
+"""Token bucket on the monotonic clock."""
+
+
+class TokenBucket:
+    """Admits at most ``burst + rate x (t2 - t1)`` in every window.
+
+    Parameters
+    ----------
+    rate
+        Tokens per second.
+    burst
+        Largest number of tokens held.
+    tokens
+        Tokens at the start.
+    now
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, rate: float, burst: float, tokens: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(tokens, burst)
+        self.updated_at = now
+
+    def refill(self, now: float) -> None:
+        """Add the tokens earned since the last call. Time never runs backwards."""
+        elapsed = max(0.0, now - self.updated_at)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.updated_at = max(now, self.updated_at)
+
+    def take(self, count: float, now: float) -> bool:
+        """Take tokens if that many are there."""
+        self.refill(now)
+        if self.tokens < count:
+            return False
+        self.tokens -= count
+        return True
+
+    def time_until(self, count: float, now: float) -> float:
+        """Return the seconds until `count` tokens are there, if none are taken."""
+        self.refill(now)
+        if self.tokens >= count:
+            return 0.0
+        if self.rate <= 0 or count > self.burst:
+            return float("inf")
+        return (count - self.tokens) / self.rate
--- /dev/null
+++ b/primroseturn/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet membership and target listings."""
--- /dev/null
+++ b/primroseturn/observation/__init__.py
@@ -0,0 +1,1 @@
+"""Events, logs, metrics and the time line."""
--- /dev/null
+++ b/primroseturn/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Optional features that register themselves."""
--- /dev/null
+++ b/primroseturn/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded, deadline-aware queue that is fair between workspaces."""
--- /dev/null
+++ b/primroseturn/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces through the decision code."""
--- /dev/null
+++ b/primroseturn/requestpath/__init__.py
@@ -0,0 +1,1 @@
+"""The ASGI application that carries requests to upstreams."""
--- /dev/null
+++ b/primroseturn/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and hedging."""
--- /dev/null
+++ b/primroseturn/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Route matching and target choice."""
--- /dev/null
+++ b/primroseturn/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed JSON settings of a process."""
--- /dev/null
+++ b/primroseturn/settings/load.py
@@ -0,0 +1,59 @@
+"""Loads and checks settings files."""
+
+from pathlib import Path
+import re
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+
+from primroseturn.failures import SettingsInvalid
+
+T = TypeVar("T")
+
+SECRET_FIELDS = ("secret", "digest")
+PATH_PATTERN = re.compile(r"^(?P<expected>.*?)(?: - at `(?P<path>[^`]+)`)?$", re.DOTALL)
+
+
+def load_settings(path: Path, kind: type[T]) -> Result[T, SettingsInvalid]:
+    """Read a settings file of type `kind`."""
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        return Error(
+            SettingsInvalid("$", str(path), f"a readable file ({error.strerror})")
+        )
+    return decode_settings(content, kind)
+
+
+def decode_settings(content: bytes, kind: type[T]) -> Result[T, SettingsInvalid]:
+    """Decode and check settings of type `kind` from JSON."""
+    try:
+        return Ok(decode(content, type=kind))
+    except ValidationError as error:
+        return Error(describe_error(content, error))
+    except (DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Error(SettingsInvalid("$", "<document>", f"valid JSON ({error})"))
+
+
+def describe_error(content: bytes, error: ValidationError) -> SettingsInvalid:
+    """Return the failure with the JSON path, the value there and what was expected."""
+    match = PATH_PATTERN.match(str(error))
+    path = (match and match["path"]) or "$"
+    expected = match["expected"] if match else str(error)
+    value = find_value(decode(content), path)
+    if any(word in path for word in SECRET_FIELDS):
+        value = "<hidden>"
+    return SettingsInvalid(path, value, expected)
+
+
+def find_value(document: Any, path: str) -> Any:
+    """Return the value at a path such as ``$.control.seeds[0].vm``."""
+    value = document
+    for name, index in re.findall(r"\.([^.\[]+)|\[(\d+)\]", path):
+        try:
+            value = value[int(index)] if index else value[name]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return value
--- /dev/null
+++ b/primroseturn/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems for tests and demos."""
--- /dev/null
+++ b/primroseturn/standins/http.py
@@ -0,0 +1,54 @@
+"""Small helpers for ASGI applications of the stand-ins."""
+
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import parse_qsl
+
+from msgspec.json import encode
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return the whole request body."""
+    body = bytearray()
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return bytes(body)
+        body += event.get("body", b"")
+        if not event.get("more_body", False):
+            return bytes(body)
+
+
+async def answer(
+    send: Any, status: int, body: bytes = b"", headers: Headers = ()
+) -> None:
+    """Send a whole answer with its length."""
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [length, *headers],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def answer_json(send: Any, status: int, value: Any) -> None:
+    """Send a JSON answer."""
+    await answer(send, status, encode(value), [(b"content-type", b"application/json")])
+
+
+def query_of(scope: dict[str, Any]) -> dict[str, str]:
+    """Return the query parameters of a request."""
+    return dict(parse_qsl(scope["query_string"].decode("latin-1")))
+
+
+def header_of(scope: dict[str, Any], name: bytes) -> str | None:
+    """Return a request header by its lower-case name."""
+    for key, value in scope["headers"]:
+        if key == name:
+            return value.decode("latin-1")
+    return None
--- /dev/null
+++ b/primroseturn/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/primroseturn/store/client.py
@@ -0,0 +1,150 @@
+"""Client of the platform's object API.
+
+Every call has a deadline. Writes are conditional. A write whose answer was lost
+raises `StoreUnavailable` with ``maybe_applied``; the caller resolves it by reading.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+from httpx import AsyncClient, HTTPError, Limits, Response
+
+from primroseturn.failures import StoreUnavailable, VersionConflict
+from primroseturn.kernel.kernel import Kernel
+from primroseturn.kernel.registry import service
+
+WATCH_LIMIT_S = 30.0
+
+
+class StoredObject(NamedTuple):
+    """A value in the store and its version."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+class WatchEvent(NamedTuple):
+    """A change seen by a watch. `revision` is the store-wide position."""
+
+    key: str
+    version: int
+    revision: int
+    deleted: bool
+
+
+class StoreClient:
+    """Calls the object API over HTTP."""
+
+    def __init__(self, http: AsyncClient, call_limit_s: float) -> None:
+        self.http = http
+        self.call_limit_s = call_limit_s
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Return an object, or None if it does not exist."""
+        response = await self.call("GET", f"/objects/{key}")
+        if response.status_code == 404:
+            return None
+        version = int(response.headers["etag"].strip('"'))
+        return StoredObject(key, version, response.content)
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object and return its version.
+
+        Raises
+        ------
+        VersionConflict
+            If it exists.
+        """
+        return await self.put(key, value, 0, {"if-none-match": "*"})
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Replace the object that is at `version` and return its new version.
+
+        Raises
+        ------
+        VersionConflict
+            If it is at another version.
+        """
+        return await self.put(key, value, version, {"if-match": f'"{version}"'})
+
+    async def delete(self, key: str, version: int) -> None:
+        """Delete the object that is at `version`."""
+        headers = {"if-match": f'"{version}"'}
+        response = await self.call("DELETE", f"/objects/{key}", headers=headers)
+        if response.status_code == 412:
+            raise VersionConflict(key, version)
+
+    async def list(self, prefix: str, after: str = "") -> list[StoredObject]:
+        """Return all objects below a prefix whose key sorts after `after`."""
+        found: list[StoredObject] = []
+        while True:
+            query = {"prefix": prefix, "after": after}
+            response = await self.call("GET", "/list", params=query)
+            page = response.json()
+            for item in page["objects"]:
+                value = item["value"].encode("latin-1")
+                found.append(StoredObject(item["key"], item["version"], value))
+            if not page["more"]:
+                return found
+            after = found[-1].key
+
+    async def watch(
+        self, prefix: str, revision: int, limit_s: float = WATCH_LIMIT_S
+    ) -> tuple[int, list[WatchEvent]]:
+        """Wait for changes below a prefix after `revision`.
+
+        Returns
+        -------
+        tuple
+            The new revision and the events, which may be none after `limit_s`.
+        """
+        query = {"prefix": prefix, "revision": revision, "wait_s": limit_s}
+        limit_s = limit_s + self.call_limit_s
+        response = await self.call("GET", "/watch", limit_s=limit_s, params=query)
+        page = response.json()
+        events = [
+            WatchEvent(item["key"], item["version"], item["revision"], item["deleted"])
+            for item in page["events"]
+        ]
+        return page["revision"], events
+
+    async def put(
+        self, key: str, value: bytes, expected: int, headers: dict[str, str]
+    ) -> int:
+        """Send a conditional write."""
+        response = await self.call(
+            "PUT", f"/objects/{key}", headers=headers, content=value
+        )
+        if response.status_code == 412:
+            raise VersionConflict(key, expected)
+        return int(response.headers["etag"].strip('"'))
+
+    async def call(
+        self, method: str, path: str, limit_s: float | None = None, **options: Any
+    ) -> Response:
+        """Send one call and return its answer if that is not a server error."""
+        write = method in ("PUT", "DELETE")
+        operation = f"{method} {path}"
+        timeout = limit_s or self.call_limit_s
+        try:
+            response = await self.http.request(method, path, timeout=timeout, **options)
+        except HTTPError as error:
+            detail = type(error).__name__
+            raise StoreUnavailable(operation, detail, write) from error
+        if response.status_code >= 500 or response.status_code == 429:
+            refused = response.status_code == 429
+            detail = f"status {response.status_code}"
+            raise StoreUnavailable(operation, detail, write and not refused)
+        return response
+
+
+@service("store", needs=("settings",))
+@asynccontextmanager
+async def provide_store(kernel: Kernel) -> AsyncIterator[StoreClient]:
+    """Provide a client for the store of the settings."""
+    settings = kernel.find("settings").store
+    limits = Limits(max_connections=64, max_keepalive_connections=16)
+    async with AsyncClient(base_url=settings.url, limits=limits) as http:
+        yield StoreClient(http, settings.call_limit_s)
