Carry a request from caller to upstream through separate processes

Cause: nothing served requests yet. Conclusion: the thin path works; limits are per VM and claims cost one store write per request, both to be replaced.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,55 @@
+"""Runs steps written as coroutines in one event loop per scenario."""
+
+from collections import Counter
+from pathlib import Path
+
+from anyio.from_thread import start_blocking_portal
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+TEST_PREFIX = "test: "
+
+
+def known_red_names() -> set[str]:
+    """Return the names of the scenarios that KNOWN-RED.txt lists."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        line.removeprefix(TEST_PREFIX) for line in lines if line.startswith(TEST_PREFIX)
+    }
+
+
+def before_all(context):
+    """Count the results for the closing line."""
+    context.counts = Counter()
+    context.known_red = known_red_names()
+
+
+def before_scenario(context, scenario):
+    """Open the event loop of the scenario, or skip a known failure."""
+    context.cleanups = []
+    context.portal_context = None
+    if scenario.name in context.known_red:
+        print(f"KNOWN-RED, not run: {scenario.name}")
+        scenario.skip("listed in KNOWN-RED.txt")
+        return
+    context.portal_context = start_blocking_portal("asyncio")
+    context.portal = context.portal_context.__enter__()
+
+
+def after_scenario(context, scenario):
+    """Stop what the scenario started, in reverse order."""
+    for cleanup in reversed(context.cleanups):
+        cleanup()
+    if context.portal_context is not None:
+        context.portal_context.__exit__(None, None, None)
+    if scenario.status.name == "passed":
+        context.counts["passed"] += 1
+    elif scenario.status.name != "skipped":
+        context.counts["failed"] += 1
+
+
+def after_all(context):
+    """Print the closing line."""
+    counts = context.counts
+    print(f"\n{counts['passed']} passed, {counts['failed']} failed")
--- /dev/null
+++ b/primroseturn/cli/processes.py
@@ -0,0 +1,39 @@
+"""Runs the processes of the system until a signal asks them to stop."""
+
+from signal import SIGINT, SIGTERM
+
+from anyio import open_signal_receiver
+
+from primroseturn.daemon import run_services
+from primroseturn.serving.asgi import serve_application
+from primroseturn.settings.models import DaemonSettings
+from primroseturn.standins.store import ObjectStore
+from primroseturn.standins.upstream import Upstream
+
+
+async def wait_for_signal() -> None:
+    """Return on the first SIGTERM or SIGINT."""
+    with open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def run_daemon(settings: DaemonSettings) -> None:
+    """Run a daemon until a signal."""
+    async with run_services(settings) as kernel:
+        print(f"serving callers on port {kernel.find('callers')}", flush=True)
+        await wait_for_signal()
+
+
+async def run_store(port: int) -> None:
+    """Run the store stand-in until a signal."""
+    async with serve_application(ObjectStore(), port=port) as bound:
+        print(f"store on port {bound}", flush=True)
+        await wait_for_signal()
+
+
+async def run_upstream(name: str, slots: int, port: int) -> None:
+    """Run an upstream stand-in until a signal."""
+    async with serve_application(Upstream(name, slots), port=port) as bound:
+        print(f"upstream {name} on port {bound}", flush=True)
+        await wait_for_signal()
--- a/primroseturn/configuration/log.py
+++ b/primroseturn/configuration/log.py
@@ -47,7 +47,7 @@
 
 async def read_changes(store: StoreClient, after_version: int) -> list[Change]:
     """Return all changes after a version, in order."""
-    objects = await store.list(LOG_PREFIX, log_key(after_version))
+    objects = await store.list_objects(LOG_PREFIX, log_key(after_version))
     return [decode(item.value, type=Change) for item in objects]
 
 
--- /dev/null
+++ b/primroseturn/control/bus.py
@@ -0,0 +1,50 @@
+"""Interface of the bus that carries control messages between daemons."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from expression import Result
+
+from primroseturn.control.messages import Message
+from primroseturn.failures import Failure
+
+
+class PeerUnavailable(Failure):
+    """A peer did not reply in time."""
+
+    code = "peer-unavailable"
+
+    def __init__(self, peer: str) -> None:
+        super().__init__(f"peer {peer!r} did not reply in time")
+        self.peer = peer
+
+
+class Sender(NamedTuple):
+    """Where a message came from: the VM and the id of its process start."""
+
+    vm: str
+    incarnation: str
+
+
+Handler = Callable[[Sender, Message], Awaitable[Message | None]]
+
+
+class Bus(Protocol):
+    """Sends messages to peers by VM name. Delivery is best effort.
+
+    Messages may be lost, delayed, duplicated and reordered.
+    """
+
+    vm: str
+    incarnation: str
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Run `handler` for each message of a type; what it returns is the reply."""
+
+    async def send(self, peer: str, message: Message) -> None:
+        """Send a message without waiting for a reply."""
+
+    async def request(
+        self, peer: str, message: Message, timeout_s: float
+    ) -> Result[Message, PeerUnavailable]:
+        """Send a message and return the first reply to it."""
--- a/primroseturn/control/messages.py
+++ b/primroseturn/control/messages.py
@@ -4,8 +4,8 @@
 
 from expression import Error, Ok, Result
 from msgspec import convert, MsgspecError, Struct
-from msgspec.structs import replace
 from msgspec.msgpack import decode, Encoder
+from msgspec.structs import replace
 
 from primroseturn.failures import Failure
 
--- /dev/null
+++ b/primroseturn/daemon.py
@@ -0,0 +1,27 @@
+"""Assembles the services of a daemon."""
+
+from contextlib import AbstractAsyncContextManager
+from importlib import import_module
+
+from primroseturn.kernel.kernel import Kernel, run_kernel
+from primroseturn.settings.models import DaemonSettings
+
+# Modules that register the services of a daemon when imported.
+SERVICE_MODULES = (
+    "primroseturn.observation.service",
+    "primroseturn.store.client",
+    "primroseturn.configuration.service",
+    "primroseturn.membership.service",
+    "primroseturn.routing.service",
+    "primroseturn.limits.service",
+    "primroseturn.claims.service",
+    "primroseturn.requestpath.service",
+)
+DAEMON_SERVICES = ("callers",)
+
+
+def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
+    """Return the context in which all services of a daemon run."""
+    for module in SERVICE_MODULES:
+        import_module(module)
+    return run_kernel(DAEMON_SERVICES, {"settings": settings})
--- a/primroseturn/membership/service.py
+++ b/primroseturn/membership/service.py
@@ -19,7 +19,7 @@
     revision = 0
     while True:
         try:
-            for item in await store.list(LIST_PREFIX):
+            for item in await store.list_objects(LIST_PREFIX):
                 name = item.key.removeprefix(LIST_PREFIX)
                 listing.install(name, item.version, item.value)
             revision, _ = await store.watch(LIST_PREFIX, revision)
--- /dev/null
+++ b/primroseturn/requestpath/identify.py
@@ -0,0 +1,48 @@
+"""Finds the workspace of a request from its key."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from primroseturn.configuration.keys import verify_key
+from primroseturn.configuration.models import Route, Workspace
+from primroseturn.configuration.replica import Replica
+from primroseturn.failures import Failure
+from primroseturn.requestpath.headers import HeaderList, presented_keys
+
+OPEN_WORKSPACE = Workspace("open", rate=1000.0, burst=1000.0)
+
+
+class KeyRefused(Failure):
+    """The request has no key that is in force."""
+
+    code = "key-refused"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+
+
+class Caller(NamedTuple):
+    """Who a request runs for. `key_id` is None on open routes."""
+
+    workspace: Workspace
+    key_id: str | None
+
+
+def identify_caller(
+    route: Route, headers: HeaderList, replica: Replica
+) -> Result[Caller, Failure]:
+    """Return the caller of a request to `route`."""
+    if route.open:
+        return Ok(Caller(OPEN_WORKSPACE, None))
+    keys = set(presented_keys(headers))
+    if len(keys) != 1:
+        reason = "the request needs a key" if not keys else "the request has two keys"
+        return Error(KeyRefused(reason))
+    key = verify_key(keys.pop(), replica.state.keys_by_id)
+    if key is None or replica.is_withdrawn(key.key_id):
+        return Error(KeyRefused("the key is not in force"))
+    workspace = replica.state.workspaces_by_name.get(key.workspace)
+    if workspace is None:
+        return Error(KeyRefused("the key's workspace does not exist"))
+    return Ok(Caller(workspace, key.key_id))
--- a/primroseturn/requestpath/refusals.py
+++ b/primroseturn/requestpath/refusals.py
@@ -9,6 +9,7 @@
 
 STATUS_BY_CODE = {
     "route-missing": 404,
+    "key-refused": 401,
     "method-not-allowed": 405,
     "rate-exceeded": 429,
     "operation-in-doubt": 409,
@@ -31,9 +32,7 @@
 
 async def send_refusal(send: Any, refusal: Refusal) -> None:
     """Send a refusal as JSON."""
-    body = encode(
-        {"type": refusal.kind, "detail": refusal.detail, "ran": refusal.ran}
-    )
+    body = encode({"type": refusal.kind, "detail": refusal.detail, "ran": refusal.ran})
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
--- /dev/null
+++ b/primroseturn/serving/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listeners by hypercorn and small helpers for ASGI applications."""
--- /dev/null
+++ b/primroseturn/serving/asgi.py
@@ -0,0 +1,124 @@
+"""Serves ASGI applications with hypercorn inside a context."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, socket, SOL_SOCKET
+from typing import Any
+
+from anyio import CancelScope, create_task_group, Event, move_on_after
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+CLOSE_LIMIT_S = 5.0
+KEEP_ALIVE_S = 60.0
+
+
+def bind_listener(host: str, port: int) -> socket:
+    """Return a listening TCP socket. Port 0 chooses a free port."""
+    listener = socket(AF_INET, SOCK_STREAM)
+    listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
+
+
+class RunningRequests:
+    """Wraps an application so that its running requests can be counted and ended."""
+
+    def __init__(self, application: Callable[..., Any]) -> None:
+        self.application = application
+        self.scopes: set[CancelScope] = set()
+        self.idle = Event()
+        self.idle.set()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Run one request of the wrapped application."""
+        if scope["type"] != "http":
+            await self.application(scope, receive, send)
+            return
+        if not self.scopes:
+            self.idle = Event()
+        with CancelScope() as cancel_scope:
+            self.scopes.add(cancel_scope)
+            try:
+                await self.application(scope, receive, send)
+            finally:
+                self.scopes.discard(cancel_scope)
+                if not self.scopes:
+                    self.idle.set()
+
+    async def finish(self, limit_s: float) -> bool:
+        """Wait for running requests, end those left after `limit_s`.
+
+        Returns
+        -------
+        bool
+            Whether all finished by themselves.
+        """
+        with move_on_after(limit_s):
+            while self.scopes:
+                await self.idle.wait()
+        left = list(self.scopes)
+        for scope in left:
+            scope.cancel()
+        return not left
+
+
+def create_config(descriptor: int, header_limit_bytes: int) -> Config:
+    """Return hypercorn's configuration for HTTP/1.1 on a bound socket."""
+    config = Config()
+    config.bind = [f"fd://{descriptor}"]
+    # Above the time that `RunningRequests.finish` takes, because hypercorn 0.18
+    # raises when its own timeout cancels connections.
+    config.graceful_timeout = 60.0
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.include_server_header = False
+    config.alpn_protocols = ["http/1.1"]
+    config.h11_max_incomplete_size = header_limit_bytes
+    config.loglevel = "CRITICAL"
+    return config
+
+
+@asynccontextmanager
+async def serve_application(
+    application: Callable[..., Any],
+    host: str = "127.0.0.1",
+    port: int = 0,
+    finish_limit_s: float = 0.0,
+    header_limit_bytes: int = 16_384,
+) -> AsyncIterator[int]:
+    """Serve an ASGI application for the life of the context.
+
+    Parameters
+    ----------
+    finish_limit_s
+        Time that running requests get to finish when the context ends.
+
+    Yields
+    ------
+    int
+        The bound port.
+    """
+    listener = bind_listener(host, port)
+    bound_port = listener.getsockname()[1]
+    # hypercorn owns and closes the descriptor from here on.
+    config = create_config(listener.detach(), header_limit_bytes)
+    running = RunningRequests(application)
+    stop, stopped = Event(), Event()
+    async with create_task_group() as tasks:
+
+        async def run() -> None:
+            await serve(running, config, shutdown_trigger=stop.wait)  # type: ignore
+            stopped.set()
+
+        tasks.start_soon(run)
+        try:
+            yield bound_port
+        finally:
+            stop.set()
+            with CancelScope(shield=True):
+                await running.finish(finish_limit_s)
+                with move_on_after(CLOSE_LIMIT_S):
+                    await stopped.wait()
+            tasks.cancel_scope.cancel()
--- a/primroseturn/settings/load.py
+++ b/primroseturn/settings/load.py
@@ -1,7 +1,7 @@
 """Loads and checks settings files."""
 
-from pathlib import Path
 import re
+from pathlib import Path
 from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from msgspec.json import decode
 
-from primroseturn.standins.http import (
+from primroseturn.serving.http import (
     answer,
     answer_json,
     header_of,
@@ -184,9 +184,7 @@
         query = query_of(scope)
         prefix, after = query.get("prefix", ""), query.get("after", "")
         keys = sorted(
-            key
-            for key in self.entries_by_key
-            if key.startswith(prefix) and key > after
+            key for key in self.entries_by_key if key.startswith(prefix) and key > after
         )
         objects = [
             {
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -76,7 +76,7 @@
         if response.status_code == 412:
             raise VersionConflict(key, version)
 
-    async def list(self, prefix: str, after: str = "") -> list[StoredObject]:
+    async def list_objects(self, prefix: str, after: str = "") -> list[StoredObject]:
         """Return all objects below a prefix whose key sorts after `after`."""
         found: list[StoredObject] = []
         while True:
