Split the request path and give it its own connections

httpx's own transport hides whether bytes were sent, how old a connection is and whether unread bytes follow an answer, so a refusal could not state truthfully whether a request ran. Each connection is now an httpx transport of its own over h11, pooled per target.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -117,6 +117,7 @@
             "identity": {"vm": vm, "data_center": "dc1", "region": "region1"},
             "store": {"url": f"http://127.0.0.1:{self.store_port}"},
             "logs": {"events_file": "/dev/null"},
+            "callers": {"drain_delay_s": 0.0, "drain_limit_s": 1.0},
             **sections,
         }
         settings = convert(document, DaemonSettings)
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -15,6 +15,7 @@
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
+    "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
 )
 DAEMON_SERVICES = ("callers",)
--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -26,9 +26,4 @@
 DAEMON_STARTED = define_event(100, "daemon-started", "A daemon serves callers.")
 DAEMON_DRAINING = define_event(101, "daemon-draining", "A daemon began its stop.")
 DAEMON_STOPPED = define_event(102, "daemon-stopped", "A daemon has stopped.")
-REQUEST_FINISHED = define_event(200, "request-finished", "A request was answered.")
-REQUEST_REFUSED = define_event(201, "request-refused", "A request was refused.")
-REQUEST_BROKEN = define_event(
-    202, "request-broken", "A started answer could not be completed."
-)
 STORE_CALL_FAILED = define_event(300, "store-call-failed", "A store call failed.")
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -1,76 +1,34 @@
 """The ASGI application that carries a request from a caller to an upstream."""
 
-from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack
-from hashlib import sha256
 from itertools import count
-from typing import Any, NamedTuple
-
-from anyio import current_time, fail_after
-from expression import Result
-from httpx import AsyncClient, HTTPError, Response
-
-from primroseturn.claims.direct import DirectClaims
-from primroseturn.claims.models import (
-    ClaimGranted,
-    Operation,
-    OUTCOME_BODY_LIMIT_BYTES,
-    RecordedOutcome,
+from math import inf
+from typing import Any
+
+from anyio import CancelScope, create_task_group, current_time
+
+from primroseturn.failures import Refusal
+from primroseturn.requestpath.body import CallerGone, RequestBody
+from primroseturn.requestpath.checks import check_request, stated_deadline_s
+from primroseturn.requestpath.events import (
+    CALLER_GONE,
+    REQUEST_BROKEN,
+    REQUEST_FINISHED,
+    REQUEST_REFUSED,
 )
-from primroseturn.configuration.models import Route, Target
-from primroseturn.configuration.replica import Replica
-from primroseturn.detection.observations import Observation, Outcome
-from primroseturn.failures import Failure, Refusal, StoreUnavailable
-from primroseturn.limits.admission import Admission
-from primroseturn.observation.catalogue import REQUEST_FINISHED, REQUEST_REFUSED
-from primroseturn.observation.events import EventLog
+from primroseturn.requestpath.forward import check_key, Forwarder
 from primroseturn.requestpath.headers import (
+    CONTENT_LENGTH,
     forwarded_request_headers,
-    forwarded_response_headers,
+    HeaderList,
+    TRANSFER_ENCODING,
 )
-from primroseturn.requestpath.identify import Caller, identify_caller
-from primroseturn.requestpath.refusals import refuse, send_refusal
-from primroseturn.routing.dispatcher import Demand, Dispatcher
-from primroseturn.routing.router import Router
-
-IDEMPOTENCY_KEY = b"idempotency-key"
-
-
-class RequestRefused(Exception):
-    """Carries a refusal up to the place that sends it."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.kind)
-        self.refusal = refusal
-
-
-class AnswerCut(Failure):
-    """The upstream's answer ended before its stated length."""
-
-    code = "answer-cut"
-
-    def __init__(self) -> None:
-        super().__init__("the upstream's answer ended early")
+from primroseturn.requestpath.identify import identify_caller, secrets_of
+from primroseturn.requestpath.once import OnceForwarder
+from primroseturn.requestpath.passage import AnswerBroken, Passage
+from primroseturn.requestpath.refusals import RequestRefused, send_refusal, unwrap
+from primroseturn.requestpath.services import Services
 
-
-class Services(NamedTuple):
-    """What the application needs from the kernel."""
-
-    replica: Replica
-    router: Router
-    admission: Admission
-    dispatcher: Dispatcher
-    claims: DirectClaims
-    http: AsyncClient
-    events: EventLog
-    wait_limit_s: float
-
-
-def unwrap(result: Result[Any, Failure]) -> Any:
-    """Return the value of a result or raise its failure as a refusal."""
-    if result.is_error():
-        raise RequestRefused(refuse(result.error))
-    return result.ok
+CLOSE = (b"connection", b"close")
 
 
 class Application:
@@ -78,192 +36,159 @@
 
     def __init__(self, services: Services) -> None:
         self.services = services
+        self.repeatable = Forwarder(services)
+        self.once = OnceForwarder(services)
         self.numbers = count(1)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
+        if scope["type"] == "websocket":
+            detail = "the connection cannot be upgraded"
+            refusal = Refusal("upgrade-unsupported", 501, detail)
+            await send_refusal(send, refusal, "websocket.http")
+            return
         if scope["type"] != "http":
             return
         events = self.services.events
         request_id = f"{events.vm}-{events.incarnation}-{next(self.numbers)}"
+        body = RequestBody(receive, has_body(scope["headers"]))
+        sender = self.closing_sender(send)
         try:
-            await self.serve(request_id, scope, receive, send)
+            await self.serve(request_id, scope, body, sender)
         except RequestRefused as failure:
             refusal = failure.refusal
             events.emit(REQUEST_REFUSED, request=request_id, refusal=refusal.kind)
-            await send_refusal(send, refusal)
-
-    async def serve(self, request_id: str, scope: Any, receive: Any, send: Any) -> None:
-        """Match, identify, admit and forward a request."""
+            await body.drain()
+            await send_refusal(sender, refusal)
+        except AnswerBroken as failure:
+            # Without the end of the body, hypercorn closes the connection, and the
+            # caller sees that the answer is not whole.
+            events.emit(REQUEST_BROKEN, request=request_id, reason=str(failure))
+        except CallerGone:
+            events.emit(CALLER_GONE, request=request_id)
+
+    def closing_sender(self, send: Any) -> Any:
+        """Return `send`, asking callers to reconnect elsewhere during a drain."""
+        readiness = self.services.readiness
+
+        async def send_message(message: dict[str, Any]) -> None:
+            if readiness.draining and message["type"] == "http.response.start":
+                message["headers"] = [*message["headers"], CLOSE]
+            await send(message)
+
+        return send_message
+
+    async def serve(
+        self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
+    ) -> None:
+        """Check a request, then run it for its caller."""
+        passage = self.open_passage(request_id, scope, body, send)
+        failures: list[Exception] = []
+        finished = False
+        async with create_task_group() as tasks:
+            tasks.cancel_scope.deadline = passage.deadline_at or inf
+            tasks.start_soon(watch_caller, passage, tasks.cancel_scope)
+            try:
+                await self.run(passage, scope["headers"])
+                finished = True
+            except (RequestRefused, AnswerBroken, CallerGone) as failure:
+                failures.append(failure)
+            tasks.cancel_scope.cancel()
+        if finished:
+            self.note_finished(passage)
+            return
+        raise self.explain(passage, failures[0] if failures else None)
+
+    def open_passage(
+        self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
+    ) -> Passage:
+        """Match, identify and check a request.
+
+        Raises
+        ------
+        RequestRefused
+            If the request may not run.
+        """
         services = self.services
+        headers: HeaderList = scope["headers"]
+        check_request(scope, services.settings.callers.header_limit_bytes)
+        if not services.readiness.is_configured():
+            detail = "this VM has no configuration yet"
+            raise RequestRefused(Refusal("not-ready", 503, detail))
         route = unwrap(services.router.match(scope["method"], scope["path"]))
-        headers = scope["headers"]
         caller = unwrap(identify_caller(route, headers, services.replica))
-        unwrap(await services.admission.admit(caller.workspace, services.wait_limit_s))
-        body = read_request(receive)
-        if route.repeatable:
-            await self.forward(request_id, caller, route, scope, body, send)
-            return
-        operation = self.operation_of(request_id, caller, scope)
-        claim = unwrap(await services.claims.claim(operation))
-        if isinstance(claim, ClaimGranted):
-            await self.run_once(operation, request_id, caller, route, scope, body, send)
-        else:
-            await send_outcome(send, claim)
-
-    def operation_of(self, request_id: str, caller: Caller, scope: Any) -> Operation:
-        """Return the operation that a must-not-repeat request names."""
-        keys = [value for name, value in scope["headers"] if name == IDEMPOTENCY_KEY]
-        if len(keys) != 1 or not keys[0]:
-            detail = "the route needs one Idempotency-Key"
-            raise RequestRefused(Refusal("idempotency-key-missing", 400, detail))
-        line = f"{scope['method']} {scope['raw_path']!r} {scope['query_string']!r}"
-        fingerprint = sha256(line.encode()).hexdigest()[:16]
-        key = keys[0].decode("latin-1")
-        return Operation(caller.workspace.name, key, request_id, fingerprint)
+        secrets = secrets_of(headers)
+        where = scope["raw_path"] + b"?" + scope["query_string"]
+        if any(secret in where for secret in secrets):
+            detail = "the key must not be part of the URL"
+            raise RequestRefused(Refusal("key-misplaced", 400, detail))
+        forwarded = forwarded_request_headers(headers, secrets)
+        deadline_s = stated_deadline_s(headers)
+        passage = Passage(
+            request_id, scope, forwarded, route, caller, body, send, deadline_s
+        )
+        check_key(services, passage)
+        return passage
 
-    async def run_once(
-        self,
-        operation: Operation,
-        request_id: str,
-        caller: Caller,
-        route: Route,
-        scope: Any,
-        body: AsyncIterator[bytes],
-        send: Any,
-    ) -> None:
-        """Forward a claimed operation and record its outcome."""
-        claims = self.services.claims
-        try:
-            outcome = await self.forward(request_id, caller, route, scope, body, send)
-        except RequestRefused as failure:
-            if failure.refusal.ran == "no":
-                await claims.release(operation)
-            raise
-        try:
-            await claims.record(operation, outcome)
-        except StoreUnavailable:
-            # The claim stays, so a repeat is answered "unknown" and never runs.
-            return
+    async def run(self, passage: Passage, headers: HeaderList) -> None:
+        """Admit and forward a request."""
+        services = self.services
+        wait_s = services.settings.limits.wait_limit_s
+        workspace = passage.caller.workspace
+        unwrap(await services.admission.admit(workspace, wait_s))
+        await passage.body.preload()
+        if passage.route.repeatable:
+            await self.repeatable.forward(passage)
+        else:
+            await self.once.forward(passage, headers)
 
-    async def forward(
-        self,
-        request_id: str,
-        caller: Caller,
-        route: Route,
-        scope: Any,
-        body: AsyncIterator[bytes],
-        send: Any,
-    ) -> RecordedOutcome:
-        """Send the request to one target and stream its answer to the caller."""
-        dispatcher = self.services.dispatcher
-        started = current_time()
-        demand = Demand(
-            caller.workspace.name,
-            caller.workspace.share,
-            route.service,
-            route.route_class,
-            started + route.deadline_s,
-            frozenset(),
-            route.repeatable,
-            route.download,
-        )
-        async with AsyncExitStack() as stack:
-            choice = await stack.enter_async_context(dispatcher.acquire(demand))
-            target: Target = unwrap(choice)
-            try:
-                with fail_after(route.deadline_s):
-                    response = await stack.enter_async_context(
-                        self.open_exchange(target, scope, body)
-                    )
-            except (HTTPError, TimeoutError) as error:
-                detail = f"the upstream did not answer ({type(error).__name__})"
-                refusal = Refusal("upstream-failed", 502, detail, "unknown")
-                raise RequestRefused(refusal) from error
-            outcome = await stream_answer(response, send)
-        ended = current_time()
-        latency = ended - started
-        seen = Outcome.OK if outcome.status < 500 else Outcome.ERROR
-        dispatcher.observe(
-            Observation(
-                route.service,
-                target.name,
-                route.route_class,
-                seen,
-                latency,
-                latency,
-                0.0,
-                ended,
-            )
-        )
+    def explain(self, passage: Passage, failure: Exception | None) -> Exception:
+        """Return why a request was not answered, with a truthful `ran`."""
+        if isinstance(failure, RequestRefused) and not passage.answer_started:
+            refusal = failure.refusal
+            if passage.sent:
+                refusal = refusal._replace(ran="unknown")
+            return RequestRefused(refusal)
+        if isinstance(failure, RequestRefused):
+            return AnswerBroken(failure.refusal.kind)
+        if failure is not None:
+            return failure
+        if passage.gone:
+            return CallerGone()
+        if passage.answer_started:
+            return AnswerBroken("deadline-exceeded")
+        ran = "unknown" if passage.sent else "no"
+        detail = "the request's deadline has passed"
+        return RequestRefused(Refusal("deadline-exceeded", 504, detail, ran))
+
+    def note_finished(self, passage: Passage) -> None:
+        """Emit the event of an answered request."""
         self.services.events.emit(
             REQUEST_FINISHED,
-            request=request_id,
-            target=target.name,
-            status=outcome.status,
-            latency_s=latency,
-        )
-        return outcome
-
-    def open_exchange(self, target: Target, scope: Any, body: AsyncIterator[bytes]):
-        """Return the context of an exchange with a target."""
-        path = scope["raw_path"].decode("latin-1")
-        query = scope["query_string"].decode("latin-1")
-        url = f"{target.url}{path}{'?' + query if query else ''}"
-        headers = forwarded_request_headers(scope["headers"])
-        has_body = any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in scope["headers"]
-        )
-        content = body if has_body else None
-        return self.services.http.stream(
-            scope["method"], url, headers=headers, content=content
+            request=passage.request_id,
+            workspace=passage.caller.workspace.name,
+            route=passage.route.name,
+            target=passage.target_name,
+            status=passage.status,
+            latency_s=current_time() - passage.started_at,
         )
 
 
-async def read_request(receive: Any) -> AsyncIterator[bytes]:
-    """Yield the parts of a request body as they arrive."""
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            return
-        yield event.get("body", b"")
-        if not event.get("more_body", False):
-            return
-
+def has_body(headers: HeaderList) -> bool:
+    """Return whether a request has a body."""
+    return any(
+        name == TRANSFER_ENCODING or (name == CONTENT_LENGTH and value != b"0")
+        for name, value in headers
+    )
 
-async def stream_answer(response: Response, send: Any) -> RecordedOutcome:
-    """Pass an answer on part by part and return what is recorded of it."""
-    headers = forwarded_response_headers(response.headers.raw)
-    start = {
-        "type": "http.response.start",
-        "status": response.status_code,
-        "headers": headers,
-    }
-    await send(start)
-    kept = bytearray()
-    async for part in response.aiter_raw():
-        if len(kept) <= OUTCOME_BODY_LIMIT_BYTES:
-            kept += part
-        await send({"type": "http.response.body", "body": part, "more_body": True})
-    await send({"type": "http.response.body", "body": b""})
-    content_type = response.headers.get("content-type", "")
-    truncated = len(kept) > OUTCOME_BODY_LIMIT_BYTES
-    body = b"" if truncated else bytes(kept)
-    return RecordedOutcome(response.status_code, content_type, body, truncated)
 
+async def watch_caller(passage: Passage, scope: CancelScope) -> None:
+    """End a request whose caller has left.
 
-async def send_outcome(send: Any, outcome: RecordedOutcome) -> None:
-    """Answer a repeat with the recorded outcome."""
-    headers = [
-        (b"content-type", outcome.content_type.encode("latin-1")),
-        (b"content-length", str(len(outcome.body)).encode()),
-        (b"idempotency-replayed", b"true"),
-    ]
-    start = {
-        "type": "http.response.start",
-        "status": outcome.status,
-        "headers": headers,
-    }
-    await send(start)
-    await send({"type": "http.response.body", "body": outcome.body})
+    An operation that must not repeat goes on once it was sent, so that its outcome
+    is recorded and a repeat gets it.
+    """
+    await passage.body.wait_gone()
+    passage.gone = True
+    if passage.route.repeatable or not passage.sent:
+        scope.cancel()
--- /dev/null
+++ b/primroseturn/requestpath/connection.py
@@ -0,0 +1,226 @@
+"""One HTTP/1.1 connection to a target, as an httpx transport.
+
+httpx's own transport hides whether bytes were sent, how old a connection is and
+whether unread bytes are left after an answer. The request path needs all three.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from ssl import SSLContext
+from typing import NamedTuple
+
+import h11
+from anyio import current_time, fail_after
+from httpx import (
+    AsyncBaseTransport,
+    AsyncByteStream,
+    ConnectError,
+    ConnectTimeout,
+    ReadError,
+    ReadTimeout,
+    RemoteProtocolError,
+    Request,
+    Response,
+    URL,
+    WriteError,
+    WriteTimeout,
+)
+
+READ_BYTES = 65_536
+ANSWER_HEADER_LIMIT_BYTES = 65_536
+
+
+class ExchangeLimits(NamedTuple):
+    """Longest times in seconds without progress."""
+
+    first_byte_s: float
+    progress_s: float
+
+
+class CountingReader(asyncio.StreamReader):
+    """Counts the bytes that arrived, so that unsolicited ones are noticed."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=READ_BYTES, loop=asyncio.get_running_loop())
+        self.arrived = 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Take in bytes from the transport."""
+        self.arrived += len(data)
+        super().feed_data(data)
+
+
+class AnswerStream(AsyncByteStream):
+    """Body of the answer that a connection receives."""
+
+    def __init__(self, connection: "Connection", limit_s: float) -> None:
+        self.connection = connection
+        self.limit_s = limit_s
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body and check that it is whole."""
+        while True:
+            event = await self.connection.next_event(self.limit_s)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise RemoteProtocolError("the answer's body ended unexpectedly")
+
+
+class Connection(AsyncBaseTransport):
+    """Carries one exchange after the other over one TCP connection.
+
+    Attributes
+    ----------
+    opened_at, proven_at
+        Monotonic times in seconds of the connect and of the last clean exchange.
+    sent
+        Whether any byte of the current request may have left this process.
+    """
+
+    def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=ANSWER_HEADER_LIMIT_BYTES
+        )
+        self.opened_at = self.proven_at = current_time()
+        self.consumed = 0
+        self.sent = False
+        self.first_byte_at: float | None = None
+
+    def is_usable(self) -> bool:
+        """Return whether an idle connection can carry another exchange.
+
+        Bytes that arrived while it was idle belong to no request of ours; reading
+        them would hand one caller the answer of another.
+        """
+        return (
+            self.reader.arrived == self.consumed
+            and not self.reader.at_eof()
+            and not self.writer.is_closing()
+        )
+
+    async def handle_async_request(self, request: Request) -> Response:
+        """Send a request and return its answer with the body still to be read.
+
+        The request's extensions hold ``target`` (bytes) and ``limits``.
+        """
+        limits: ExchangeLimits = request.extensions["limits"]
+        self.sent = False
+        self.first_byte_at = None
+        await self.send_request(request, limits)
+        limit_s = limits.first_byte_s
+        while True:
+            event = await self.next_event(limit_s)
+            limit_s = limits.progress_s
+            if isinstance(event, h11.Response):
+                break
+            if not isinstance(event, h11.InformationalResponse):
+                raise RemoteProtocolError("the target closed without an answer")
+        stream = AnswerStream(self, limits.progress_s)
+        headers = event.headers.raw_items()
+        return Response(event.status_code, headers=headers, stream=stream)
+
+    async def send_request(self, request: Request, limits: ExchangeLimits) -> None:
+        """Send the head and the body, the head together with the first part."""
+        head = h11.Request(
+            method=request.method,
+            target=request.extensions["target"],
+            headers=request.headers.raw,
+        )
+        waiting = self.state.send(head) or b""
+        try:
+            async for part in request.stream:  # type: ignore[union-attr]
+                waiting += self.state.send(h11.Data(data=part)) or b""
+                await self.write(waiting, limits.progress_s)
+                waiting = b""
+            waiting += self.state.send(h11.EndOfMessage()) or b""
+            await self.write(waiting, limits.progress_s)
+        except WriteError:
+            # A target may answer and close before it has read the whole body.
+            if self.reader.arrived == self.consumed:
+                raise
+
+    async def write(self, data: bytes, limit_s: float) -> None:
+        """Write bytes, waiting while the target does not take them."""
+        if not data:
+            return
+        self.sent = True
+        try:
+            self.writer.write(data)
+            if self.writer.transport.get_write_buffer_size():
+                with fail_after(limit_s):
+                    await self.writer.drain()
+        except TimeoutError as error:
+            raise WriteTimeout("the target takes no more bytes") from error
+        except OSError as error:
+            raise WriteError(type(error).__name__) from error
+
+    async def next_event(self, limit_s: float) -> object:
+        """Return the next part of the answer, at most `limit_s` after the last byte."""
+        try:
+            while (event := self.state.next_event()) is h11.NEED_DATA:
+                with fail_after(limit_s):
+                    data = await self.reader.read(READ_BYTES)
+                self.consumed += len(data)
+                if self.first_byte_at is None and data:
+                    self.first_byte_at = current_time()
+                self.state.receive_data(data)
+        except TimeoutError as error:
+            raise ReadTimeout("no progress within the limit") from error
+        except OSError as error:
+            raise ReadError(type(error).__name__) from error
+        except h11.RemoteProtocolError as error:
+            raise RemoteProtocolError(str(error)) from error
+        return event
+
+    def finish(self) -> bool:
+        """End an exchange and return whether the connection may carry another."""
+        done = (
+            self.state.our_state is h11.DONE
+            and self.state.their_state is h11.DONE
+            and not self.state.trailing_data[0]
+        )
+        if not done or not self.is_usable():
+            return False
+        self.state.start_next_cycle()
+        self.proven_at = current_time()
+        return True
+
+    def abort(self) -> None:
+        """Close at once, without sending what is still buffered."""
+        self.writer.transport.abort()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.abort()
+
+
+async def open_connection(
+    url: URL, ssl_context: SSLContext | None, limit_s: float
+) -> Connection:
+    """Connect to a target.
+
+    Raises
+    ------
+    ConnectError, ConnectTimeout
+        If there is no connection after `limit_s`. Nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    reader = CountingReader()
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    secure = url.scheme == "https"
+    port = url.port or (443 if secure else 80)
+    try:
+        with fail_after(limit_s):
+            transport, _ = await loop.create_connection(
+                lambda: protocol, url.host, port, ssl=ssl_context if secure else None
+            )
+    except TimeoutError as error:
+        raise ConnectTimeout("no connection within the limit") from error
+    except OSError as error:
+        raise ConnectError(type(error).__name__) from error
+    return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
--- /dev/null
+++ b/primroseturn/requestpath/exchange.py
@@ -0,0 +1,295 @@
+"""One attempt: a request on one connection to one target."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from anyio import current_time, get_cancelled_exc_class
+from httpx import (
+    ConnectError,
+    ConnectTimeout,
+    HTTPError,
+    ReadTimeout,
+    RemoteProtocolError,
+    Request,
+    Response,
+    TimeoutException,
+)
+
+from primroseturn.configuration.models import Target
+from primroseturn.detection.observations import Observation, Outcome
+from primroseturn.failures import Failure
+from primroseturn.requestpath.connection import Connection, ExchangeLimits
+from primroseturn.requestpath.events import ATTEMPT_FAILED, CONNECTION_SILENT
+from primroseturn.requestpath.headers import (
+    CONTENT_LENGTH,
+    HeaderList,
+    RAN,
+    REQUEST_ID,
+    TRANSFER_ENCODING,
+    values_of,
+)
+from primroseturn.requestpath.passage import Passage
+from primroseturn.requestpath.pool import ConnectionsExhausted, TargetPool
+from primroseturn.requestpath.services import Services
+
+SHED_STATUSES = (429, 503)
+BODILESS_STATUSES = (204, 304)
+
+
+class AttemptFailed(Failure):
+    """An exchange with a target brought no whole answer.
+
+    Attributes
+    ----------
+    sent
+        Whether any byte of this attempt may have reached the target.
+    free
+        Whether a retry costs the target nothing and needs no budget.
+    """
+
+    code = "upstream-failed"
+
+    def __init__(self, outcome: Outcome, detail: str, sent: bool, free: bool) -> None:
+        super().__init__(detail)
+        self.outcome = outcome
+        self.sent = sent
+        self.free = free
+
+
+class Exchange:
+    """Sends a request to a target and holds the start of its answer.
+
+    Attributes
+    ----------
+    headers
+        Lower-case response headers as the target sent them.
+    not_run
+        Whether the target states that it refused the request without running it.
+    """
+
+    def __init__(self, services: Services, passage: Passage, target: Target) -> None:
+        self.services = services
+        self.passage = passage
+        self.target = target
+        self.started_at = current_time()
+        self.connection: Connection | None = None
+        self.connection_age_s = 0.0
+        self.old = False
+        self.outcome: Outcome | None = None
+        self.response: Response | None = None
+        self.status = 0
+        self.headers: HeaderList = []
+        self.not_run = False
+
+    async def start(
+        self, new: bool, method: str = "", extra_headers: HeaderList | None = None
+    ) -> None:
+        """Send the request and wait for the start of the answer.
+
+        Raises
+        ------
+        AttemptFailed
+            If there is none.
+        """
+        passage = self.passage
+        pool = self.services.pools.pool_of(self.target)
+        try:
+            await self.connect(pool, new)
+            assert self.connection is not None
+            request = self.build_request(pool, extra_headers or [])
+            self.response = await self.connection.handle_async_request(request)
+        except (HTTPError, ConnectionsExhausted) as error:
+            raise self.fail(error, pool) from error
+        finally:
+            if self.connection is not None and self.connection.sent:
+                passage.sent = True
+        self.take_head()
+
+    async def connect(self, pool: TargetPool, new: bool) -> None:
+        """Take a connection that suits the request."""
+        proven = not self.passage.route.repeatable
+        self.connection = await self.services.pools.take(self.target, proven, new)
+        # Nothing of this request has been sent, whatever the last one sent.
+        self.connection.sent = False
+        now = current_time()
+        self.connection_age_s = now - self.connection.opened_at
+        self.old = pool.is_old(self.connection, now)
+
+    def build_request(self, pool: TargetPool, extra_headers: HeaderList) -> Request:
+        """Return the request as it goes to the target."""
+        passage = self.passage
+        upstreams = self.services.settings.upstreams
+        first_byte_s = upstreams.progress_limit_s
+        if self.old and passage.body.repeatable:
+            first_byte_s = min(first_byte_s, upstreams.old_first_byte_limit_s)
+        limits = ExchangeLimits(first_byte_s, upstreams.progress_limit_s)
+        headers = passage.attempt_headers(pool.host)
+        if extra_headers:
+            names = {name for name, _ in extra_headers}
+            headers = [item for item in headers if item[0] not in names]
+            headers += extra_headers
+        return Request(
+            passage.method,
+            pool.url,
+            headers=headers,
+            stream=passage.body,
+            extensions={"target": passage.target, "limits": limits},
+        )
+
+    def take_head(self) -> None:
+        """Read and check the answer's head."""
+        assert self.response is not None
+        self.status = self.response.status_code
+        self.headers = [
+            (name.lower(), value) for name, value in self.response.headers.raw
+        ]
+        shed = self.status in SHED_STATUSES
+        self.not_run = shed and values_of(self.headers, RAN) == [b"no"]
+        lengths = values_of(self.headers, CONTENT_LENGTH)
+        encodings = values_of(self.headers, TRANSFER_ENCODING)
+        echoed = values_of(self.headers, REQUEST_ID)
+        if any(value != self.passage.request_id.encode() for value in echoed):
+            raise self.reject("the target answered another request")
+        if len(lengths) + len(encodings) > 1:
+            raise self.reject("the answer's length is ambiguous")
+        if not lengths and not encodings and self.may_have_body():
+            raise self.reject("the answer's end cannot be told from a cut")
+
+    def may_have_body(self) -> bool:
+        """Return whether the answer may have a body."""
+        return self.passage.method != "HEAD" and self.status not in BODILESS_STATUSES
+
+    def reject(self, detail: str) -> AttemptFailed:
+        """Return the failure for an answer that cannot be trusted."""
+        self.outcome = Outcome.ERROR
+        return AttemptFailed(Outcome.ERROR, detail, True, False)
+
+    @property
+    def length(self) -> int | None:
+        """Return the stated length of the answer's body."""
+        if not self.may_have_body():
+            return 0
+        lengths = values_of(self.headers, CONTENT_LENGTH)
+        return int(lengths[0]) if lengths else None
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body part by part.
+
+        Raises
+        ------
+        AttemptFailed
+            If it is cut or stalls.
+        """
+        assert self.response is not None
+        try:
+            async for part in self.response.stream:  # type: ignore[union-attr]
+                yield part
+        except HTTPError as error:
+            stalled = isinstance(error, TimeoutException)
+            self.outcome = Outcome.STALL if stalled else Outcome.CUT
+            detail = f"the answer ended early ({type(error).__name__})"
+            raise AttemptFailed(self.outcome, detail, True, False) from error
+
+    def fail(self, error: Exception, pool: TargetPool) -> AttemptFailed:
+        """Return the failure for an error before the answer's start."""
+        sent = self.connection is not None and self.connection.sent
+        self.outcome = outcome_of(error)
+        silent = (
+            isinstance(error, ReadTimeout)
+            and self.old
+            and self.connection is not None
+            and self.connection.first_byte_at is None
+        )
+        if silent or (self.old and sent):
+            closed = pool.close_old(current_time())
+            self.services.events.emit(
+                CONNECTION_SILENT, target=self.target.name, closed=closed + 1
+            )
+        detail = f"the upstream did not answer ({type(error).__name__})"
+        # An old connection that fails says little about its target: one retry on
+        # a new connection is granted outside the budget. There are at most as many
+        # such retries as old connections.
+        return AttemptFailed(self.outcome, detail, sent, not sent or self.old)
+
+    def finish(self) -> None:
+        """Keep or close the connection and report what the exchange showed."""
+        connection = self.connection
+        pool = self.services.pools.pool_of(self.target)
+        first_byte_at = None
+        if connection is not None:
+            first_byte_at = connection.first_byte_at
+            if self.outcome is None:
+                pool.discard(connection)
+            else:
+                pool.give_back(connection)
+        if self.outcome is None:
+            return
+        now = current_time()
+        latency_s = now - self.started_at
+        first_byte_s = first_byte_at - self.started_at if first_byte_at else latency_s
+        route = self.passage.route
+        self.services.dispatcher.observe(
+            Observation(
+                route.service,
+                self.target.name,
+                route.route_class,
+                self.outcome,
+                latency_s,
+                first_byte_s,
+                self.connection_age_s,
+                now,
+            )
+        )
+
+    def conclude(self) -> None:
+        """Note that the answer arrived whole."""
+        if self.status in SHED_STATUSES and (
+            self.not_run or values_of(self.headers, b"retry-after")
+        ):
+            self.outcome = Outcome.SHED
+        else:
+            self.outcome = Outcome.ERROR if self.status >= 500 else Outcome.OK
+
+
+def outcome_of(error: Exception) -> Outcome:
+    """Return what an error before the answer's start says about the target."""
+    if isinstance(error, ConnectionsExhausted):
+        return Outcome.SHED
+    if isinstance(error, ConnectTimeout):
+        return Outcome.TIMEOUT
+    if isinstance(error, ConnectError):
+        return Outcome.RESET
+    if isinstance(error, TimeoutException):
+        return Outcome.STALL
+    if isinstance(error, RemoteProtocolError):
+        return Outcome.CUT
+    return Outcome.RESET
+
+
+@asynccontextmanager
+async def run_exchange(
+    services: Services, passage: Passage, target: Target
+) -> AsyncIterator[Exchange]:
+    """Run one exchange; its connection is kept only if it ended cleanly."""
+    exchange = Exchange(services, passage, target)
+    passage.target_name = target.name
+    try:
+        yield exchange
+    except AttemptFailed as failure:
+        services.events.emit(
+            ATTEMPT_FAILED,
+            request=passage.request_id,
+            target=target.name,
+            outcome=failure.outcome.value,
+            sent=failure.sent,
+        )
+        raise
+    except get_cancelled_exc_class():
+        if passage.expired():
+            exchange.outcome = Outcome.TIMEOUT
+        elif passage.outrun:
+            # A lower bound of the latency, so that hedging hides no slow target.
+            exchange.outcome = Outcome.OK
+        raise
+    finally:
+        exchange.finish()
--- a/primroseturn/requestpath/headers.py
+++ b/primroseturn/requestpath/headers.py
@@ -7,6 +7,7 @@
 HOP_BY_HOP = frozenset(
     (
         b"connection",
+        b"expect",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
@@ -22,6 +23,22 @@
 KEY_HEADERS = frozenset((KEY_HEADER, AUTHORIZATION))
 BEARER = b"bearer "
 
+HOST = b"host"
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+IDEMPOTENCY_KEY = b"idempotency-key"
+DEADLINE = b"x-request-deadline-ms"
+REQUEST_ID = b"x-request-id"
+# An upstream that refuses a request without running it says so with "no".
+RAN = b"x-request-ran"
+
+# Written anew for each attempt.
+REPLACED = frozenset((HOST, DEADLINE, REQUEST_ID))
+# Naming one of these in Connection would change what the request means.
+NEVER_HOP_BY_HOP = frozenset(
+    (HOST, CONTENT_LENGTH, IDEMPOTENCY_KEY, DEADLINE, KEY_HEADER, AUTHORIZATION)
+)
+
 
 def connection_options(headers: Iterable[tuple[bytes, bytes]]) -> set[bytes]:
     """Return the header names that the Connection header makes hop-by-hop."""
@@ -33,6 +50,11 @@
     }
 
 
+def values_of(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> list[bytes]:
+    """Return all values of a header by its lower-case name."""
+    return [value for key, value in headers if key == name]
+
+
 def presented_keys(headers: Iterable[tuple[bytes, bytes]]) -> list[str]:
     """Return the keys that a request presents, from every accepted location."""
     found = []
@@ -44,11 +66,18 @@
     return found
 
 
-def forwarded_request_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
-    """Return what goes upstream: no hop-by-hop fields, no keys, no Host."""
-    headers = list(headers)
-    dropped = HOP_BY_HOP | KEY_HEADERS | connection_options(headers) | {b"host"}
-    return [(name, value) for name, value in headers if name not in dropped]
+def forwarded_request_headers(
+    headers: HeaderList, secrets: Iterable[bytes] = ()
+) -> HeaderList:
+    """Return what goes upstream: no hop-by-hop fields, no keys, nothing replaced.
+
+    A header of another name that repeats one of the presented keys is left out too.
+    """
+    dropped = HOP_BY_HOP | KEY_HEADERS | REPLACED | connection_options(headers)
+    kept = [(name, value) for name, value in headers if name not in dropped]
+    for secret in secrets:
+        kept = [item for item in kept if secret not in item[1]]
+    return kept
 
 
 def forwarded_response_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
--- a/primroseturn/requestpath/identify.py
+++ b/primroseturn/requestpath/identify.py
@@ -10,6 +10,7 @@
 from primroseturn.failures import Failure
 from primroseturn.requestpath.headers import HeaderList, presented_keys
 
+SECRET_MIN_LENGTH = 20
 OPEN_WORKSPACE = Workspace("open", rate=1000.0, burst=1000.0)
 
 
@@ -46,3 +47,12 @@
     if workspace is None:
         return Error(KeyRefused("the key's workspace does not exist"))
     return Ok(Caller(workspace, key.key_id))
+
+
+def secrets_of(headers: HeaderList) -> set[bytes]:
+    """Return the presented keys that must not appear anywhere upstream.
+
+    Shorter strings cannot be keys and would match unrelated headers.
+    """
+    keys = presented_keys(headers)
+    return {key.encode("latin-1") for key in keys if len(key) >= SECRET_MIN_LENGTH}
--- /dev/null
+++ b/primroseturn/requestpath/pool.py
@@ -0,0 +1,191 @@
+"""Pools of connections, one pool per target."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from math import ceil
+from ssl import create_default_context, SSLContext
+
+from anyio import create_task_group, current_time, sleep
+from httpx import URL
+
+from primroseturn.configuration.models import Target
+from primroseturn.configuration.replica import Replica
+from primroseturn.failures import Failure
+from primroseturn.membership.listing import Listing
+from primroseturn.requestpath.connection import Connection, open_connection
+from primroseturn.settings.models import UpstreamSettings
+
+CONNECT_LIMIT_S = 1.0
+PRUNE_INTERVAL_S = 1.0
+DEFAULT_CONNECTIONS_PER_TARGET = 330
+
+
+class ConnectionsExhausted(Failure):
+    """This VM's share of a target's connections is in use."""
+
+    code = "connections-exhausted"
+
+    def __init__(self, target: str) -> None:
+        super().__init__(f"all connections to target {target!r} are in use")
+
+
+class TargetPool:
+    """Connections to one target.
+
+    Attributes
+    ----------
+    idle
+        Idle connections, the most recently used last.
+    opened
+        Number of connections in use or idle.
+    """
+
+    def __init__(
+        self, url: str, settings: UpstreamSettings, ssl_context: SSLContext | None
+    ) -> None:
+        self.url = URL(url)
+        self.host = self.url.netloc
+        self.settings = settings
+        self.ssl_context = ssl_context
+        self.idle: list[Connection] = []
+        self.opened = 0
+
+    async def take(self, name: str, limit: int, proven: bool, new: bool) -> Connection:
+        """Return an idle connection or open one.
+
+        Parameters
+        ----------
+        limit
+            Largest number of connections.
+        proven
+            Whether the connection must be new or have carried a clean exchange
+            within `old_connection_s`.
+        new
+            Whether the connection must be new.
+        """
+        self.prune(current_time())
+        if self.idle and not new:
+            connection = self.idle[-1]
+            if not (proven and self.is_old(connection, current_time())):
+                return self.idle.pop()
+        if self.opened >= limit:
+            if not self.idle:
+                raise ConnectionsExhausted(name)
+            self.discard(self.idle.pop(0))
+        self.opened += 1
+        try:
+            return await open_connection(self.url, self.ssl_context, CONNECT_LIMIT_S)
+        except BaseException:
+            self.opened -= 1
+            raise
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection whose exchange ended cleanly, close any other."""
+        if connection.finish():
+            self.idle.append(connection)
+        else:
+            self.discard(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """Close a connection."""
+        self.opened -= 1
+        connection.abort()
+
+    def is_old(self, connection: Connection, now: float) -> bool:
+        """Return whether a connection's last proof of life is too long ago."""
+        return now - connection.proven_at > self.settings.old_connection_s
+
+    def close_old(self, now: float) -> int:
+        """Close the old idle connections and return their number."""
+        return self.close_idle(lambda item: self.is_old(item, now))
+
+    def prune(self, now: float) -> None:
+        """Close idle connections that are too old or were closed by the target."""
+        limit_s = self.settings.idle_limit_s
+        self.close_idle(
+            lambda item: now - item.proven_at > limit_s or not item.is_usable()
+        )
+
+    def close_idle(self, unwanted) -> int:
+        """Close the idle connections that a predicate selects."""
+        closed = [item for item in self.idle if unwanted(item)]
+        if closed:
+            self.idle = [item for item in self.idle if item not in closed]
+        for connection in closed:
+            self.discard(connection)
+        return len(closed)
+
+
+class Pools:
+    """The pools of this VM by address of the target."""
+
+    def __init__(
+        self, settings: UpstreamSettings, listing: Listing, replica: Replica
+    ) -> None:
+        self.settings = settings
+        self.listing = listing
+        self.replica = replica
+        self.ssl_context: SSLContext | None = None
+        self.pools_by_url: dict[str, TargetPool] = {}
+
+    def pool_of(self, target: Target) -> TargetPool:
+        """Return the pool of a target."""
+        pool = self.pools_by_url.get(target.url)
+        if pool is None:
+            pool = TargetPool(target.url, self.settings, self.context_for(target.url))
+            self.pools_by_url[target.url] = pool
+        return pool
+
+    def context_for(self, url: str) -> SSLContext | None:
+        """Return the TLS context for a target, created on first use."""
+        if url.startswith("https") and self.ssl_context is None:
+            self.ssl_context = create_default_context(cafile=self.settings.ca_file)
+        return self.ssl_context
+
+    def limit_of(self, target: Target) -> int:
+        """Return this VM's share of the target's connections."""
+        service = self.replica.state.services_by_name.get(target.service)
+        whole = service.connections_per_target if service else None
+        vms = max(1, len(self.listing.daemons_by_id))
+        return ceil((whole or DEFAULT_CONNECTIONS_PER_TARGET) / vms)
+
+    async def take(
+        self, target: Target, proven: bool = False, new: bool = False
+    ) -> Connection:
+        """Return a connection to a target; see `TargetPool.take`."""
+        pool = self.pool_of(target)
+        return await pool.take(target.name, self.limit_of(target), proven, new)
+
+    async def prune_forever(self) -> None:
+        """Close idle connections in time and forget targets that left."""
+        while True:
+            await sleep(PRUNE_INTERVAL_S)
+            listed = {
+                target.url
+                for targets in self.listing.targets_by_service.values()
+                for target in targets.values()
+                if target.state == "live"
+            }
+            for url, pool in list(self.pools_by_url.items()):
+                pool.prune(current_time())
+                if url not in listed:
+                    pool.close_idle(lambda item: True)
+                    if not pool.opened:
+                        del self.pools_by_url[url]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self.pools_by_url.values():
+            pool.close_idle(lambda item: True)
+
+
+@asynccontextmanager
+async def run_pools(pools: Pools) -> AsyncIterator[Pools]:
+    """Prune the pools for the life of the context, then close them."""
+    async with create_task_group() as tasks:
+        tasks.start_soon(pools.prune_forever)
+        try:
+            yield pools
+        finally:
+            tasks.cancel_scope.cancel()
+            pools.close()
--- a/primroseturn/requestpath/service.py
+++ b/primroseturn/requestpath/service.py
@@ -1,14 +1,20 @@
-"""Kernel service that serves callers."""
+"""Kernel service that serves callers and stops without interrupting requests."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from httpx import AsyncClient, Limits, Timeout
+from anyio import CancelScope, sleep
 
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
-from primroseturn.observation.catalogue import DAEMON_STARTED, DAEMON_STOPPED
-from primroseturn.requestpath.application import Application, Services
+from primroseturn.observation.catalogue import (
+    DAEMON_DRAINING,
+    DAEMON_STARTED,
+    DAEMON_STOPPED,
+)
+from primroseturn.requestpath.application import Application
+from primroseturn.requestpath.pool import Pools, run_pools
+from primroseturn.requestpath.services import collect_services
 from primroseturn.serving.asgi import serve_application
 
 
@@ -24,30 +30,35 @@
         "dispatcher",
         "admission",
         "claims",
+        "readiness",
     ),
 )
 @asynccontextmanager
 async def provide_callers(kernel: Kernel) -> AsyncIterator[int]:
-    """Serve callers and provide the port."""
+    """Serve callers and provide the port.
+
+    A stop first makes this VM not ready and waits for the load balancer to notice,
+    then closes the listener and idle connections, then waits for running requests.
+    """
     settings = kernel.find("settings")
     events = kernel.find("events")
-    limits = Limits(max_connections=1000, max_keepalive_connections=200)
-    timeout = Timeout(settings.upstreams.progress_limit_s)
-    async with AsyncClient(limits=limits, timeout=timeout, trust_env=False) as http:
-        application = Application(
-            Services(
-                kernel.find("replica"),
-                kernel.find("router"),
-                kernel.find("admission"),
-                kernel.find("dispatcher"),
-                kernel.find("claims"),
-                http,
-                events,
-                settings.limits.wait_limit_s,
-            )
-        )
-        address = settings.callers.address
-        async with serve_application(application, address.host, address.port) as port:
+    readiness = kernel.find("readiness")
+    pools = Pools(settings.upstreams, kernel.find("listing"), kernel.find("replica"))
+    async with run_pools(pools):
+        services = collect_services(kernel.find, kernel.services_by_name.get, pools)
+        callers = settings.callers
+        async with serve_application(
+            Application(services),
+            callers.address.host,
+            callers.address.port,
+            finish_limit_s=callers.drain_limit_s,
+            header_limit_bytes=callers.header_limit_bytes,
+            tls=callers.tls,
+        ) as port:
             events.emit(DAEMON_STARTED, port=port)
             yield port
-            events.emit(DAEMON_STOPPED)
+            readiness.begin_drain()
+            events.emit(DAEMON_DRAINING, delay_s=callers.drain_delay_s)
+            with CancelScope(shield=True):
+                await sleep(callers.drain_delay_s)
+    events.emit(DAEMON_STOPPED)
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -1,5 +1,6 @@
 """Serves ASGI applications with hypercorn inside a context."""
 
+import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, socket, SOL_SOCKET
@@ -9,6 +10,9 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from primroseturn.serving.protocol import install_protocol
+from primroseturn.settings.models import TlsSettings
+
 CLOSE_LIMIT_S = 5.0
 KEEP_ALIVE_S = 60.0
 
@@ -65,13 +69,23 @@
         return not left
 
 
-def create_config(descriptor: int, header_limit_bytes: int) -> Config:
+def create_config(
+    descriptor: int,
+    header_limit_bytes: int,
+    finish_limit_s: float,
+    tls: TlsSettings | None,
+) -> Config:
     """Return hypercorn's configuration for HTTP/1.1 on a bound socket."""
     config = Config()
     config.bind = [f"fd://{descriptor}"]
     # Above the time that `RunningRequests.finish` takes, because hypercorn 0.18
     # raises when its own timeout cancels connections.
-    config.graceful_timeout = 60.0
+    config.graceful_timeout = finish_limit_s + 60.0
+    # A keep-alive connection ends only by idling or by a drain.
+    config.keep_alive_max_requests = sys.maxsize
+    if tls is not None:
+        config.certfile = tls.certificate_file
+        config.keyfile = tls.key_file
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
     config.alpn_protocols = ["http/1.1"]
@@ -87,6 +101,7 @@
     port: int = 0,
     finish_limit_s: float = 0.0,
     header_limit_bytes: int = 16_384,
+    tls: TlsSettings | None = None,
 ) -> AsyncIterator[int]:
     """Serve an ASGI application for the life of the context.
 
@@ -103,7 +118,8 @@
     listener = bind_listener(host, port)
     bound_port = listener.getsockname()[1]
     # hypercorn owns and closes the descriptor from here on.
-    config = create_config(listener.detach(), header_limit_bytes)
+    config = create_config(listener.detach(), header_limit_bytes, finish_limit_s, tls)
+    install_protocol()
     running = RunningRequests(application)
     stop, stopped = Event(), Event()
     async with create_task_group() as tasks:
