Test the request path under faults and close what callers closed

A watcher did not know that an order was sent until its answer had come, so an order whose caller left was cancelled and its outcome lost; the connection now reports its first byte at once. hypercorn 0.18 keeps a connection that its caller closed until the keep-alive limit (60 s); it is now closed at once.

--- /dev/null
+++ b/features/answers.feature
@@ -0,0 +1,70 @@
+Feature: Every caller receives the complete answer to its own request
+
+  Scenario: Downloads cut in the middle are continued on another target
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0}
+    When 8 callers fetch "/doc/sheet?size=900000"
+    Then all answers are whole documents of 900000 bytes
+
+  Scenario: Downloads that stall in the middle are continued on another target
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"stall_share": 1.0}
+    When 6 callers fetch "/doc/sheet?size=900000" at once
+    Then all answers are whole documents of 900000 bytes
+
+  Scenario: A range that a caller asked for is continued within its bounds
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 0.7, "seed": 3}
+    When a caller fetches "/doc/sheet?size=900000" with the header "range: bytes=100000-699999"
+    Then the answer is bytes 100000 to 699999 of the document
+
+  Scenario: A cut download whose document differs elsewhere is broken visibly
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0, "tag": "\"v1\""}
+    And target "target2" has the faults {"cut_share": 1.0, "tag": "\"v2\""}
+    When 2 callers fetch "/doc/sheet?size=300000"
+    Then no caller takes its answer for a whole one
+
+  Scenario: A cut download without a strong tag is broken visibly
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0, "tag": "W/\"v1\""}
+    When 2 callers fetch "/doc/sheet?size=300000"
+    Then no caller takes its answer for a whole one
+
+  Scenario: A slow download that makes progress outlives the route's deadline
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"part_delay_s": 0.2}
+    When 1 callers fetch "/doc/sheet?size=600000"
+    Then all answers are whole documents of 600000 bytes
+
+  Scenario: A short answer that is cut is fetched again before the caller sees it
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0}
+    When 8 callers fetch "/docs-page?size=3000"
+    Then all answers are whole documents of 3000 bytes
+
+  Scenario: A long answer that is cut is broken visibly where it cannot be resumed
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0}
+    When 2 callers fetch "/docs-page?size=300000"
+    Then no caller takes its answer for a whole one
+
+  Scenario: An upstream's answer to another request reaches no caller
+    Given 2 targets behind relays and 1 daemon
+    And 4 requests have opened connections
+    And target "target1" has the faults {"crossed_share": 1.0}
+    When 10 callers fetch "/find/mine"
+    Then all answers name the path "/find/mine" and come within 1 s
+
+  Scenario: Bytes that a target sends after its answer reach no other caller
+    Given 1 targets behind relays and 1 daemon
+    When target "target1" sends a stray answer after the next one
+    And 1 callers fetch "/find/first"
+    And 0.05 s pass
+    And 1 callers fetch "/find/second"
+    Then the last answer names the path "/find/second"
+
+  Scenario: A large upload arrives whole
+    Given 1 targets behind relays and 1 daemon
+    When a caller uploads 3000000 bytes
+    Then the upload arrived whole
--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,55 @@
+Feature: Connections that went silent, failed or aged harm no request
+
+  Scenario: An idempotent request on a silent old connection is answered
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    When 0.4 s pass
+    And all open connections go silent
+    And 3 callers fetch "/find/item"
+    Then all answers name the path "/find/item" and come within 0.6 s
+    And "target1" has 1 open connections
+
+  Scenario: An order uses no connection that is not proven
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    When 0.4 s pass
+    And all open connections go silent
+    And a caller orders with operation "o1" through "vm1"
+    Then all answers name the path "/order" and come within 0.6 s
+    And the operation "o1" ran 1 time
+
+  Scenario: Idle connections are closed in time
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    When 2.3 s pass
+    Then "target1" has 0 open connections
+
+  Scenario: A VM keeps to its share of a target's connections
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"extra_delay_s": 0.1}
+    When 30 callers fetch "/find/item" at once
+    Then "target1" never had more than 8 open connections
+
+  Scenario: An idempotent request moves on from a target that cannot be reached
+    Given 2 targets behind relays and 1 daemon
+    And the path to "target1" is closed
+    When 10 callers fetch "/find/item"
+    Then all answers name the path "/find/item" and come within 1 s
+
+  Scenario: An idempotent request moves on from a target that fails
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"error_share": 1.0}
+    When 10 callers fetch "/find/item"
+    Then all answers name the path "/find/item" and come within 1 s
+
+  Scenario: An idempotent request moves on from a target that never answers
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"silent_share": 1.0}
+    When 6 callers fetch "/find/item" at once
+    Then all answers name the path "/find/item" and come within 2 s
+
+  Scenario: Callers that reconnect for each request leave no connections behind
+    Given 1 targets behind relays and 1 daemon
+    When 20 callers close their connections after a request
+    And 0.3 s pass
+    Then "vm1" has no connection that only its caller closed
--- /dev/null
+++ b/features/keys.feature
@@ -0,0 +1,56 @@
+Feature: A request runs only for its key's workspace and no upstream sees the key
+
+  Scenario Outline: The key is removed from every place
+    Given 1 targets behind relays and 1 daemon
+    When a caller fetches "<path>" with the header "<header>"
+    Then the answer has status 200
+    And no upstream saw the key of "shop"
+
+    Examples:
+      | path       | header                    |
+      | /find/item | authorization: Bearer KEY |
+      | /find/item | cookie: session=KEY       |
+      | /open/item | x-api-key: KEY            |
+      | /find/item | x_api_key: KEY            |
+
+  Scenario: A key that is withdrawn while its request waits stops the request
+    Given 1 targets behind relays and 1 daemon
+    When the key is withdrawn while a caller sends its request
+    Then all answers are the refusal "key-refused" with status 401 and ran "no"
+    And no upstream ran a request
+
+  Scenario: A withdrawn key stops working on an open connection
+    Given 1 targets behind relays and 1 daemon
+    And 1 requests have opened connections
+    When the key is withdrawn while a caller sends its request
+    And 1 callers fetch "/find/item"
+    Then all answers are the refusal "key-refused" with status 401 and ran "no"
+
+  Scenario Outline: Requests that upstreams might read differently are refused
+    Given 1 targets behind relays and 1 daemon
+    When a caller sends the raw request <request>
+    Then the raw answer has status <status>, type "<type>" and ran "no"
+    And no upstream ran a request
+
+    Examples:
+      | request | status | type |
+      | GET /open/../find HTTP/1.1\r\nHost: a\r\n\r\n | 400 | path-invalid |
+      | GET /open/%2e%2e/find HTTP/1.1\r\nHost: a\r\n\r\n | 400 | path-invalid |
+      | GET /open%2f..%2ffind HTTP/1.1\r\nHost: a\r\n\r\n | 400 | path-invalid |
+      | GET //find HTTP/1.1\r\nHost: a\r\n\r\n | 400 | path-invalid |
+      | GET http://a/find HTTP/1.1\r\nHost: a\r\n\r\n | 400 | path-invalid |
+      | GET /find?k=KEY HTTP/1.1\r\nHost: a\r\nX-Api-Key: KEY\r\n\r\n | 400 | key-misplaced |
+      | GET /open HTTP/1.0\r\nHost: a\r\n\r\n | 505 | version-unsupported |
+      | GET /open HTTP/1.1\r\nHost: a\r\nX-Fill: LONG\r\n\r\n | 431 | headers-too-large |
+      | GET /open HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 400 | length-ambiguous |
+      | GET /open HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab | 400 | request-invalid |
+      | GET /open HTTP/1.1\r\nHost: a\r\nConnection: Content-Length\r\nContent-Length: 0\r\n\r\n | 400 | header-invalid |
+      | GET /open HTTP/1.1\r\nHost: a\r\nX-Request-Deadline-Ms: soon\r\n\r\n | 400 | deadline-invalid |
+      | GET /open HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n | 501 | upgrade-unsupported |
+      | PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n | 505 | version-unsupported |
+      | nonsense\r\n\r\n | 400 | request-invalid |
+
+  Scenario: An offer to change to HTTP/2 is ignored
+    Given 1 targets behind relays and 1 daemon
+    When a caller sends the raw request GET /open HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n
+    Then the raw answer has status 200
--- /dev/null
+++ b/features/steps/passages.py
@@ -0,0 +1,357 @@
+"""Steps for the request path under faults."""
+
+from contextlib import asynccontextmanager
+from hashlib import sha256
+from json import JSONDecoder, loads
+from pathlib import Path
+from time import monotonic
+
+from anyio import connect_tcp, create_task_group, EndOfStream, fail_after, sleep
+from behave import given, then, when
+from httpx import AsyncClient, HTTPError, RemoteProtocolError
+from msgspec.structs import replace
+
+from features.fleet import run_fleet
+from primroseturn.standins.documents import document_part
+from primroseturn.standins.relay import Relay, run_relay
+from primroseturn.standins.upstream import UpstreamFaults
+
+CLOSE_WAIT = "08"
+ROUTES = {
+    "find": {"deadline_s": 5.0},
+    "open": {"open": True},
+    "doc": {"download": True, "deadline_s": 1.0},
+    "docs-page": {},
+    "upload": {"methods": ["POST"], "deadline_s": 20.0},
+    "order": {"methods": ["POST"], "repeatable": False},
+}
+UPSTREAMS = {
+    "old_connection_s": 0.3,
+    "old_first_byte_limit_s": 0.2,
+    "progress_limit_s": 0.8,
+    "idle_limit_s": 1.0,
+}
+
+
+@asynccontextmanager
+async def run_passages(targets, daemons, callers):
+    """Run a fleet whose targets are behind relays."""
+    async with run_fleet() as fleet:
+        fleet.relays = {}
+        fleet.configure(
+            "service", "search", {"name": "search", "connections_per_target": 8}
+        )
+        for name, options in ROUTES.items():
+            body = {"name": name, "path_prefix": f"/{name}", "service": "search"}
+            fleet.configure("route", name, {**body, **options})
+        fleet.add_workspace("shop")
+        for number in range(1, targets + 1):
+            name = f"target{number}"
+            upstream = await fleet.add_upstream(name, "search", slots=50)
+            url = fleet.targets[-1].url
+            relay = Relay(int(url.rpartition(":")[2]))
+            port = await fleet.start(f"relay of {name}", run_relay(relay))
+            fleet.relays[name] = relay
+            url = f"http://127.0.0.1:{port}"
+            fleet.targets[-1] = replace(fleet.targets[-1], url=url)
+            upstream.set_faults(UpstreamFaults())
+        fleet.list_targets("search")
+        for number in range(daemons):
+            await fleet.add_daemon(
+                f"vm{number + 1}", upstreams=UPSTREAMS, callers=callers
+            )
+        await fleet.wait_ready()
+        yield fleet
+
+
+def start_passages(context, targets, daemons=1, delay_s=0.0):
+    callers = {"drain_delay_s": delay_s, "drain_limit_s": 3.0}
+    manager = context.portal.wrap_async_context_manager(
+        run_passages(targets, daemons, callers)
+    )
+    context.fleet = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    context.key = context.fleet.secrets_by_workspace["shop"]
+    context.answers = []
+
+
+@given("{targets:d} targets behind relays and {daemons:d} daemon")
+@given("{targets:d} targets behind relays and {daemons:d} daemons")
+def step_passages(context, targets, daemons):
+    start_passages(context, targets, daemons)
+
+
+@given("{targets:d} targets and a daemon that waits {delay_s:g} s before a drain")
+def step_drain_passages(context, targets, delay_s):
+    start_passages(context, targets, 1, delay_s)
+
+
+@given('target "{name}" has the faults {faults}')
+@when('target "{name}" has the faults {faults}')
+def step_faults(context, name, faults):
+    upstream = context.fleet.upstreams_by_name[name]
+    context.portal.call(upstream.set_faults, UpstreamFaults(**loads(faults)))
+
+
+@given('the connections to "{name}" refuse to carry answers')
+def step_cut_requests(context, name):
+    context.fleet.relays[name].cut_requests = True
+
+
+@given('the path to "{name}" is closed')
+def step_close_path(context, name):
+    context.portal.call(context.fleet.stop, f"relay of {name}")
+
+
+@given("{count:d} requests have opened connections")
+def step_open_connections(context, count):
+    async def open_connections():
+        async with create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(fetch, context, "GET", "/find/warm")
+
+    context.portal.call(open_connections)
+    assert all(item.status_code == 200 for item in context.answers)
+    context.answers.clear()
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.portal.call(sleep, seconds)
+
+
+@when('target "{name}" sends a stray answer after the next one')
+def step_stray(context, name):
+    body = b'{"path": "/find/stray"}'
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
+    context.fleet.relays[name].late_bytes = head.encode() + body
+
+
+@when("all open connections go silent")
+def step_silence(context):
+    for relay in context.fleet.relays.values():
+        context.portal.call(relay.silence)
+
+
+async def fetch(context, method, path, vm="vm1", headers=(), **options):
+    """Send a request with the key; errors are kept in place of the answer."""
+    sent = {"x-api-key": context.key, **dict(headers)}
+    started = monotonic()
+    try:
+        answer = await context.fleet.request(vm, method, path, headers=sent, **options)
+        answer.took_s = monotonic() - started
+    except HTTPError as error:
+        answer = error
+    context.answers.append(answer)
+    context.answer = answer
+
+
+@when('{count:d} callers fetch "{path}"')
+def step_fetch(context, count, path):
+    for _ in range(count):
+        context.portal.call(fetch, context, "GET", path)
+
+
+@when('{count:d} callers fetch "{path}" at once')
+def step_fetch_at_once(context, count, path):
+    async def fetch_all():
+        async with create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(fetch, context, "GET", path)
+
+    context.portal.call(fetch_all)
+
+
+@when('a caller fetches "{path}" with the header "{name}: {value}"')
+def step_fetch_header(context, path, name, value):
+    value = value.replace("KEY", context.key)
+    context.portal.call(fetch, context, "GET", path, "vm1", {name: value})
+
+
+@when('a caller orders with operation "{operation}" through "{vm}"')
+def step_order(context, operation, vm):
+    headers = {"idempotency-key": operation}
+    context.portal.call(
+        lambda: fetch(context, "POST", "/order", vm, headers, content=b"{}")
+    )
+
+
+@when('a caller leaves {seconds:g} s after its {method} "{path}"')
+def step_leave(context, seconds, method, path):
+    async def leave():
+        headers = {"x-api-key": context.key, "idempotency-key": "left"}
+        content = b"{}" if method == "POST" else None
+        port = context.fleet.kernels_by_vm["vm1"].find("callers")
+        async with AsyncClient(trust_env=False) as http:
+            try:
+                url = f"http://127.0.0.1:{port}{path}"
+                await http.request(
+                    method, url, headers=headers, timeout=seconds, content=content
+                )
+            except HTTPError:
+                pass
+
+    context.portal.call(leave)
+
+
+@when("a caller uploads {size:d} bytes")
+def step_upload(context, size):
+    async def parts():
+        for offset in range(0, size, 100_000):
+            yield document_part(offset, min(size, offset + 100_000))
+
+    context.upload_hash = sha256(document_part(0, size)).hexdigest()
+    context.portal.call(lambda: fetch(context, "POST", "/upload", content=parts()))
+
+
+@when("the key is withdrawn while a caller sends its request")
+def step_withdraw(context):
+    key_id = context.fleet.key_ids_by_workspace["shop"]
+
+    async def parts():
+        yield b"start"
+        await sleep(0.1)
+        context.fleet.kernels_by_vm["vm1"].find("replica").withdraw(key_id)
+        yield b"end"
+
+    context.portal.call(lambda: fetch(context, "POST", "/upload", content=parts()))
+
+
+@when("{count:d} callers close their connections after a request")
+def step_close_connections(context, count):
+    async def run():
+        port = context.fleet.kernels_by_vm["vm1"].find("callers")
+        for _ in range(count):
+            async with await connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(b"GET /open HTTP/1.1\r\nHost: a\r\n\r\n")
+                await stream.receive()
+
+    context.portal.call(run)
+
+
+@then('"{vm}" has no connection that only its caller closed')
+def step_no_close_wait(context, vm):
+    port = context.fleet.kernels_by_vm[vm].find("callers")
+    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    fields = [line.split() for line in lines]
+    local = f":{port:04X}"
+    left = [
+        item for item in fields if item[1].endswith(local) and item[3] == CLOSE_WAIT
+    ]
+    assert not left, len(left)
+
+
+@when("a caller sends the raw request {request}")
+def step_raw(context, request):
+    async def send():
+        port = context.fleet.kernels_by_vm["vm1"].find("callers")
+        async with await connect_tcp("127.0.0.1", port) as stream:
+            text = request.replace("KEY", context.key).replace("LONG", "x" * 20_000)
+            await stream.send(text.encode().decode("unicode_escape").encode("latin-1"))
+            received = b""
+            with fail_after(5):
+                try:
+                    while b"\r\n\r\n" not in received or not received.endswith(b"}"):
+                        received += await stream.receive()
+                except EndOfStream:
+                    pass
+        context.raw = received
+
+    context.portal.call(send)
+
+
+@then("all answers are whole documents of {size:d} bytes")
+def step_whole(context, size):
+    wanted = sha256(document_part(0, size)).hexdigest()
+    for answer in context.answers:
+        assert not isinstance(answer, Exception), repr(answer)
+        assert answer.status_code == 200, answer.text
+        assert sha256(answer.content).hexdigest() == wanted
+
+
+@then("the answer is bytes {first:d} to {last:d} of the document")
+def step_range(context, first, last):
+    assert context.answer.status_code == 206
+    assert context.answer.content == document_part(first, last + 1)
+
+
+@then("no caller takes its answer for a whole one")
+def step_broken(context):
+    assert context.answers
+    for answer in context.answers:
+        assert isinstance(answer, RemoteProtocolError), repr(answer)
+
+
+@then('all answers name the path "{path}" and come within {limit_s:g} s')
+def step_named(context, path, limit_s):
+    for answer in context.answers:
+        assert not isinstance(answer, Exception), repr(answer)
+        assert answer.status_code == 200, (answer.status_code, answer.text)
+        assert answer.json()["path"] == path, answer.text
+        assert answer.took_s < limit_s, answer.took_s
+
+
+@then('the last answer names the path "{path}"')
+def step_last_named(context, path):
+    assert context.answer.json()["path"] == path, context.answer.text
+
+
+@then('all answers are the refusal "{kind}" with status {status:d} and ran "{ran}"')
+def step_all_refused(context, kind, status, ran):
+    for answer in context.answers:
+        assert not isinstance(answer, Exception), repr(answer)
+        body = answer.json()
+        found = (answer.status_code, body["type"], body["ran"])
+        assert found == (status, kind, ran), found
+
+
+@then('the raw answer has status {status:d}, type "{kind}" and ran "no"')
+def step_raw_refused(context, status, kind):
+    head, _, body = context.raw.partition(b"\r\n\r\n")
+    assert head.split()[1] == str(status).encode(), context.raw
+    # The raw request may hold a second one, whose answer follows.
+    refusal, _ = JSONDecoder().raw_decode(body.decode())
+    assert (refusal["type"], refusal["ran"]) == (kind, "no"), body
+
+
+@then("the raw answer has status {status:d}")
+def step_raw_status(context, status):
+    assert context.raw.split()[1] == str(status).encode(), context.raw
+
+
+@then('target "{name}" cancelled {count:d} request within {limit_s:g} s')
+def step_cancelled(context, name, count, limit_s):
+    upstream = context.fleet.upstreams_by_name[name]
+
+    async def wait():
+        with fail_after(limit_s):
+            while upstream.cancelled < count:
+                await sleep(0.01)
+
+    context.portal.call(wait)
+    assert upstream.cancelled == count
+
+
+@then('"{name}" has {count:d} open connections')
+def step_open(context, name, count):
+    found = len(context.fleet.relays[name].open)
+    assert found == count, found
+
+
+@then('"{name}" never had more than {count:d} open connections')
+def step_most_open(context, name, count):
+    assert 0 < context.fleet.relays[name].most_open <= count
+
+
+@then("the upload arrived whole")
+def step_upload_whole(context):
+    assert context.answer.status_code == 200, context.answer.text
+    assert context.answer.json()["body_sha256"] == context.upload_hash
+
+
+@then("an upstream saw a deadline of at most {limit_ms:d} ms")
+def step_deadline_seen(context, limit_ms):
+    upstreams = context.fleet.upstreams_by_name.values()
+    seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
+    values = [int(item[b"x-request-deadline-ms"]) for item in seen]
+    assert values and all(0 < value <= limit_ms for value in values), values
--- /dev/null
+++ b/features/steps/shutdown.py
@@ -0,0 +1,108 @@
+"""Steps for planned stops."""
+
+from time import monotonic
+
+from anyio import create_task_group, fail_after, sleep
+from behave import then, when
+from httpx import ConnectError
+
+from features.steps.passages import fetch
+from primroseturn.serving.asgi import serve_application
+from primroseturn.standins.documents import document_part
+from primroseturn.standins.store import ObjectStore
+
+
+async def stop_daemon(context):
+    """Begin the stop of the daemon and note when it ends."""
+    fleet = context.fleet
+    context.stop_began = monotonic()
+    context.stopped_at = None
+
+    async def stop():
+        await fleet.stop("vm1")
+        context.stopped_at = monotonic()
+
+    fleet.tasks.start_soon(stop)
+
+
+@when("the daemon stops")
+def step_stop(context):
+    context.portal.call(stop_daemon, context)
+
+
+@when('the daemon stops while callers fetch "{first}" and "{second}"')
+def step_stop_busy(context, first, second):
+    async def run():
+        async with create_task_group() as tasks:
+            tasks.start_soon(fetch, context, "GET", first)
+            await sleep(0.01)
+            tasks.start_soon(fetch, context, "GET", second)
+            await sleep(0.1)
+            await stop_daemon(context)
+
+    context.portal.call(run)
+
+
+@when("a daemon without a configuration starts")
+def step_start_empty(context):
+    async def start():
+        fleet = context.fleet
+        fleet.store_port = await fleet.start("store2", serve_application(ObjectStore()))
+        await fleet.add_daemon("vm1")
+
+    context.portal.call(context.fleet.stop, "vm1")
+    context.portal.call(start)
+
+
+@then("every caller had a whole answer")
+def step_whole(context):
+    assert len(context.answers) == 2
+    for answer in context.answers:
+        assert not isinstance(answer, Exception), repr(answer)
+        assert answer.status_code == 200, answer.text
+    documents = [item.content for item in context.answers if len(item.content) > 1000]
+    assert documents == [document_part(0, 300_000)]
+
+
+@then("the first caller's answer was broken visibly")
+def step_broken(context):
+    broken = [item for item in context.answers if isinstance(item, Exception)]
+    assert len(broken) == 1, context.answers
+
+
+@then("the daemon was gone within {limit_s:g} s")
+def step_gone(context, limit_s):
+    async def wait():
+        with fail_after(10):
+            while context.stopped_at is None:
+                await sleep(0.01)
+
+    context.portal.call(wait)
+    took_s = context.stopped_at - context.stop_began
+    assert took_s < limit_s, took_s
+
+
+@then('the daemon is not ready because of "{reason}"')
+def step_not_ready(context, reason):
+    readiness = context.fleet.kernels_by_vm["vm1"].find("readiness")
+    assert not readiness.is_ready() and reason in readiness.reasons()
+
+
+@then("a request is answered and asks the caller to connect elsewhere")
+def step_answered(context):
+    context.portal.call(fetch, context, "GET", "/find/item")
+    assert context.answer.status_code == 200, context.answer
+    assert context.answer.headers["connection"] == "close"
+
+
+@then('a request is refused as "{kind}" with status {status:d}')
+def step_refused(context, kind, status):
+    context.portal.call(fetch, context, "GET", "/find/item")
+    assert context.answer.status_code == status, context.answer
+    assert context.answer.json()["type"] == kind
+
+
+@then("a new connection is refused")
+def step_connection_refused(context):
+    context.portal.call(fetch, context, "GET", "/find/item")
+    assert isinstance(context.answer, ConnectError), context.answer
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from ssl import SSLContext
 from typing import NamedTuple
 
@@ -89,6 +89,7 @@
         self.opened_at = self.proven_at = current_time()
         self.consumed = 0
         self.sent = False
+        self.note_sent: Callable[[], None] = lambda: None
         self.first_byte_at: float | None = None
 
     def is_usable(self) -> bool:
@@ -106,10 +107,12 @@
     async def handle_async_request(self, request: Request) -> Response:
         """Send a request and return its answer with the body still to be read.
 
-        The request's extensions hold ``target`` (bytes) and ``limits``.
+        The request's extensions hold ``target`` (bytes), ``limits`` and
+        ``note_sent``, which is called before the first byte is sent.
         """
         limits: ExchangeLimits = request.extensions["limits"]
         self.sent = False
+        self.note_sent = request.extensions["note_sent"]
         self.first_byte_at = None
         await self.send_request(request, limits)
         limit_s = limits.first_byte_s
@@ -148,7 +151,9 @@
         """Write bytes, waiting while the target does not take them."""
         if not data:
             return
-        self.sent = True
+        if not self.sent:
+            self.sent = True
+            self.note_sent()
         try:
             self.writer.write(data)
             if self.writer.transport.get_write_buffer_size():
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -81,9 +81,7 @@
         self.headers: HeaderList = []
         self.not_run = False
 
-    async def start(
-        self, new: bool, method: str = "", extra_headers: HeaderList | None = None
-    ) -> None:
+    async def start(self, new: bool, extra_headers: HeaderList | None = None) -> None:
         """Send the request and wait for the start of the answer.
 
         Raises
@@ -91,7 +89,6 @@
         AttemptFailed
             If there is none.
         """
-        passage = self.passage
         pool = self.services.pools.pool_of(self.target)
         try:
             await self.connect(pool, new)
@@ -100,9 +97,6 @@
             self.response = await self.connection.handle_async_request(request)
         except (HTTPError, ConnectionsExhausted) as error:
             raise self.fail(error, pool) from error
-        finally:
-            if self.connection is not None and self.connection.sent:
-                passage.sent = True
         self.take_head()
 
     async def connect(self, pool: TargetPool, new: bool) -> None:
@@ -133,7 +127,11 @@
             pool.url,
             headers=headers,
             stream=passage.body,
-            extensions={"target": passage.target, "limits": limits},
+            extensions={
+                "target": passage.target,
+                "limits": limits,
+                "note_sent": passage.note_sent,
+            },
         )
 
     def take_head(self) -> None:
--- a/primroseturn/requestpath/passage.py
+++ b/primroseturn/requestpath/passage.py
@@ -84,6 +84,10 @@
         self.status = 0
         self.target_name = ""
 
+    def note_sent(self) -> None:
+        """Note that an upstream may get a part of the request from now on."""
+        self.sent = True
+
     def expired(self) -> bool:
         """Return whether the deadline has passed."""
         return self.deadline_at is not None and current_time() >= self.deadline_at
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -2,6 +2,7 @@
 
 import hypercorn.protocol
 from h11 import Data, EndOfMessage, Request, Response
+from hypercorn.events import Closed, Event
 from hypercorn.protocol.h11 import H11Protocol
 from msgspec.json import encode
 
@@ -15,6 +16,16 @@
 class PlainProtocol(H11Protocol):
     """Stays with HTTP/1.1 and answers malformed requests with a refusal body."""
 
+    async def handle(self, event: Event) -> None:
+        """Take in an event, and close when the caller has closed.
+
+        hypercorn 0.18 keeps a connection that its caller closed until the keep-alive
+        limit, which uses up the file descriptors when callers reconnect often.
+        """
+        await super().handle(event)
+        if isinstance(event, Closed):
+            await self.send(event)
+
     async def _check_protocol(self, event: Request) -> None:
         """Ignore offers of HTTP/2, where one answer cannot be aborted visibly."""
 
--- /dev/null
+++ b/primroseturn/standins/documents.py
@@ -0,0 +1,27 @@
+"""The fixed test document of the upstream stand-in and ranges of it."""
+
+import re
+from typing import Any
+
+from primroseturn.serving.http import header_of
+
+PART_BYTES = 65_536
+RANGE = re.compile(r"bytes=(\d+)-(\d*)")
+PATTERN = bytes(range(251))
+
+
+def document_part(start: int, end: int) -> bytes:
+    """Return bytes ``start`` to ``end`` of the document."""
+    first = start % len(PATTERN)
+    repeats = (end - start) // len(PATTERN) + 2
+    return (PATTERN * repeats)[first : first + end - start]
+
+
+def parse_range(scope: Any, size: int, tag: str) -> tuple[int, int, int]:
+    """Return the first and last byte to send and the status."""
+    match = RANGE.fullmatch(header_of(scope, b"range") or "")
+    condition = header_of(scope, b"if-range")
+    if match is None or condition not in (None, tag) or int(match[1]) >= size:
+        return 0, size - 1, 200
+    last = min(int(match[2]), size - 1) if match[2] else size - 1
+    return int(match[1]), last, 206
--- a/primroseturn/standins/upstream.py
+++ b/primroseturn/standins/upstream.py
@@ -1,12 +1,21 @@
 """Stand-in of an upstream VM, with seeded faults and execution counters."""
 
+from collections import deque
 from hashlib import sha256
 from random import Random
-from typing import Any
+from typing import Any, Literal
 
-from anyio import CapacityLimiter, sleep, sleep_forever
+from anyio import (
+    CancelScope,
+    CapacityLimiter,
+    create_task_group,
+    current_time,
+    move_on_after,
+    sleep,
+    sleep_forever,
+)
 from msgspec import Struct
-from msgspec.json import decode
+from msgspec.json import decode, encode
 
 from primroseturn.serving.http import (
     answer,
@@ -15,8 +24,10 @@
     query_of,
     read_body,
 )
+from primroseturn.standins.documents import document_part, parse_range, PART_BYTES
 
-PART_BYTES = 65_536
+SEEN_HEADERS_LIMIT = 10_000
+JSON = (b"content-type", b"application/json")
 
 
 class UpstreamFaults(Struct):
@@ -24,25 +35,54 @@
 
     Attributes
     ----------
-    extra_delay_s
-        Added to each answer.
-    error_share, silent_share, cut_share
-        Shares of requests that are answered with 500, never answered, or cut
-        in the middle of the body.
+    extra_delay_s, part_delay_s
+        Added to each answer and to each part of a document.
+    error_share, silent_share, crossed_share
+        Shares of requests that are answered with 500, never answered, or answered
+        with the answer of the request before.
+    cut_share, stall_share
+        Shares of documents that end or stop in the middle of the body.
+    draining
+        Refuse all work with 503 and state that it did not run.
+    queue_limit
+        Requests that may wait for a slot before the target sheds load.
+    cold_s, cold_factor
+        After a start, requests take up to `cold_factor` times as long; the factor
+        falls to 1 over `cold_s`.
+    health, busy_reported
+        What the health and load endpoints say, instead of the truth.
+    heeds_deadline
+        Whether work is given up when the caller's deadline passes.
+    tag
+        Entity tag of the documents.
+    seed
+        Seed of the shares.
     """
 
     extra_delay_s: float = 0.0
+    part_delay_s: float = 0.0
     error_share: float = 0.0
     silent_share: float = 0.0
+    crossed_share: float = 0.0
     cut_share: float = 0.0
+    stall_share: float = 0.0
+    draining: bool = False
+    queue_limit: int = 1_000
+    cold_s: float = 0.0
+    cold_factor: float = 10.0
+    health: Literal["honest", "healthy", "unhealthy"] = "honest"
+    busy_reported: int | None = None
+    heeds_deadline: bool = True
+    tag: str = '"v1"'
     seed: int = 1
 
 
 class Upstream:
     """ASGI application of one target.
 
-    ``/doc?size=N`` answers a document of N bytes, every other path a small JSON
-    answer. Executions are counted by Idempotency-Key.
+    ``/doc?size=N`` answers a document of N bytes and serves ranges of it; every
+    other path answers a small JSON value. Executions are counted by
+    Idempotency-Key.
     """
 
     def __init__(self, name: str, slots: int = 6, service_time_s: float = 0.005):
@@ -51,9 +91,18 @@
         self.service_time_s = service_time_s
         self.faults = UpstreamFaults()
         self.random = Random(1)
+        self.started_at: float | None = None
         self.executions_by_key: dict[str, int] = {}
-        self.seen_headers: list[list[tuple[bytes, bytes]]] = []
+        self.seen_headers: deque[list[tuple[bytes, bytes]]] = deque(
+            maxlen=SEEN_HEADERS_LIMIT
+        )
+        self.last_answer: tuple[bytes, bytes] | None = None
+        self.connections: set[Any] = set()
+        self.silent_connections: set[Any] = set()
         self.requests = 0
+        self.cancelled = 0
+        self.abandoned = 0
+        self.shed = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -61,75 +110,157 @@
             return
         path = scope["path"]
         if path == "/control/faults":
-            self.faults = decode(await read_body(receive), type=UpstreamFaults)
-            self.random = Random(self.faults.seed)
+            self.set_faults(decode(await read_body(receive), type=UpstreamFaults))
+            await answer(send, 200)
+        elif path == "/control/silence":
+            self.silence_connections()
             await answer(send, 200)
         elif path == "/control/counters":
             await answer_json(send, 200, self.counters())
         elif path == "/load":
-            load = {
-                "busy": self.slots.borrowed_tokens,
-                "slots": self.slots.total_tokens,
-            }
-            await answer_json(send, 200, load)
+            await answer_json(send, 200, self.load())
         elif path == "/health":
-            await answer_json(send, 200, {"healthy": True})
+            await answer_json(send, 200, {"healthy": self.reports_health()})
         else:
-            await self.run(scope, receive, send)
+            await self.run_watched(scope, receive, send)
+
+    def set_faults(self, faults: UpstreamFaults) -> None:
+        """Put other faults in force."""
+        self.faults = faults
+        self.random = Random(faults.seed)
+
+    def silence_connections(self) -> None:
+        """Never answer again on the connections that were used so far."""
+        self.silent_connections |= self.connections
 
     def load(self) -> dict[str, float]:
         """Return the load that this target reports."""
         busy, slots = self.slots.borrowed_tokens, self.slots.total_tokens
+        if self.faults.busy_reported is not None:
+            busy = self.faults.busy_reported
         return {"busy": busy, "slots": slots}
 
+    def reports_health(self) -> bool:
+        """Return what the health endpoint says."""
+        if self.faults.health != "honest":
+            return self.faults.health == "healthy"
+        return not self.faults.draining
+
     def counters(self) -> dict[str, Any]:
         """Return what this target has seen."""
         return {
             "requests": self.requests,
+            "cancelled": self.cancelled,
+            "abandoned": self.abandoned,
+            "shed": self.shed,
             "executions_by_key": self.executions_by_key,
         }
 
-    async def run(self, scope: Any, receive: Any, send: Any) -> None:
-        """Run a request in a slot."""
+    async def run_watched(self, scope: Any, receive: Any, send: Any) -> None:
+        """Run a request until it is answered or its caller leaves."""
         self.requests += 1
+        self.connections.add(tuple(scope["client"]))
         self.seen_headers.append(list(scope["headers"]))
         body = await read_body(receive)
-        async with self.slots:
-            await sleep(self.service_time_s + self.faults.extra_delay_s)
-            key = header_of(scope, b"idempotency-key")
-            if key is not None:
-                self.executions_by_key[key] = self.executions_by_key.get(key, 0) + 1
-            if self.random.random() < self.faults.silent_share:
-                await sleep_forever()
-            if self.random.random() < self.faults.error_share:
-                await answer(send, 500, b"error")
-                return
-            if scope["path"].startswith("/doc"):
-                await self.send_document(scope, send)
-                return
-            digest = sha256(body).hexdigest()
-            value = {"path": scope["path"], "target": self.name, "body_sha256": digest}
-            await answer_json(send, 200, value)
+        async with create_task_group() as tasks:
+            tasks.start_soon(self.watch_caller, receive, tasks.cancel_scope)
+            await self.run(scope, body, send)
+            tasks.cancel_scope.cancel()
+
+    async def watch_caller(self, receive: Any, scope: CancelScope) -> None:
+        """Cancel a request whose caller leaves."""
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self.cancelled += 1
+        scope.cancel()
+
+    async def run(self, scope: Any, body: bytes, send: Any) -> None:
+        """Run a request in a slot, or shed it."""
+        if tuple(scope["client"]) in self.silent_connections:
+            await sleep_forever()
+        waiting = self.slots.statistics().tasks_waiting
+        if self.faults.draining or waiting >= self.faults.queue_limit:
+            self.shed += 1
+            headers = [(b"retry-after", b"1"), (b"x-request-ran", b"no")]
+            await answer(send, 503, b"", headers)
+            return
+        deadline_ms = header_of(scope, b"x-request-deadline-ms")
+        heeded = deadline_ms is not None and self.faults.heeds_deadline
+        limit_s = int(deadline_ms or 0) / 1000 if heeded else None
+        with move_on_after(limit_s) as limit:
+            async with self.slots:
+                await self.run_in_slot(scope, body, send)
+        if limit.cancelled_caught:
+            self.abandoned += 1
+
+    async def run_in_slot(self, scope: Any, body: bytes, send: Any) -> None:
+        """Do the work and answer as the faults in force say."""
+        await sleep(self.duration_s())
+        key = header_of(scope, b"idempotency-key")
+        if key is not None:
+            self.executions_by_key[key] = self.executions_by_key.get(key, 0) + 1
+        if self.random.random() < self.faults.silent_share:
+            await sleep_forever()
+        if self.random.random() < self.faults.error_share:
+            await answer(send, 500, b"error")
+        elif scope["path"].startswith("/doc"):
+            await self.send_document(scope, send)
+        else:
+            await self.send_value(scope, body, send)
+
+    def duration_s(self) -> float:
+        """Return how long the work takes now."""
+        if self.started_at is None:
+            self.started_at = current_time()
+        factor = 1.0
+        if self.faults.cold_s > 0:
+            warmth = (current_time() - self.started_at) / self.faults.cold_s
+            factor = max(1.0, self.faults.cold_factor * (1 - min(1.0, warmth)))
+        return self.service_time_s * factor + self.faults.extra_delay_s
+
+    async def send_value(self, scope: Any, body: bytes, send: Any) -> None:
+        """Answer a small JSON value that names the request."""
+        request_id = header_of(scope, b"x-request-id") or ""
+        digest = sha256(body).hexdigest()
+        value = {
+            "path": scope["path"],
+            "query": scope["query_string"].decode("latin-1"),
+            "target": self.name,
+            "body_sha256": digest,
+            "body_length": len(body),
+        }
+        current = (request_id.encode(), encode(value))
+        crossed = self.random.random() < self.faults.crossed_share
+        sent = self.last_answer if crossed and self.last_answer else current
+        self.last_answer = current
+        await answer(send, 200, sent[1], [JSON, (b"x-request-id", sent[0])])
 
     async def send_document(self, scope: Any, send: Any) -> None:
-        """Send a document part by part, cut short if the faults say so."""
+        """Send a document or a range of it part by part, cut or stalled."""
         size = int(query_of(scope).get("size", "1000000"))
-        end = size // 2 if self.random.random() < self.faults.cut_share else size
-        headers = [(b"content-length", str(size).encode())]
-        start = {"type": "http.response.start", "status": 200, "headers": headers}
+        tag = self.faults.tag
+        first, last, status = parse_range(scope, size, tag)
+        length = last - first + 1
+        headers = [
+            (b"content-length", str(length).encode()),
+            (b"etag", tag.encode()),
+            (b"accept-ranges", b"bytes"),
+        ]
+        if status == 206:
+            covered = f"bytes {first}-{last}/{size}"
+            headers.append((b"content-range", covered.encode()))
+        start = {"type": "http.response.start", "status": status, "headers": headers}
         await send(start)
-        for offset in range(0, end, PART_BYTES):
+        cut = self.random.random() < self.faults.cut_share
+        stalled = self.random.random() < self.faults.stall_share
+        end = first + length // 2 if cut or stalled else last + 1
+        for offset in range(first, end, PART_BYTES):
+            await sleep(self.faults.part_delay_s)
             part = document_part(offset, min(end, offset + PART_BYTES))
             event = {"type": "http.response.body", "body": part, "more_body": True}
             await send(event)
-        if end < size:
+        if stalled:
+            await sleep_forever()
+        if cut:
             raise ConnectionError("document cut by the fault in force")
         await send({"type": "http.response.body", "body": b""})
-
-
-def document_part(start: int, end: int) -> bytes:
-    """Return bytes ``start`` to ``end`` of the fixed test document."""
-    pattern = bytes(range(251))
-    first = start % len(pattern)
-    repeats = (end - start) // len(pattern) + 2
-    return (pattern * repeats)[first : first + end - start]
