Carry control messages over ZeroMQ with CURVE

Cause: daemons had no transport for control messages. The bus binds one ROUTER socket and opens a DEALER socket per peer on demand, each with its own task; malformed, oversized and forged frames are counted and dropped. The in-process network shares the same endpoint code. Seeds may state the CURVE key of the peer (control.seeds[].public_key).

--- /dev/null
+++ b/primroseturn/control/endpoint.py
@@ -0,0 +1,120 @@
+"""Handlers, replies and counters that every bus shares, whatever carries its frames."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from anyio import Event, move_on_after
+from expression import Error, Ok, Result
+
+from primroseturn.control.bus import Handler, PeerUnavailable, Sender
+from primroseturn.control.messages import (
+    decode_message,
+    encode_message,
+    Envelope,
+    Message,
+    MESSAGE_LIMIT_BYTES,
+)
+
+Reply = Callable[[bytes], None]
+Verify = Callable[[Envelope], bool]
+
+
+class Endpoint:
+    """Dispatches arriving frames and matches replies with requests.
+
+    Subclasses implement `transmit`.
+
+    Attributes
+    ----------
+    counts
+        Frames and bytes by direction, and dropped frames by reason.
+    """
+
+    def __init__(self, vm: str, incarnation: str) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.number = 0
+        self.handlers_by_kind: dict[type[Message], Handler] = {}
+        self.replies_by_number: dict[int, Message] = {}
+        self.waiting_by_number: dict[int, Event] = {}
+        self.counts: Counter[str] = Counter()
+
+    def transmit(self, peer: str, frame: bytes) -> None:
+        """Hand a frame to whatever carries it; loss is allowed."""
+        raise NotImplementedError
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Run `handler` for each message of a type; what it returns is the reply."""
+        self.handlers_by_kind[kind] = handler
+
+    async def send(self, peer: str, message: Message) -> None:
+        """Send a message without waiting for a reply."""
+        self.transmit(peer, self.encode(message, 0))
+
+    async def request(
+        self, peer: str, message: Message, timeout_s: float
+    ) -> Result[Message, PeerUnavailable]:
+        """Send a message and return the first reply to it."""
+        frame = self.encode(message, 0)
+        number = self.number
+        arrived = self.waiting_by_number[number] = Event()
+        try:
+            self.transmit(peer, frame)
+            with move_on_after(timeout_s):
+                await arrived.wait()
+        finally:
+            del self.waiting_by_number[number]
+            reply = self.replies_by_number.pop(number, None)
+        return Error(PeerUnavailable(peer)) if reply is None else Ok(reply)
+
+    def encode(self, message: Message, reply_to: int) -> bytes:
+        """Return the frame of a message under the next number."""
+        self.number += 1
+        frame = encode_message(
+            message, self.vm, self.incarnation, self.number, reply_to
+        )
+        self.counts["frames_sent"] += 1
+        self.counts["bytes_sent"] += len(frame)
+        return frame
+
+    def open_frame(self, frame: bytes, verify: Verify | None) -> Envelope | None:
+        """Return the envelope of a frame, or count why it is dropped."""
+        self.counts["frames_received"] += 1
+        self.counts["bytes_received"] += len(frame)
+        if len(frame) > MESSAGE_LIMIT_BYTES:
+            self.counts["dropped_oversized"] += 1
+            return None
+        decoded = decode_message(frame)
+        if decoded.is_error():
+            self.counts["dropped_malformed"] += 1
+            return None
+        if verify is not None and not verify(decoded.ok):
+            self.counts["dropped_forged"] += 1
+            return None
+        return decoded.ok
+
+    async def receive(
+        self, frame: bytes, reply: Reply, verify: Verify | None = None
+    ) -> None:
+        """Handle an arriving frame; `reply` carries the frame of the answer."""
+        envelope = self.open_frame(frame, verify)
+        if envelope is None:
+            return
+        if envelope.reply_to:
+            self.accept_reply(envelope)
+            return
+        handler = self.handlers_by_kind.get(type(envelope.body))
+        if handler is None:
+            self.counts["dropped_unhandled"] += 1
+            return
+        sender = Sender(envelope.sender, envelope.incarnation)
+        answer = await handler(sender, envelope.body)
+        if answer is not None:
+            reply(self.encode(answer, envelope.number))
+
+    def accept_reply(self, envelope: Envelope) -> None:
+        """Wake the request that a reply answers; later copies are dropped."""
+        waiting = self.waiting_by_number.get(envelope.reply_to)
+        if waiting is not None and not waiting.is_set():
+            self.replies_by_number[envelope.reply_to] = envelope.body
+            waiting.set()
--- /dev/null
+++ b/primroseturn/control/zeromq.py
@@ -0,0 +1,268 @@
+"""Bus over ZeroMQ: a ROUTER socket for arriving and a DEALER per peer."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import zmq
+from anyio import create_task_group, current_time, move_on_after
+from anyio.abc import TaskGroup
+from msgspec import Struct
+from zmq.asyncio import Context, Socket
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from primroseturn.control.endpoint import Endpoint, Reply, Verify
+from primroseturn.control.messages import Envelope
+
+# Above the limit of a message, so that an oversized frame is counted here; ZeroMQ
+# closes the connection only for frames above this.
+FRAME_LIMIT_BYTES = 1_048_576
+QUEUE_LIMIT_FRAMES = 500
+RUNNING_LIMIT = 1_000
+PEER_IDLE_S = 60.0
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2_000
+# ZeroMQ's own pings notice connections that went silent and reconnect them.
+PING_INTERVAL_MS = 2_000
+PING_TIMEOUT_MS = 4_000
+AUTHENTICATION_DOMAIN = "primroseturn"
+
+
+class PeerAddress(NamedTuple):
+    """Where a peer listens and its CURVE public key (Z85), if it has one."""
+
+    host: str
+    port: int
+    public_key: str | None = None
+
+
+class CurveKeys(NamedTuple):
+    """This daemon's CURVE key pair (Z85)."""
+
+    public_key: str
+    secret_key: str
+
+
+class Connection(Struct, eq=False):
+    """An open socket to a peer."""
+
+    peer: str
+    address: PeerAddress
+    socket: Socket
+    used_at: float
+
+
+class AllowedKeys:
+    """Answers ZeroMQ whether a client's CURVE key may connect."""
+
+    def __init__(self, is_allowed: Callable[[str], bool]) -> None:
+        self.is_allowed = is_allowed
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether the client with this public key may connect."""
+        return self.is_allowed(key.decode("ascii"))
+
+
+class ZeromqBus(Endpoint):
+    """Sends and receives control messages over TCP.
+
+    Attributes
+    ----------
+    addresses_by_vm
+        Known peers; membership adds the listed ones.
+    port
+        The bound port.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: str,
+        tasks: TaskGroup,
+        keys: CurveKeys | None = None,
+        allowed_keys: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(vm, incarnation)
+        self.tasks = tasks
+        self.keys = keys
+        self.allowed_keys = {*allowed_keys, *([keys.public_key] if keys else [])}
+        self.addresses_by_vm: dict[str, PeerAddress] = {}
+        self.connections_by_vm: dict[str, Connection] = {}
+        self.context = Context()
+        self.authenticator: AsyncioAuthenticator | None = None
+        self.port = 0
+        self.running = 0
+
+    def learn_address(self, peer: str, address: PeerAddress) -> None:
+        """Use an address for a peer from now on."""
+        if self.addresses_by_vm.get(peer) == address:
+            return
+        self.addresses_by_vm[peer] = address
+        self.disconnect(peer)
+
+    def forget_address(self, peer: str) -> None:
+        """Close the connection to a peer that is listed no longer."""
+        self.addresses_by_vm.pop(peer, None)
+        self.disconnect(peer)
+
+    def is_allowed(self, public_key: str) -> bool:
+        """Return whether a client's key is configured or a known peer's."""
+        if public_key in self.allowed_keys:
+            return True
+        return any(
+            item.public_key == public_key for item in self.addresses_by_vm.values()
+        )
+
+    def bind(self, host: str, port: int) -> Socket:
+        """Return the bound socket for arriving messages."""
+        socket = self.create_socket(zmq.ROUTER)
+        if self.keys is not None:
+            self.authenticator = AsyncioAuthenticator(self.context)
+            self.authenticator.start()
+            provider = AllowedKeys(self.is_allowed)
+            self.authenticator.configure_curve_callback(AUTHENTICATION_DOMAIN, provider)
+            socket.curve_server = True
+            socket.zap_domain = AUTHENTICATION_DOMAIN.encode()
+        socket.bind(f"tcp://{host}:{port or '*'}")
+        endpoint = socket.getsockopt(zmq.LAST_ENDPOINT).rstrip(b"\0").decode()
+        self.port = int(endpoint.rsplit(":", 1)[1])
+        return socket
+
+    def create_socket(self, kind: int) -> Socket:
+        """Return a socket with the limits and keys of this bus."""
+        socket = self.context.socket(kind)
+        socket.linger = 0
+        socket.maxmsgsize = FRAME_LIMIT_BYTES
+        socket.sndhwm = socket.rcvhwm = QUEUE_LIMIT_FRAMES
+        socket.reconnect_ivl = RECONNECT_MIN_MS
+        socket.reconnect_ivl_max = RECONNECT_MAX_MS
+        socket.heartbeat_ivl = PING_INTERVAL_MS
+        socket.heartbeat_timeout = PING_TIMEOUT_MS
+        if self.keys is not None:
+            socket.curve_publickey = self.keys.public_key.encode()
+            socket.curve_secretkey = self.keys.secret_key.encode()
+        return socket
+
+    def transmit(self, peer: str, frame: bytes) -> None:
+        """Queue a frame for a peer; drops it when the peer is unknown or too slow."""
+        connection = self.connections_by_vm.get(peer) or self.connect(peer)
+        if connection is None:
+            self.counts["dropped_unknown_peer"] += 1
+            return
+        connection.used_at = current_time()
+        sending = connection.socket.send(frame, zmq.NOBLOCK)
+        if sending.done() and sending.exception() is not None:
+            self.counts["dropped_queue_full"] += 1
+
+    def connect(self, peer: str) -> Connection | None:
+        """Open the socket to a peer and start its task."""
+        address = self.addresses_by_vm.get(peer)
+        if address is None:
+            return None
+        socket = self.create_socket(zmq.DEALER)
+        if self.keys is not None:
+            server_key = address.public_key or self.keys.public_key
+            socket.curve_serverkey = server_key.encode()
+        socket.connect(f"tcp://{address.host}:{address.port}")
+        connection = Connection(peer, address, socket, current_time())
+        self.connections_by_vm[peer] = connection
+        self.tasks.start_soon(self.serve_peer, connection)
+        return connection
+
+    def disconnect(self, peer: str) -> None:
+        """Close the socket to a peer; its task ends with it."""
+        connection = self.connections_by_vm.pop(peer, None)
+        if connection is not None:
+            connection.socket.close()
+
+    async def serve_peer(self, connection: Connection) -> None:
+        """Receive the replies of one peer until its connection is idle or closed."""
+        socket = connection.socket
+        while not socket.closed:
+            frame = None
+            with move_on_after(PEER_IDLE_S):
+                try:
+                    frame = await socket.recv()
+                except zmq.ZMQError:
+                    break
+            if frame is not None:
+                envelope = self.open_frame(frame, None)
+                if envelope is not None and envelope.reply_to:
+                    self.accept_reply(envelope)
+            elif current_time() - connection.used_at >= PEER_IDLE_S:
+                break
+        if self.connections_by_vm.get(connection.peer) is connection:
+            self.disconnect(connection.peer)
+
+    async def serve_router(self, router: Socket) -> None:
+        """Receive messages of all peers and run their handlers."""
+        while True:
+            frames = await router.recv_multipart(copy=False)
+            if len(frames) != 2:
+                self.counts["dropped_malformed"] += 1
+            elif self.running >= RUNNING_LIMIT:
+                self.counts["dropped_busy"] += 1
+            else:
+                self.running += 1
+                self.tasks.start_soon(self.run_handler, router, *frames)
+
+    async def run_handler(
+        self, router: Socket, identity: zmq.Frame, frame: zmq.Frame
+    ) -> None:
+        """Handle one message; a slow handler delays no other message."""
+        try:
+            await self.receive(
+                frame.bytes, self.reply_through(router, identity), self.verify(frame)
+            )
+        finally:
+            self.running -= 1
+
+    def reply_through(self, router: Socket, identity: zmq.Frame) -> Reply:
+        """Return the function that sends a reply over the arriving connection."""
+
+        def reply(frame: bytes) -> None:
+            sending = router.send_multipart([identity.bytes, frame], zmq.NOBLOCK)
+            if sending.done() and sending.exception() is not None:
+                self.counts["dropped_queue_full"] += 1
+
+        return reply
+
+    def verify(self, frame: zmq.Frame) -> Verify | None:
+        """Return the check that a message comes from the key of its sender."""
+        if self.keys is None:
+            return None
+        user = frame.get("User-Id")
+
+        def check(envelope: Envelope) -> bool:
+            known = self.addresses_by_vm.get(envelope.sender)
+            return known is None or known.public_key in (None, user)
+
+        return check
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for peer in list(self.connections_by_vm):
+            self.disconnect(peer)
+        if self.authenticator is not None:
+            self.authenticator.stop()
+        self.context.destroy(linger=0)
+
+
+@asynccontextmanager
+async def run_bus(
+    vm: str,
+    incarnation: str,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    keys: CurveKeys | None = None,
+    allowed_keys: tuple[str, ...] = (),
+) -> AsyncIterator[ZeromqBus]:
+    """Run a bus for the life of the context."""
+    async with create_task_group() as tasks:
+        bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
+        try:
+            tasks.start_soon(bus.serve_router, bus.bind(host, port))
+            yield bus
+        finally:
+            tasks.cancel_scope.cancel()
+            bus.close()
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -10,6 +10,7 @@
 SERVICE_MODULES = (
     "primroseturn.observation.service",
     "primroseturn.store.client",
+    "primroseturn.control.service",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
     "primroseturn.routing.service",
--- a/primroseturn/settings/models.py
+++ b/primroseturn/settings/models.py
@@ -65,6 +65,7 @@
 
     vm: Name
     address: Address
+    public_key: str | None = None
 
 
 class ControlSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/primroseturn/standins/network.py
+++ b/primroseturn/standins/network.py
@@ -2,15 +2,15 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from random import Random
 
-from anyio import create_task_group, Event, move_on_after, sleep
+from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
-from expression import Error, Ok, Result
 from msgspec import field, Struct
 
-from primroseturn.control.bus import Handler, PeerUnavailable, Sender
-from primroseturn.control.messages import decode_message, encode_message, Message
+from primroseturn.control.endpoint import Endpoint
+from primroseturn.control.zeromq import PeerAddress
 
 
 class NetworkFaults(Struct):
@@ -62,79 +62,35 @@
         copies = 2 if self.random.random() < self.faults.duplicate_share else 1
         for _ in range(copies):
             delay = self.faults.delay_s + self.random.random() * self.faults.jitter_s
-            self.tasks.start_soon(self.deliver, receiver, frame, delay)
+            self.tasks.start_soon(self.deliver, sender, receiver, frame, delay)
 
-    async def deliver(self, receiver: str, frame: bytes, delay_s: float) -> None:
+    async def deliver(
+        self, sender: str, receiver: str, frame: bytes, delay_s: float
+    ) -> None:
         """Hand a frame to its receiver after a delay."""
         await sleep(delay_s)
         bus = self.buses_by_vm.get(receiver)
         if bus is not None:
-            await bus.receive(frame)
+            await bus.receive(frame, partial(self.carry, receiver, sender))
 
 
-class MemoryBus:
+class MemoryBus(Endpoint):
     """Bus of one VM on a `MemoryNetwork`."""
 
     def __init__(self, network: MemoryNetwork, vm: str, incarnation: str) -> None:
+        super().__init__(vm, incarnation)
         self.network = network
-        self.vm = vm
-        self.incarnation = incarnation
-        self.number = 0
-        self.handlers_by_kind: dict[type[Message], Handler] = {}
-        self.replies_by_number: dict[int, Message] = {}
-        self.waiting_by_number: dict[int, Event] = {}
-
-    def handle(self, kind: type[Message], handler: Handler) -> None:
-        """Run `handler` for each message of a type; what it returns is the reply."""
-        self.handlers_by_kind[kind] = handler
-
-    async def send(self, peer: str, message: Message) -> None:
-        """Send a message without waiting for a reply."""
-        self.post(peer, message, 0)
-
-    async def request(
-        self, peer: str, message: Message, timeout_s: float
-    ) -> Result[Message, PeerUnavailable]:
-        """Send a message and return the first reply to it."""
-        number = self.post(peer, message, 0)
-        arrived = self.waiting_by_number[number] = Event()
-        try:
-            with move_on_after(timeout_s):
-                await arrived.wait()
-        finally:
-            del self.waiting_by_number[number]
-        if number in self.replies_by_number:
-            return Ok(self.replies_by_number.pop(number))
-        return Error(PeerUnavailable(peer))
-
-    def post(self, peer: str, message: Message, reply_to: int) -> int:
-        """Encode a message, hand it to the network and return its number."""
-        self.number += 1
-        frame = encode_message(
-            message, self.vm, self.incarnation, self.number, reply_to
-        )
+        self.port = 0
+
+    def transmit(self, peer: str, frame: bytes) -> None:
+        """Hand a frame to the network."""
         self.network.carry(self.vm, peer, frame)
-        return self.number
 
-    async def receive(self, frame: bytes) -> None:
-        """Handle an arriving frame."""
-        decoded = decode_message(frame)
-        if decoded.is_error():
-            return
-        envelope = decoded.ok
-        if envelope.reply_to:
-            waiting = self.waiting_by_number.get(envelope.reply_to)
-            if waiting is not None and not waiting.is_set():
-                self.replies_by_number[envelope.reply_to] = envelope.body
-                waiting.set()
-            return
-        handler = self.handlers_by_kind.get(type(envelope.body))
-        if handler is None:
-            return
-        sender = Sender(envelope.sender, envelope.incarnation)
-        reply = await handler(sender, envelope.body)
-        if reply is not None:
-            self.post(envelope.sender, reply, envelope.number)
+    def learn_address(self, peer: str, address: PeerAddress) -> None:
+        """Ignore addresses; the network finds buses by name."""
+
+    def forget_address(self, peer: str) -> None:
+        """Ignore addresses; the network finds buses by name."""
 
 
 @asynccontextmanager
