Replace local buckets by owned units and loans

The thin admission gave every VM the whole rate, so a fleet of n VMs admitted n times the agreed rate.

--- /dev/null
+++ b/primroseturn/clock.py
@@ -0,0 +1,30 @@
+"""The clock that protocols are given, so that tests can drift and pause it."""
+
+from typing import Protocol
+
+from anyio import current_time, sleep
+
+# Covers two clocks that each run at most 0.9% fast or slow.
+CLOCK_MARGIN = 1.02
+
+
+class Clock(Protocol):
+    """Monotonic time of one VM in seconds."""
+
+    def now(self) -> float:
+        """Return the monotonic time."""
+
+    async def sleep(self, delay_s: float) -> None:
+        """Return after `delay_s`."""
+
+
+class MonotonicClock:
+    """The clock of the event loop."""
+
+    def now(self) -> float:
+        """Return the monotonic time."""
+        return current_time()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Return after `delay_s`."""
+        await sleep(delay_s)
--- /dev/null
+++ b/primroseturn/control/alone.py
@@ -0,0 +1,26 @@
+"""Bus without peers, for a daemon that runs alone."""
+
+from expression import Error, Result
+
+from primroseturn.control.bus import Handler, PeerUnavailable
+from primroseturn.control.messages import Message
+
+
+class BusWithoutPeers:
+    """Reaches nobody."""
+
+    def __init__(self, vm: str, incarnation: str) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Accept a handler, which never runs."""
+
+    async def send(self, peer: str, message: Message) -> None:
+        """Drop the message."""
+
+    async def request(
+        self, peer: str, message: Message, timeout_s: float
+    ) -> Result[Message, PeerUnavailable]:
+        """Fail at once."""
+        return Error(PeerUnavailable(peer))
--- /dev/null
+++ b/primroseturn/limits/metrics.py
@@ -0,0 +1,8 @@
+"""Metrics of limits. No label grows with the number of workspaces."""
+
+from prometheus_client import Counter
+
+ADMISSIONS = Counter(
+    "primroseturn_admissions", "Requests decided by rate and burst.", ["result"]
+)
+LOANS = Counter("primroseturn_loans", "Loans by what happened to them.", ["action"])
--- a/primroseturn/limits/service.py
+++ b/primroseturn/limits/service.py
@@ -1,15 +1,89 @@
 """Kernel service that admits requests by rate and burst."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
 
+from primroseturn.clock import MonotonicClock
+from primroseturn.configuration.models import EntryVm, Workspace
+from primroseturn.configuration.replica import Replica
+from primroseturn.control.alone import BusWithoutPeers
 from primroseturn.kernel.kernel import Kernel
-from primroseturn.kernel.registry import service
-from primroseturn.limits.admission import Admission
+from primroseturn.kernel.registry import entries_by_name, service
+from primroseturn.limits.admission import (
+    Admission,
+    Identity,
+    run_admission,
+    Surroundings,
+)
+from primroseturn.requestpath.identify import OPEN_WORKSPACE
+from primroseturn.settings.models import DaemonSettings
 
 
-@service("admission", needs=("settings",))
+def find_bus(kernel: Kernel, vm: str, incarnation: str) -> Any:
+    """Return the bus of the kernel, or one without peers if there is none."""
+    bus = kernel.services_by_name.get("bus")
+    return bus if bus is not None else BusWithoutPeers(vm, incarnation)
+
+
+def find_members(kernel: Kernel) -> Callable[[], Mapping[str, EntryVm]]:
+    """Return the function that gives the live VMs; without membership, this one."""
+    identity = kernel.find("settings").identity
+    entry = EntryVm(identity.vm, "", 0, identity.data_center, identity.region)
+    membership = kernel.services_by_name.get("membership")
+
+    def live_daemons() -> Mapping[str, EntryVm]:
+        daemons = membership.live_daemons() if membership is not None else {}
+        return daemons or {identity.vm: entry}
+
+    return live_daemons
+
+
+def identify(settings: DaemonSettings, incarnation: str) -> Identity:
+    """Return the identity of this VM.
+
+    A fixed control port is held by one process at a time, which proves that a
+    predecessor has ended. Without one, each start counts as another VM.
+    """
+    vm, address = settings.identity.vm, settings.control.address
+    unique = str(address.port) if address.port else f"0/{incarnation}"
+    return Identity(vm, f"{vm}@{address.host}:{unique}", incarnation)
+
+
+def find_limits(replica: Replica) -> Callable[[str], Workspace | None]:
+    """Return the function that gives a workspace of the configuration in force."""
+
+    def limits_of(name: str) -> Workspace | None:
+        workspace = replica.state.workspaces_by_name.get(name)
+        if workspace is None and name == OPEN_WORKSPACE.name:
+            return OPEN_WORKSPACE
+        return workspace
+
+    return limits_of
+
+
+def optional(*names: str) -> tuple[str, ...]:
+    """Return those of the names that are registered as services."""
+    return tuple(name for name in names if name in entries_by_name)
+
+
+@service("admission", needs=("settings", "events", "store", "replica"))
 @asynccontextmanager
 async def provide_admission(kernel: Kernel) -> AsyncIterator[Admission]:
     """Provide admission by rate and burst."""
-    yield Admission()
+    settings, events = kernel.find("settings"), kernel.find("events")
+    replica = kernel.find("replica")
+    surroundings = Surroundings(
+        kernel.find("store"),
+        find_bus(kernel, events.vm, events.incarnation),
+        MonotonicClock(),
+        Random(),
+        find_members(kernel),
+        find_limits(replica),
+        events.emit,
+    )
+    identity = identify(settings, events.incarnation)
+    async with run_admission(identity, settings.limits, surroundings) as admission:
+        replica.subscribe(lambda _: admission.apply_limits())
+        yield admission
--- /dev/null
+++ b/primroseturn/limits/sessions.py
@@ -0,0 +1,270 @@
+"""Owner sessions: leases under which VMs use their units."""
+
+from math import inf
+from typing import NamedTuple
+
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from primroseturn.clock import Clock, CLOCK_MARGIN
+from primroseturn.failures import StoreUnavailable, VersionConflict
+from primroseturn.store.client import StoreClient
+
+SESSION_PREFIX = "owners/"
+RENEWALS_PER_LEASE = 36
+OBSERVATION_INTERVAL_S = 10.0
+
+
+class SessionRecord(Struct, frozen=True):
+    """Content of the object ``owners/<vm>``.
+
+    Attributes
+    ----------
+    beat
+        Counts renewals; tells which renewal a read confirms.
+    ended
+        Whether the session uses its units no more.
+    quiet
+        Whether it also had nothing lent when it ended.
+    """
+
+    session: str
+    beat: int
+    ended: bool = False
+    quiet: bool = False
+
+
+def owner_of(session: str) -> str:
+    """Return the VM identity that a session name belongs to."""
+    return session.rpartition("#")[0]
+
+
+class OwnerSession:
+    """This VM's session.
+
+    Parameters
+    ----------
+    owner
+        Identity of the VM. It must not be shared by two running processes; the
+        daemon includes its control address, whose port only one process can hold.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        owner: str,
+        incarnation: str,
+        lease_s: float,
+        loan_s: float,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.owner = owner
+        self.incarnation = incarnation
+        self.lease_s = lease_s
+        self.loan_s = loan_s
+        self.epoch = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin a session that holds no units yet."""
+        self.epoch += 1
+        self.name = f"{self.owner}#{self.incarnation}.{self.epoch}"
+        self.started_at = self.clock.now()
+        self.usable_from = inf
+        self.until = -inf
+        self.version = 0
+        self.beat = 0
+        self.sent_at_by_beat: dict[int, float] = {}
+        self.opened = False
+
+    def span(self) -> tuple[float, float]:
+        """Return from when until when units may be used."""
+        return self.usable_from, self.until
+
+    def covers(self, now: float) -> bool:
+        """Return whether units may be used at `now`."""
+        return self.usable_from <= now < self.until
+
+    async def open(self) -> bool:
+        """Record the session in the store. Returns whether it is recorded.
+
+        Raises
+        ------
+        StoreUnavailable, VersionConflict
+            If it is not known to be recorded; call again.
+        """
+        if self.opened:
+            return True
+        key = SESSION_PREFIX + self.owner
+        stored = await self.store.read(key)
+        if stored is None:
+            usable_from, version = self.started_at, 0
+        else:
+            record = decode(stored.value, type=SessionRecord)
+            if record.session == self.name:
+                self.confirm(record, stored.version)
+                return True
+            # Loans of the predecessor may run on for one loan lifetime.
+            delay = 0.0 if record.quiet else self.loan_s * CLOCK_MARGIN
+            usable_from, version = self.started_at + delay, stored.version
+        self.usable_from = usable_from
+        await self.write(version)
+        return True
+
+    async def write(self, version: int) -> None:
+        """Write the next renewal."""
+        self.beat += 1
+        record = SessionRecord(self.name, self.beat)
+        self.sent_at_by_beat[self.beat] = self.clock.now()
+        key = SESSION_PREFIX + self.owner
+        if version:
+            version = await self.store.update(key, encode(record), version)
+        else:
+            version = await self.store.create(key, encode(record))
+        self.confirm(record, version)
+
+    def confirm(self, record: SessionRecord, version: int) -> None:
+        """Count the lease from the moment the confirmed renewal was sent."""
+        self.opened = True
+        self.version = version
+        self.beat = max(self.beat, record.beat)
+        sent_at = self.sent_at_by_beat.get(record.beat, -inf)
+        self.until = max(self.until, sent_at + self.lease_s)
+        self.sent_at_by_beat = {
+            beat: at for beat, at in self.sent_at_by_beat.items() if beat > record.beat
+        }
+
+    async def renew(self) -> bool:
+        """Renew the lease. Returns whether the session still stands.
+
+        A session whose lease has ended, or that was ended by others, never stands
+        again; its units belong to whoever takes them.
+        """
+        if self.clock.now() >= self.until:
+            return False
+        try:
+            await self.write(self.version)
+        except (VersionConflict, StoreUnavailable) as failure:
+            if isinstance(failure, StoreUnavailable) and not failure.maybe_applied:
+                return True
+            return await self.check()
+        return self.clock.now() < self.until
+
+    async def check(self) -> bool:
+        """Read whether the session stands."""
+        try:
+            stored = await self.store.read(SESSION_PREFIX + self.owner)
+        except StoreUnavailable:
+            return True
+        record = decode(stored.value, type=SessionRecord) if stored else None
+        if record is None or record.session != self.name or record.ended:
+            self.until = -inf
+            return False
+        self.confirm(record, stored.version)
+        return self.clock.now() < self.until
+
+    async def end(self, lent: bool) -> None:
+        """Give all units up in one write, after use of them has stopped."""
+        quiet = not lent and self.clock.now() >= self.usable_from
+        self.until = -inf
+        if not self.opened:
+            return
+        record = SessionRecord(self.name, self.beat + 1, ended=True, quiet=quiet)
+        try:
+            key = SESSION_PREFIX + self.owner
+            await self.store.update(key, encode(record), self.version)
+        except (VersionConflict, StoreUnavailable):
+            # The next incarnation on this VM or the end of the lease frees them.
+            return
+
+
+class Observation(NamedTuple):
+    """What was seen of another VM's session object, and since when."""
+
+    version: int
+    record: SessionRecord
+    since: float
+    read_at: float
+
+
+class SessionObserver:
+    """Tells when the units of other sessions may be taken."""
+
+    def __init__(
+        self, store: StoreClient, clock: Clock, lease_s: float, loan_s: float
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.lease_s = lease_s
+        self.loan_s = loan_s
+        self.observations_by_owner: dict[str, Observation] = {}
+
+    async def is_over(self, session: str) -> bool:
+        """Return whether `session` and all loans that it granted have ended.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the session object could not be read.
+        """
+        owner = owner_of(session)
+        seen = await self.look(owner)
+        if seen is None:
+            return False
+        age = self.clock.now() - seen.since
+        if seen.record.session == session and not seen.record.ended:
+            if age >= self.lease_s * CLOCK_MARGIN:
+                await self.fence(owner, seen)
+            return False
+        if seen.record.session == session and seen.record.quiet:
+            return True
+        return age >= self.loan_s * CLOCK_MARGIN
+
+    async def look(self, owner: str) -> Observation | None:
+        """Return the session object of a VM, read at most every few seconds."""
+        seen = self.observations_by_owner.get(owner)
+        now = self.clock.now()
+        if seen is not None and now - seen.read_at < OBSERVATION_INTERVAL_S:
+            return seen
+        stored = await self.store.read(SESSION_PREFIX + owner)
+        if stored is None:
+            return None
+        # The time counts from the end of the read, when this version was in force
+        # at the earliest moment that this VM can vouch for.
+        now = self.clock.now()
+        if seen is None or seen.version != stored.version:
+            record = decode(stored.value, type=SessionRecord)
+            seen = Observation(stored.version, record, now, now)
+        else:
+            seen = seen._replace(read_at=now)
+        self.observations_by_owner[owner] = seen
+        return seen
+
+    async def fence(self, owner: str, seen: Observation) -> None:
+        """End a session that was not renewed for its full lease."""
+        record = SessionRecord(seen.record.session, seen.record.beat, ended=True)
+        try:
+            key = SESSION_PREFIX + owner
+            await self.store.update(key, encode(record), seen.version)
+        except VersionConflict:
+            pass
+        del self.observations_by_owner[owner]
+
+    async def confirm_off(self, owner: str) -> bool:
+        """End the session of a VM that an operator knows to be off.
+
+        Returns
+        -------
+        bool
+            Whether a session was there to end.
+        """
+        stored = await self.store.read(SESSION_PREFIX + owner)
+        if stored is None:
+            return False
+        record = decode(stored.value, type=SessionRecord)
+        ended = SessionRecord(record.session, record.beat, ended=True)
+        key = SESSION_PREFIX + owner
+        await self.store.update(key, encode(ended), stored.version)
+        return True
