Choose targets by evidence, floor, subsets, fair queue and retry budget

The dispatcher chose a random pair of live targets and ignored failures. It now pools evidence on lateness and failures per route class, ejects within the floor, admits again through trials, prefers near targets and queues fairly.

--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -12,12 +12,13 @@
     "primroseturn.store.client",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
+    "primroseturn.detection.service",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
     "primroseturn.requestpath.service",
 )
-DAEMON_SERVICES = ("callers",)
+DAEMON_SERVICES = ("callers", "retries", "hedging", "digests")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- a/primroseturn/detection/__init__.py
+++ b/primroseturn/detection/__init__.py
@@ -1,1 +1,6 @@
 """Observations of upstreams and failure detectors."""
+
+# Importing a detector module registers its detector.
+from primroseturn.detection import consecutive, cusum, outlier, phi
+
+__all__ = ["consecutive", "cusum", "outlier", "phi"]
--- /dev/null
+++ b/primroseturn/detection/cusum.py
@@ -0,0 +1,126 @@
+"""CUSUM on log-likelihood ratios, pooled over VMs.
+
+Source: E. S. Page, "Continuous inspection schemes", Biometrika, 1954.
+"""
+
+from math import log
+from typing import Any, NamedTuple
+
+from primroseturn.detection.detectors import detector
+from primroseturn.detection.evidence import Counts, Key
+from primroseturn.detection.shares import ShareTable
+
+# Shares that a healthy target is never assumed to undercut, and those of a faulty
+# one. The baseline is above the peers' measured share, so chance clusters of a
+# heavy tail add little.
+FAILED_BASELINE = 0.005
+FAILED_ALTERNATIVE = 0.3
+LATE_BASELINE = 0.04
+LATE_ALTERNATIVE = 0.6
+BASELINE_MARGIN = 1.5
+# One VM's evidence counts up to this share of the threshold while others observe
+# the target too, because that VM's own network path may be at fault.
+SOURCE_CAP = 0.5
+# From this multiple of the threshold on, a VM's own evidence is enough for itself.
+OWN_FACTOR = 1.5
+SOURCE_LIFE_S = 2.0
+
+
+def gain(bad: Any, total: Any, baseline: float, alternative: float) -> Any:
+    """Return the log-likelihood ratio of `bad` among `total` exchanges.
+
+    `bad` and `total` may be numbers or arrays. The ratio is 0 when the baseline
+    reaches the alternative, because then the peers are as bad as a faulty target.
+    """
+    if baseline >= alternative:
+        return 0.0 * bad
+    bad_gain = log(alternative / baseline)
+    good_gain = log((1.0 - alternative) / (1.0 - baseline))
+    return bad * bad_gain + (total - bad) * good_gain
+
+
+class Channel:
+    """One cumulative sum with the positive part that each source added."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self.parts_by_source: dict[str, float] = {}
+
+    def add(self, source: str, amount: float) -> None:
+        """Add a log-likelihood ratio; the sum never goes below zero."""
+        self.value = max(0.0, self.value + amount)
+        if self.value == 0.0:
+            self.parts_by_source.clear()
+            return
+        part = self.parts_by_source.get(source, 0.0) + amount
+        self.parts_by_source[source] = max(0.0, part)
+
+    def capped(self, cap: float) -> float:
+        """Return the sum with the largest source's part limited to `cap`."""
+        top = max(self.parts_by_source.values(), default=0.0)
+        return self.value - max(0.0, top - cap)
+
+
+class TargetSums(NamedTuple):
+    """What the detector keeps of one key."""
+
+    failed: Channel
+    late: Channel
+    seen_at_by_source: dict[str, float]
+
+
+@detector("cusum")
+class CusumDetector:
+    """Sums the evidence for a fault against the evidence for health."""
+
+    pools = True
+
+    def __init__(self, threshold: float, shares: ShareTable, vm: str) -> None:
+        self.threshold = threshold
+        self.shares = shares
+        self.vm = vm
+        self.sums_by_key: dict[Key, TargetSums] = {}
+
+    def add(self, key: Key, source: str, counts: Counts, now: float) -> None:
+        """Add a batch of counts."""
+        sums = self.sums_by_key.get(key)
+        if sums is None:
+            sums = TargetSums(Channel(), Channel(), {})
+            self.sums_by_key[key] = sums
+        sums.seen_at_by_source[source] = now
+        peers = self.shares.peers(key, now)
+        baseline = max(FAILED_BASELINE, BASELINE_MARGIN * peers.failed)
+        amount = gain(counts.failed, counts.total, baseline, FAILED_ALTERNATIVE)
+        sums.failed.add(source, amount)
+        baseline = max(LATE_BASELINE, BASELINE_MARGIN * peers.late)
+        amount = gain(counts.late, counts.total, baseline, LATE_ALTERNATIVE)
+        sums.late.add(source, amount)
+
+    def suspicion(self, key: Key, now: float) -> float:
+        """Return the larger sum as a multiple of the threshold."""
+        sums = self.sums_by_key.get(key)
+        if sums is None:
+            return 0.0
+        return max(
+            self.channel_suspicion(sums, channel, now)
+            for channel in (sums.failed, sums.late)
+        )
+
+    def channel_suspicion(
+        self, sums: TargetSums, channel: Channel, now: float
+    ) -> float:
+        """Return one sum as a multiple of the threshold."""
+        if channel.value < self.threshold:
+            return channel.value / self.threshold
+        observers = sum(
+            1 for at in sums.seen_at_by_source.values() if now - at < SOURCE_LIFE_S
+        )
+        if observers < 2:
+            return channel.value / self.threshold
+        capped = channel.capped(SOURCE_CAP * self.threshold) / self.threshold
+        own = channel.parts_by_source.get(self.vm, 0.0) / self.threshold
+        return max(capped, own / OWN_FACTOR)
+
+    def forget(self, key: Key) -> None:
+        """Drop the sums of a target."""
+        self.sums_by_key.pop(key, None)
--- /dev/null
+++ b/primroseturn/detection/evidence.py
@@ -0,0 +1,50 @@
+"""Evidence about targets: counts per target and route class."""
+
+from typing import NamedTuple
+
+from primroseturn.detection.observations import Outcome
+
+# Scope that stands for all route classes of a target together.
+ALL_CLASSES = "*"
+FAILED_OUTCOMES = frozenset(
+    {Outcome.ERROR, Outcome.RESET, Outcome.STALL, Outcome.CUT, Outcome.TIMEOUT}
+)
+
+
+class Key(NamedTuple):
+    """What evidence is about. `route_class` may be `ALL_CLASSES`."""
+
+    service: str
+    target: str
+    route_class: str
+
+
+class Counts(NamedTuple):
+    """Exchanges, and how many of them failed or were late.
+
+    Attributes
+    ----------
+    failed
+        Ended with an error, a reset, a stall, a cut answer or a timeout.
+    late
+        Took longer than the late limit, or were shed.
+    """
+
+    total: int = 0
+    failed: int = 0
+    late: int = 0
+
+    def plus(self, other: "Counts") -> "Counts":
+        """Return the sum."""
+        return Counts(
+            self.total + other.total,
+            self.failed + other.failed,
+            self.late + other.late,
+        )
+
+    def is_bad(self) -> bool:
+        """Return whether any exchange failed or was late."""
+        return self.failed > 0 or self.late > 0
+
+
+NO_COUNTS = Counts()
--- /dev/null
+++ b/primroseturn/detection/monitor.py
@@ -0,0 +1,240 @@
+"""One VM's view of its targets' health: own and pooled evidence, and suspicion."""
+
+from collections import deque
+from collections.abc import Callable
+
+from primroseturn.detection.detectors import factories_by_name
+from primroseturn.detection.digests import (
+    DigestReader,
+    DigestWriter,
+    EvidenceDigest,
+    hash_key,
+)
+from primroseturn.detection.evidence import (
+    ALL_CLASSES,
+    Counts,
+    FAILED_OUTCOMES,
+    Key,
+)
+from primroseturn.detection.observations import Observation, Outcome
+from primroseturn.detection.profiles import Profile
+from primroseturn.detection.reference import LatencyReference
+from primroseturn.detection.shares import ShareTable
+
+# How long the observation of an exchange may follow the end of its slot.
+SETTLE_LIMIT_S = 1.0
+# A VM suspects its own network path when more than this share of the targets that
+# it observes look bad.
+PATH_SHARE = 0.5
+PATH_TARGETS = 3
+PATH_BAD_SHARE = 0.5
+PATH_WEIGHT = 1.5
+PATH_REFRESH_S = 0.05
+# Another class shows health when it has this weight of evidence and less than this
+# part of the suspect scope's bad share.
+CLASS_WEIGHT = 3.0
+CLASS_PART = 0.5
+
+Suspect = Callable[[Key, float, float], None]
+
+
+class Flight:
+    """An exchange that is running."""
+
+    __slots__ = ("aged", "key", "started_at", "streams")
+
+    def __init__(self, key: Key, started_at: float, streams: bool) -> None:
+        self.key = key
+        self.started_at = started_at
+        self.streams = streams
+        self.aged = False
+
+
+class HealthMonitor:
+    """Gathers evidence and reports suspects to a callback.
+
+    Parameters
+    ----------
+    vm
+        Name of this VM.
+    profile
+        Detector and thresholds.
+    suspect
+        Called with key, suspicion and time whenever the suspicion reaches 1.
+    """
+
+    def __init__(self, vm: str, profile: Profile, suspect: Suspect) -> None:
+        self.vm = vm
+        self.suspect = suspect
+        self.reference = LatencyReference()
+        self.own_shares = ShareTable()
+        self.writer = DigestWriter()
+        self.reader = DigestReader()
+        self.flights: dict[int, Flight] = {}
+        self.aged_ends_by_key: dict[Key, deque[float]] = {}
+        self.classes_by_service: dict[str, set[str]] = {}
+        self.path_checked_at = float("-inf")
+        self.path_bad = False
+        self.use_profile(profile)
+
+    def use_profile(self, profile: Profile) -> None:
+        """Start anew with the detector of a profile."""
+        self.profile = profile
+        self.shares = ShareTable()
+        factory = factories_by_name[profile.detector]
+        self.detector = factory(profile.threshold, self.shares, self.vm)
+
+    def begin(
+        self, service: str, target: str, route_class: str, now: float, streams: bool
+    ) -> Flight:
+        """Take note that an exchange starts. Streams are not timed as a whole."""
+        flight = Flight(Key(service, target, route_class), now, streams)
+        self.flights[id(flight)] = flight
+        return flight
+
+    def end(self, flight: Flight, now: float) -> None:
+        """Take note that an exchange has ended."""
+        self.flights.pop(id(flight), None)
+        if flight.aged:
+            self.aged_ends_by_key.setdefault(flight.key, deque()).append(now)
+
+    def tick(self, now: float) -> None:
+        """Count running exchanges that became late, without waiting for their end."""
+        for flight in list(self.flights.values()):
+            if flight.aged or flight.streams:
+                continue
+            limit = self.reference.late_limit_s(flight.key, now)
+            if limit is not None and now - flight.started_at > limit:
+                flight.aged = True
+                self.add_own(flight.key, Counts(1, 0, 1), now)
+
+    def observe(self, seen: Observation) -> bool:
+        """Take the evidence of a finished exchange and return whether it was bad."""
+        key = Key(seen.service, seen.target, seen.route_class)
+        limit = self.reference.late_limit_s(key, seen.at)
+        failed = seen.outcome in FAILED_OUTCOMES
+        slow = limit is not None and seen.first_byte_s > limit
+        late = seen.outcome is Outcome.SHED or (slow and not failed)
+        if seen.outcome is Outcome.OK:
+            self.reference.add(key, seen.first_byte_s)
+        if slow and self.settle_aged(key, seen.at):
+            counts = Counts(0, int(failed), 0)
+        else:
+            counts = Counts(1, int(failed), int(late))
+        self.add_own(key, counts, seen.at)
+        return failed or late
+
+    def settle_aged(self, key: Key, now: float) -> bool:
+        """Return whether this late exchange was already counted while it ran."""
+        ends = self.aged_ends_by_key.get(key)
+        while ends and ends[0] < now - SETTLE_LIMIT_S:
+            ends.popleft()
+        if ends:
+            ends.popleft()
+            return True
+        for flight in self.flights.values():
+            if flight.aged and flight.key == key:
+                # Its end must not be counted again.
+                del self.flights[id(flight)]
+                flight.aged = False
+                return True
+        return False
+
+    def add_own(self, key: Key, counts: Counts, now: float) -> None:
+        """Add this VM's own evidence."""
+        self.classes_by_service.setdefault(key.service, set()).add(key.route_class)
+        whole = key._replace(route_class=ALL_CLASSES)
+        self.own_shares.add(whole, counts, now)
+        if self.path_suspected(now):
+            return
+        self.writer.add(key, counts)
+        self.pool(key, self.vm, counts, now)
+
+    def pool(self, key: Key, source: str, counts: Counts, now: float) -> None:
+        """Add evidence of any VM to the detector, for the class and the target."""
+        for scope in (key, key._replace(route_class=ALL_CLASSES)):
+            self.shares.add(scope, counts, now)
+            self.detector.add(scope, source, counts, now)
+        if counts.is_bad():
+            self.check(key, now)
+
+    def check(self, key: Key, now: float) -> None:
+        """Report the target, or some of its classes, if the suspicion suffices."""
+        whole = key._replace(route_class=ALL_CLASSES)
+        suspicion = max(
+            self.detector.suspicion(key, now), self.detector.suspicion(whole, now)
+        )
+        if suspicion < 1.0:
+            return
+        healthy = self.healthy_classes(whole, now)
+        if not healthy:
+            self.suspect(whole, suspicion, now)
+            return
+        for name in self.classes_by_service[key.service] - healthy:
+            scope = key._replace(route_class=name)
+            score = self.detector.suspicion(scope, now)
+            if score >= 1.0:
+                self.suspect(scope, score, now)
+
+    def healthy_classes(self, whole: Key, now: float) -> set[str]:
+        """Return the route classes for which a target shows health."""
+        shares = self.shares.own(whole, now)
+        limit = CLASS_PART * max(shares.failed, shares.late)
+        healthy = set()
+        for name in self.classes_by_service.get(whole.service, ()):
+            part = self.shares.own(whole._replace(route_class=name), now)
+            if part.weight >= CLASS_WEIGHT and max(part.failed, part.late) < limit:
+                healthy.add(name)
+        return healthy
+
+    def path_suspected(self, now: float) -> bool:
+        """Return whether most targets look bad, so this VM's path may be at fault."""
+        if now - self.path_checked_at >= PATH_REFRESH_S:
+            self.path_checked_at = now
+            observed, bad = 0, 0
+            for key in list(self.own_shares.spans_by_key):
+                if not key.target:
+                    continue
+                shares = self.own_shares.own(key, now)
+                if shares.weight >= PATH_WEIGHT:
+                    observed += 1
+                    bad += shares.failed + shares.late > PATH_BAD_SHARE
+            self.path_bad = observed >= PATH_TARGETS and bad > PATH_SHARE * observed
+        return self.path_bad
+
+    def learn(self, service: str, targets: set[str], classes: set[str]) -> None:
+        """Take note of what digests may be about."""
+        known = self.classes_by_service.setdefault(service, set())
+        known |= classes
+        for target in targets:
+            for name in known:
+                key = Key(service, target, name)
+                self.reader.keys_by_hash[hash_key(key)] = key
+
+    def receive(self, vm: str, incarnation: str, digest: EvidenceDigest, now: float):
+        """Pool the evidence of a peer."""
+        if not self.detector.pools:
+            return
+        for key, counts in self.reader.read(vm, incarnation, digest, now):
+            self.pool(key, vm, counts, now)
+
+    def restart(self, key: Key) -> None:
+        """Forget the evidence against a target that returns into rotation."""
+        names = self.classes_by_service.get(key.service, set()) | {ALL_CLASSES}
+        if key.route_class != ALL_CLASSES:
+            names = {key.route_class, ALL_CLASSES}
+        for name in names:
+            self.detector.forget(key._replace(route_class=name))
+
+    def forget(self, service: str, targets: set[str]) -> None:
+        """Drop targets that are no longer listed."""
+        self.reference.forget(service, targets)
+        names = self.classes_by_service.get(service, set()) | {ALL_CLASSES}
+        for target in targets:
+            for name in names:
+                key = Key(service, target, name)
+                self.detector.forget(key)
+                self.shares.forget(key)
+                self.own_shares.forget(key)
+                self.writer.forget(key)
+                self.reader.keys_by_hash.pop(hash_key(key), None)
--- /dev/null
+++ b/primroseturn/detection/outlier.py
@@ -0,0 +1,53 @@
+"""Outlier percentage: a target's bad share against that of its peers, pooled."""
+
+from collections import deque
+from typing import NamedTuple
+
+from primroseturn.detection.detectors import detector
+from primroseturn.detection.evidence import Counts, Key, NO_COUNTS
+from primroseturn.detection.shares import ShareTable
+
+WINDOW_S = 1.0
+LEAST_EXCHANGES = 10
+
+
+class Batch(NamedTuple):
+    """Counts and the time of their arrival."""
+
+    at: float
+    counts: Counts
+
+
+@detector("outlier")
+class OutlierPercentage:
+    """Suspects a target whose bad share exceeds its peers' by `threshold`."""
+
+    pools = True
+
+    def __init__(self, threshold: float, shares: ShareTable, vm: str) -> None:
+        self.threshold = threshold
+        self.shares = shares
+        self.batches_by_key: dict[Key, deque[Batch]] = {}
+
+    def add(self, key: Key, source: str, counts: Counts, now: float) -> None:
+        """Add a batch to the window."""
+        self.batches_by_key.setdefault(key, deque()).append(Batch(now, counts))
+
+    def suspicion(self, key: Key, now: float) -> float:
+        """Return the excess of the bad share as a multiple of the threshold."""
+        batches = self.batches_by_key.get(key, deque())
+        while batches and batches[0].at < now - WINDOW_S:
+            batches.popleft()
+        counts = NO_COUNTS
+        for batch in batches:
+            counts = counts.plus(batch.counts)
+        if counts.total < LEAST_EXCHANGES:
+            return 0.0
+        peers = self.shares.peers(key, now)
+        failed = counts.failed / counts.total - peers.failed
+        late = counts.late / counts.total - peers.late
+        return max(0.0, failed, late) / self.threshold
+
+    def forget(self, key: Key) -> None:
+        """Drop the window of a target."""
+        self.batches_by_key.pop(key, None)
--- /dev/null
+++ b/primroseturn/detection/phi.py
@@ -0,0 +1,60 @@
+"""Phi-accrual detector on the time since the last good answer, pooled.
+
+Source: Hayashibara, Defago, Yared, Katayama, "The phi accrual failure detector",
+2004. The gaps between good answers take the place of heartbeat intervals.
+"""
+
+from math import log
+from typing import NamedTuple
+
+from primroseturn.detection.detectors import detector
+from primroseturn.detection.evidence import Counts, Key
+from primroseturn.detection.shares import ShareTable
+
+GAP_WEIGHT = 0.02
+LEAST_GAPS = 50
+
+
+class Gaps(NamedTuple):
+    """Good answers so far, their mean gap in seconds, and bad ones since the last."""
+
+    answers: int
+    mean_s: float
+    last_at: float
+    bad_since: int
+
+
+@detector("phi")
+class PhiAccrual:
+    """Suspects a target when good answers stay out improbably long."""
+
+    pools = True
+
+    def __init__(self, threshold: float, shares: ShareTable, vm: str) -> None:
+        self.threshold = threshold
+        self.gaps_by_key: dict[Key, Gaps] = {}
+
+    def add(self, key: Key, source: str, counts: Counts, now: float) -> None:
+        """Update the mean gap with the good answers of a batch."""
+        gaps = self.gaps_by_key.get(key, Gaps(0, 0.0, now, 0))
+        bad = min(counts.total, counts.failed + counts.late)
+        good = counts.total - bad
+        if good <= 0:
+            self.gaps_by_key[key] = gaps._replace(bad_since=gaps.bad_since + bad)
+            return
+        gap = max(0.0, now - gaps.last_at) / good
+        weight = max(GAP_WEIGHT, 1.0 / (gaps.answers + 1))
+        mean = gaps.mean_s + (gap - gaps.mean_s) * min(1.0, weight * good)
+        self.gaps_by_key[key] = Gaps(gaps.answers + good, mean, now, 0)
+
+    def suspicion(self, key: Key, now: float) -> float:
+        """Return phi as a multiple of the threshold."""
+        gaps = self.gaps_by_key.get(key)
+        if gaps is None or gaps.answers < LEAST_GAPS or gaps.bad_since == 0:
+            return 0.0
+        phi = (now - gaps.last_at) / max(gaps.mean_s, 1e-6) / log(10.0)
+        return phi / self.threshold
+
+    def forget(self, key: Key) -> None:
+        """Drop the gaps of a target."""
+        self.gaps_by_key.pop(key, None)
--- /dev/null
+++ b/primroseturn/ejection/floor.py
@@ -0,0 +1,34 @@
+"""The floor: slots of a service that ejections must leave in rotation."""
+
+from collections.abc import Collection
+
+
+def keeps_floor(in_rotation: int, listed: int, floor: float) -> bool:
+    """Return whether enough slots are in rotation.
+
+    Parameters
+    ----------
+    in_rotation, listed
+        Slots of the targets in rotation, and of all live listed targets.
+    floor
+        Fraction of the listed slots that must stay.
+    """
+    return in_rotation >= floor * listed - 1e-9
+
+
+def targets_to_return(
+    ejected_scores: dict[str, float], live: Collection[str], floor: float
+) -> list[str]:
+    """Return the least unhealthy ejected targets that the floor needs back."""
+    out = sorted(
+        (name for name in ejected_scores if name in live),
+        key=lambda name: (ejected_scores[name], name),
+    )
+    returned = []
+    in_rotation = len(live) - len(out)
+    for name in out:
+        if keeps_floor(in_rotation, len(live), floor):
+            break
+        returned.append(name)
+        in_rotation += 1
+    return returned
--- /dev/null
+++ b/primroseturn/retries/hedging.py
@@ -0,0 +1,57 @@
+"""When to send a second copy of a slow request."""
+
+from collections import deque
+from collections.abc import Callable
+
+HEDGE_QUANTILE = 0.95
+SAMPLES = 200
+SAMPLES_BEFORE_USE = 50
+REFRESH_SAMPLES = 20
+
+
+class RecentLatencies:
+    """The latest latencies of a route class and their quantile."""
+
+    def __init__(self) -> None:
+        self.values: deque[float] = deque(maxlen=SAMPLES)
+        self.added = 0
+        self.quantile_s = 0.0
+        self.typical_s = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Add a latency; the quantile follows every few samples."""
+        self.values.append(latency_s)
+        self.added += 1
+        if self.added % REFRESH_SAMPLES == 0:
+            ordered = sorted(self.values)
+            self.quantile_s = ordered[int(HEDGE_QUANTILE * (len(ordered) - 1))]
+            self.typical_s = ordered[len(ordered) // 2]
+
+
+class Hedging:
+    """Gives the delay after which a hedge may start.
+
+    Parameters
+    ----------
+    has_free_slots
+        Tells whether a service has slots to spare on this VM.
+    """
+
+    def __init__(self, has_free_slots: Callable[[str], bool]) -> None:
+        self.has_free_slots = has_free_slots
+        self.latencies_by_class: dict[tuple[str, str], RecentLatencies] = {}
+
+    def note_latency(self, service: str, route_class: str, latency_s: float) -> None:
+        """Take note of the latency of a good answer."""
+        key = (service, route_class)
+        recent = self.latencies_by_class.get(key)
+        if recent is None:
+            recent = self.latencies_by_class[key] = RecentLatencies()
+        recent.add(latency_s)
+
+    def delay_s(self, service: str, route_class: str) -> float | None:
+        """Return the delay in seconds, or None when no hedge may be sent."""
+        recent = self.latencies_by_class.get((service, route_class))
+        if recent is None or recent.added < SAMPLES_BEFORE_USE:
+            return None
+        return recent.quantile_s if self.has_free_slots(service) else None
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -1,15 +1,33 @@
-"""Chooses a target for a request by power of two choices."""
+"""Chooses a target for a request by power of two choices.
+
+Source: M. Mitzenmacher, "The power of two choices in randomized load balancing",
+2001.
+"""
 
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
+from math import exp
 from random import Random
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
 from primroseturn.configuration.models import Target
-from primroseturn.detection.observations import Observation
+from primroseturn.detection.observations import Observation, Outcome
+from primroseturn.ejection.ejector import Ejector
 from primroseturn.failures import Failure
 from primroseturn.membership.listing import Listing
+from primroseturn.routing.link import MeteredLink
+from primroseturn.routing.slots import SlotShare
+from primroseturn.routing.subset import choose_subset, Place, Tiers
+
+DEFAULT_SLOTS = 6
+# A reported load loses its weight with this time constant, because it lags.
+REPORT_LIFE_S = 1.0
+LATENCY_WEIGHT = 0.1
+FAILURE_PENALTY = 4.0
+# A free slot of the region is preferred to the local tier only when that is full.
+LEAST_LATENCY_S = 0.001
 
 
 class NoCapacity(Failure):
@@ -21,13 +39,63 @@
         super().__init__(f"no target of service {service!r} has capacity")
 
 
+class Choice(NamedTuple):
+    """A chosen target, and the ejection scope when it is a trial."""
+
+    target: Target
+    trial_scope: str | None = None
+
+
+class Report(NamedTuple):
+    """A load that a target reported, beyond this VM's own part."""
+
+    others: float
+    at: float
+
+
+class LocalView:
+    """What this VM's own exchanges show of a target."""
+
+    def __init__(self) -> None:
+        self.latency_s = 0.0
+        self.failed_share = 0.0
+
+    def add(self, latency_s: float, failed: bool) -> None:
+        """Update the moving averages."""
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        self.failed_share += LATENCY_WEIGHT * (failed - self.failed_share)
+
+
 class Balancer:
     """Knows this VM's requests in flight at each target."""
 
-    def __init__(self, listing: Listing, random: Random) -> None:
+    def __init__(
+        self,
+        listing: Listing,
+        ejector: Ejector,
+        place: Place,
+        link: MeteredLink,
+        random: Random,
+    ) -> None:
         self.listing = listing
+        self.ejector = ejector
+        self.place = place
+        self.link = link
         self.random = random
+        self.slots_by_service: dict[str, int] = {}
         self.in_flight_by_target: dict[str, int] = {}
+        self.shares_by_target: dict[str, SlotShare] = {}
+        self.views_by_target: dict[str, LocalView] = {}
+        self.reports_by_target: dict[str, Report] = {}
+        self.tiers_by_service: dict[str, Tiers] = {}
+
+    def set_targets(self, service: str) -> None:
+        """Recompute the subset of a service after a change of its list."""
+        listed = self.listing.targets_by_service.get(service, {})
+        live = [item for item in listed.values() if item.state == "live"]
+        self.tiers_by_service[service] = choose_subset(self.place, live)
 
     def choose(
         self,
@@ -35,18 +103,94 @@
         route_class: str,
         now: float,
         excluded: Collection[str] = (),
-    ) -> Result[Target, Failure]:
+        repeatable: bool = True,
+        download: bool = False,
+    ) -> Result[Choice, Failure]:
         """Return the target that should take the next request."""
-        listed = self.listing.targets_by_service.get(service, {})
-        candidates = [
-            item
-            for item in listed.values()
-            if item.state == "live" and item.name not in excluded
-        ]
-        if not candidates:
+        tiers = self.tiers_by_service.get(service)
+        if tiers is None:
             return Error(NoCapacity(service))
-        pair = self.random.sample(candidates, min(2, len(candidates)))
-        return Ok(min(pair, key=lambda item: self.in_flight_of(item.name)))
+        if repeatable:
+            trial = self.choose_trial(service, route_class, now, tiers, excluded)
+            if trial is not None:
+                return Ok(trial)
+        out = self.ejector.ejections_of(service, route_class)
+        for tier in tiers:
+            free = [
+                item
+                for item in tier
+                if item.name not in out
+                and item.name not in excluded
+                and self.has_free_slot(item, now)
+            ]
+            if not free:
+                continue
+            if tier is tiers.metered and not self.link.take(download, now):
+                continue
+            pair = free if len(free) < 2 else self.random.sample(free, 2)
+            return Ok(Choice(min(pair, key=lambda item: self.cost(item, now))))
+        return Error(NoCapacity(service))
+
+    def choose_trial(
+        self,
+        service: str,
+        route_class: str,
+        now: float,
+        tiers: Tiers,
+        excluded: Collection[str],
+    ) -> Choice | None:
+        """Return an ejected target of the subset that is due for a trial."""
+        key = self.ejector.trial_key(service, route_class, now)
+        if key is None or key.target in excluded:
+            return None
+        for tier in (tiers.local, tiers.region):
+            for item in tier:
+                if item.name == key.target:
+                    return Choice(item, key.route_class)
+        return None
+
+    def usable(self, service: str, excluded: Collection[str] = ()) -> bool:
+        """Return whether any listed target may be tried at all."""
+        tiers = self.tiers_by_service.get(service, Tiers((), (), ()))
+        return any(item.name not in excluded for tier in tiers for item in tier)
+
+    def has_free_slots(self, service: str) -> bool:
+        """Return whether this VM has slots to spare near it, as hedges need."""
+        tiers = self.tiers_by_service.get(service, Tiers((), (), ()))
+        near = tiers.local or tiers.region
+        used = sum(self.in_flight_of(item.name) for item in near)
+        room = sum(self.share_of(item).limit for item in near)
+        return used < 0.7 * room
+
+    def has_free_slot(self, target: Target, now: float) -> bool:
+        """Return whether this VM may run one more request at a target."""
+        ramp = self.ejector.ramp(target.service, target.name, now)
+        share = self.share_of(target)
+        return share.allows(self.in_flight_of(target.name), ramp)
+
+    def share_of(self, target: Target) -> SlotShare:
+        """Return this VM's part of a target's slots."""
+        slots = self.slots_by_service.get(target.service, DEFAULT_SLOTS)
+        share = self.shares_by_target.get(target.name)
+        if share is None:
+            share = self.shares_by_target[target.name] = SlotShare(slots)
+        share.resize(slots)
+        return share
+
+    def cost(self, target: Target, now: float) -> float:
+        """Return the expected time in the target, by load, latency and failures."""
+        slots = self.slots_by_service.get(target.service, DEFAULT_SLOTS)
+        view = self.views_by_target.get(target.name)
+        load = self.in_flight_of(target.name) + 1.0
+        report = self.reports_by_target.get(target.name)
+        if report is not None:
+            load += report.others * exp((report.at - now) / REPORT_LIFE_S)
+        ramp = self.ejector.ramp(target.service, target.name, now)
+        if view is None:
+            return load * LEAST_LATENCY_S / (slots * ramp)
+        latency = max(view.latency_s, LEAST_LATENCY_S)
+        penalty = 1.0 + FAILURE_PENALTY * view.failed_share
+        return load * latency * penalty / (slots * ramp)
 
     def in_flight_of(self, target: str) -> int:
         """Return this VM's requests in flight at a target."""
@@ -55,11 +199,48 @@
     @contextmanager
     def occupy(self, target: str) -> Iterator[None]:
         """Count a request in flight at a target."""
-        self.in_flight_by_target[target] = self.in_flight_of(target) + 1
+        self.start(target)
         try:
             yield
         finally:
-            self.in_flight_by_target[target] -= 1
+            self.finish(target)
+
+    def start(self, target: str) -> None:
+        """Count one more request in flight."""
+        self.in_flight_by_target[target] = self.in_flight_of(target) + 1
+
+    def finish(self, target: str) -> None:
+        """Count one request in flight less."""
+        left = self.in_flight_of(target) - 1
+        if left > 0:
+            self.in_flight_by_target[target] = left
+        else:
+            self.in_flight_by_target.pop(target, None)
+
+    def report_load(self, target: str, busy: float, at: float) -> None:
+        """Take note of the load that a target reported; it is weak evidence."""
+        others = max(0.0, busy - self.in_flight_of(target))
+        self.reports_by_target[target] = Report(others, at)
 
     def observe(self, observation: Observation) -> None:
         """Take note of what an exchange showed."""
+        target = observation.target
+        share = self.shares_by_target.get(target)
+        if observation.outcome is Outcome.SHED:
+            if share is not None:
+                share.note_shed(observation.at)
+            return
+        good = observation.outcome is Outcome.OK
+        if good and share is not None:
+            share.note_good(self.in_flight_of(target))
+        view = self.views_by_target.get(target)
+        if view is None:
+            view = self.views_by_target[target] = LocalView()
+        view.add(observation.first_byte_s, not good)
+
+    def forget(self, targets: set[str]) -> None:
+        """Drop targets that are no longer listed."""
+        for target in targets:
+            self.shares_by_target.pop(target, None)
+            self.views_by_target.pop(target, None)
+            self.reports_by_target.pop(target, None)
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -4,13 +4,26 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-from anyio import current_time
-from expression import Result
+from anyio import current_time, Event, move_on_after
+from expression import Error, Ok, Result
 
 from primroseturn.configuration.models import Target
-from primroseturn.detection.observations import Observation
+from primroseturn.configuration.state import ConfigurationState
+from primroseturn.detection.evidence import Key
+from primroseturn.detection.monitor import Flight, HealthMonitor
+from primroseturn.detection.observations import Observation, Outcome
+from primroseturn.detection.profiles import Profile, profiles_by_name
+from primroseturn.ejection.ejector import Ejector
 from primroseturn.failures import Failure
-from primroseturn.routing.balancer import Balancer
+from primroseturn.membership.listing import ENTRY_LIST, Listing
+from primroseturn.queueing.queue import FairQueue, QueueRefused, Waiter
+from primroseturn.retries.budget import RetryBudget
+from primroseturn.retries.hedging import Hedging
+from primroseturn.routing.balancer import Balancer, Choice, NoCapacity
+
+# Waiters that are looked at when the first cannot run, for instance because it
+# excludes the only free target.
+HEADS_TRIED = 4
 
 
 class Demand(NamedTuple):
@@ -38,11 +51,33 @@
     download: bool = False
 
 
+class Grant(NamedTuple):
+    """A held slot."""
+
+    choice: Choice
+    flight: Flight
+
+
 class Dispatcher:
     """Chooses targets and holds their slots while requests run."""
 
-    def __init__(self, balancer: Balancer) -> None:
+    def __init__(
+        self,
+        balancer: Balancer,
+        monitor: HealthMonitor,
+        ejector: Ejector,
+        budget: RetryBudget,
+        hedging: Hedging,
+    ) -> None:
         self.balancer = balancer
+        self.monitor = monitor
+        self.ejector = ejector
+        self.budget = budget
+        self.hedging = hedging
+        self.queue_limit = 200
+        self.shares_by_workspace: dict[str, float] = {}
+        self.queues_by_service: dict[str, FairQueue] = {}
+        self.targets_by_service: dict[str, set[str]] = {}
 
     @asynccontextmanager
     async def acquire(self, demand: Demand) -> AsyncIterator[Result[Target, Failure]]:
@@ -54,15 +89,184 @@
             The target, or why the request gets none. A failure means that
             nothing was sent.
         """
-        choice = self.balancer.choose(
-            demand.service, demand.route_class, current_time(), demand.excluded
-        )
-        if choice.is_error():
-            yield choice
+        result = self.grant_at_once(demand)
+        if result.is_error():
+            result = await self.wait_in_queue(demand)
+        if result.is_error():
+            yield Error(result.error)
             return
-        with self.balancer.occupy(choice.ok.name):
-            yield choice
+        try:
+            yield Ok(result.ok.choice.target)
+        finally:
+            self.give_back(demand.service, result.ok)
+
+    def grant_at_once(self, demand: Demand) -> Result[Grant, Failure]:
+        """Grant a free slot unless others wait for it."""
+        queue = self.queues_by_service.get(demand.service)
+        if queue is not None and queue.size:
+            return Error(NoCapacity(demand.service))
+        return self.grant(demand)
+
+    def grant(self, demand: Demand) -> Result[Grant, Failure]:
+        """Choose a target and take a slot of it."""
+        now = current_time()
+        chosen = self.balancer.choose(
+            demand.service,
+            demand.route_class,
+            now,
+            demand.excluded,
+            demand.repeatable,
+            demand.download,
+        )
+        if chosen.is_error():
+            return Error(chosen.error)
+        choice = chosen.ok
+        target = choice.target.name
+        if choice.trial_scope is not None:
+            key = Key(demand.service, target, choice.trial_scope)
+            self.ejector.begin_trial(key, now)
+        self.balancer.start(target)
+        flight = self.monitor.begin(
+            demand.service, target, demand.route_class, now, demand.download
+        )
+        return Ok(Grant(choice, flight))
+
+    def give_back(self, service: str, grant: Grant) -> None:
+        """Release a slot and hand it to the next waiter."""
+        target = grant.choice.target.name
+        self.monitor.end(grant.flight, current_time())
+        self.balancer.finish(target)
+        if grant.choice.trial_scope is not None:
+            self.ejector.end_trial(Key(service, target, grant.choice.trial_scope))
+        self.pump(service)
+
+    async def wait_in_queue(self, demand: Demand) -> Result[Grant, Failure]:
+        """Wait for a slot in fair order, at most until the deadline."""
+        if not self.balancer.usable(demand.service, demand.excluded):
+            return Error(NoCapacity(demand.service))
+        now = current_time()
+        queue = self.queue_of(demand.service)
+        share = self.shares_by_workspace.get(demand.workspace, demand.share)
+        waiter = Waiter(demand.workspace, share, demand.deadline_at)
+        waiter.payload = (demand, Event(), [])
+        entered = queue.enter(waiter, now, self.service_time_s(demand, now))
+        if entered.is_error():
+            return Error(entered.error)
+        if entered.ok is not None:
+            entered.ok.payload[1].set()
+        _, ready, grants = waiter.payload
+        finished = False
+        try:
+            self.pump(demand.service)
+            with move_on_after(demand.deadline_at - now):
+                await ready.wait()
+            finished = True
+        finally:
+            queue.remove(waiter)
+            if not finished and grants:
+                # The caller left while its slot was on the way.
+                self.give_back(demand.service, grants[0])
+        if grants:
+            return Ok(grants[0])
+        refusal = waiter.refusal or QueueRefused("its deadline has passed", 1.0)
+        return Error(refusal)
+
+    def service_time_s(self, demand: Demand, now: float) -> float:
+        """Return the time that the request will typically need after a grant."""
+        key = (demand.service, demand.route_class)
+        recent = self.hedging.latencies_by_class.get(key)
+        if recent is None or demand.download:
+            return 0.0
+        return recent.typical_s
+
+    def queue_of(self, service: str) -> FairQueue:
+        """Return the queue of a service."""
+        queue = self.queues_by_service.get(service)
+        if queue is None:
+            queue = self.queues_by_service[service] = FairQueue(self.queue_limit)
+        return queue
+
+    def pump(self, service: str) -> None:
+        """Hand free slots to waiters in fair order."""
+        queue = self.queues_by_service.get(service)
+        while queue is not None and queue.size:
+            heads = queue.first(HEADS_TRIED)
+            if not any(self.serve_waiter(queue, item) for item in heads):
+                return
+
+    def serve_waiter(self, queue: FairQueue, waiter: Waiter) -> bool:
+        """Grant a waiter its slot if one is free for it."""
+        demand, ready, grants = waiter.payload
+        granted = self.grant(demand)
+        if granted.is_error():
+            return False
+        queue.take(waiter, current_time())
+        grants.append(granted.ok)
+        ready.set()
+        return True
 
     def observe(self, observation: Observation) -> None:
         """Take note of what an exchange with a target showed."""
         self.balancer.observe(observation)
+        bad = self.monitor.observe(observation)
+        self.ejector.note_outcome(
+            observation.service,
+            observation.target,
+            observation.route_class,
+            bad,
+            observation.at,
+        )
+        if observation.outcome is Outcome.OK:
+            self.hedging.note_latency(
+                observation.service, observation.route_class, observation.first_byte_s
+            )
+
+    def tick(self, now: float) -> None:
+        """Do what time alone makes due: late exchanges, waiters, trials."""
+        self.monitor.tick(now)
+        for service in self.queues_by_service:
+            self.pump(service)
+
+    def use_list(self, listing: Listing, service: str, now: float) -> None:
+        """Take over a changed list of targets."""
+        if service == ENTRY_LIST:
+            return
+        listed = listing.targets_by_service.get(service, {})
+        live = {item.name for item in listed.values() if item.state == "live"}
+        gone = self.targets_by_service.get(service, set()) - listed.keys()
+        self.targets_by_service[service] = set(listed)
+        self.balancer.set_targets(service)
+        self.ejector.set_live(service, live, now)
+        self.monitor.learn(service, live, set())
+        self.monitor.forget(service, gone)
+        self.balancer.forget(gone)
+        self.pump(service)
+
+    def use_configuration(
+        self, state: ConfigurationState, profile: Profile | None, now: float
+    ) -> None:
+        """Take over services, routes and the preset in force."""
+        preset = state.preset_in_force
+        profile = profile or profiles_by_name[preset.profile]
+        if profile != self.monitor.profile:
+            self.monitor.use_profile(profile)
+            self.ejector.profile = profile
+        self.ejector.set_floor(preset.floor, now)
+        self.budget.ratio = preset.retry_ratio
+        self.queue_limit = preset.queue_limit
+        for queue in self.queues_by_service.values():
+            queue.limit = preset.queue_limit
+        self.shares_by_workspace = dict(preset.shares_by_workspace)
+        self.balancer.slots_by_service = {
+            item.name: item.slots_per_target for item in state.services_by_name.values()
+        }
+        self.learn_classes(state)
+
+    def learn_classes(self, state: ConfigurationState) -> None:
+        """Tell the monitor which route classes each service has."""
+        classes: dict[str, set[str]] = {}
+        for route in state.routes_by_name.values():
+            classes.setdefault(route.service, set()).add(route.route_class)
+        for service, names in classes.items():
+            targets = self.targets_by_service.get(service, set())
+            self.monitor.learn(service, targets, names)
--- a/primroseturn/routing/service.py
+++ b/primroseturn/routing/service.py
@@ -4,18 +4,88 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+from anyio import create_task_group, current_time, sleep
+
+from primroseturn.configuration.state import ConfigurationState
+from primroseturn.detection.evidence import Key
+from primroseturn.detection.profiles import profiles_by_name
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
-from primroseturn.routing.balancer import Balancer
+from primroseturn.membership.listing import Listing
+from primroseturn.observation.catalogue import Event
+from primroseturn.retries.budget import RetryBudget
+from primroseturn.retries.hedging import Hedging
+from primroseturn.routing.assembly import assemble_dispatcher
 from primroseturn.routing.dispatcher import Dispatcher
 from primroseturn.routing.router import Router
+from primroseturn.routing.subset import Place
+
+TICK_S = 0.05
+
+
+async def tick_forever(dispatcher: Dispatcher) -> None:
+    """Let the dispatcher do what time alone makes due."""
+    while True:
+        await sleep(TICK_S)
+        dispatcher.tick(current_time())
 
 
-@service("dispatcher", needs=("listing",))
+def follow_configuration(
+    dispatcher: Dispatcher, listing: Listing, state: ConfigurationState
+) -> None:
+    """Take over a new configuration."""
+    now = current_time()
+    dispatcher.use_configuration(state, None, now)
+    vms = max(1, len(listing.daemons_by_id))
+    link_rate = state.preset_in_force.paid_link_bytes_per_s / vms
+    dispatcher.balancer.link.set_rate(link_rate, now)
+
+
+@service("dispatcher", needs=("settings", "events", "replica", "listing"))
 @asynccontextmanager
 async def provide_dispatcher(kernel: Kernel) -> AsyncIterator[Dispatcher]:
     """Provide the choice of targets."""
-    yield Dispatcher(Balancer(kernel.find("listing"), Random()))
+    identity = kernel.find("settings").identity
+    events = kernel.find("events")
+    listing, replica = kernel.find("listing"), kernel.find("replica")
+    preset = replica.state.preset_in_force
+    dispatcher = assemble_dispatcher(
+        listing,
+        Place(identity.vm, identity.data_center, identity.region),
+        profiles_by_name[preset.profile],
+        preset.floor,
+        preset.paid_link_bytes_per_s,
+        Random(),
+        current_time(),
+    )
+
+    def report(event: Event, key: Key, now: float) -> None:
+        events.emit(event, **key._asdict())
+
+    dispatcher.ejector.listeners.append(report)
+    for name in list(listing.targets_by_service):
+        dispatcher.use_list(listing, name, current_time())
+    listing.subscribe(lambda name: dispatcher.use_list(listing, name, current_time()))
+    follow_configuration(dispatcher, listing, replica.state)
+    replica.subscribe(lambda state: follow_configuration(dispatcher, listing, state))
+    async with create_task_group() as tasks:
+        tasks.start_soon(tick_forever, dispatcher)
+        yield dispatcher
+        tasks.cancel_scope.cancel()
+
+
+@service("retries", needs=("dispatcher",))
+@asynccontextmanager
+async def provide_retries(kernel: Kernel) -> AsyncIterator[RetryBudget]:
+    """Provide the retry budget."""
+    yield kernel.find("dispatcher").budget
+
+
+@service("hedging", needs=("dispatcher",))
+@asynccontextmanager
+async def provide_hedging(kernel: Kernel) -> AsyncIterator[Hedging]:
+    """Provide the delay of hedged requests."""
+    yield kernel.find("dispatcher").hedging
 
 
 @service("router", needs=("replica",))
--- /dev/null
+++ b/primroseturn/routing/subset.py
@@ -0,0 +1,56 @@
+"""Subsets of targets by rendezvous hashing, in tiers of distance.
+
+Source: Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
+"""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import NamedTuple
+
+from primroseturn.configuration.models import Target
+
+# Targets per service that one VM uses, so that connections do not grow with the
+# fleet, and how many of them may come from its own data centre.
+SUBSET_TARGETS = 12
+LOCAL_TARGETS = 8
+
+
+class Place(NamedTuple):
+    """Where this VM stands."""
+
+    vm: str
+    data_center: str
+    region: str
+
+
+class Tiers(NamedTuple):
+    """Targets by distance: own data centre, own region, over the metered link."""
+
+    local: tuple[Target, ...]
+    region: tuple[Target, ...]
+    metered: tuple[Target, ...]
+
+
+def rendezvous_weight(vm: str, target: str) -> int:
+    """Return the weight of a target for a VM."""
+    digest = blake2b(f"{vm}\0{target}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def choose_subset(place: Place, targets: Iterable[Target]) -> Tiers:
+    """Return the targets that a VM uses."""
+    ranked = sorted(
+        targets, key=lambda item: rendezvous_weight(place.vm, item.name), reverse=True
+    )
+    local = [item for item in ranked if item.data_center == place.data_center]
+    region = [
+        item
+        for item in ranked
+        if item.region == place.region and item.data_center != place.data_center
+    ]
+    metered = [item for item in ranked if item.region != place.region]
+    local = local[:LOCAL_TARGETS]
+    region = region[: max(0, SUBSET_TARGETS - len(local))]
+    # Some targets beyond the metered link always stay usable as a last resort.
+    room = max(2, SUBSET_TARGETS - len(local) - len(region))
+    return Tiers(tuple(local), tuple(region), tuple(metered[:room]))
