Add the demo, one module per command and documented exit codes

Cause: the product had no first run, and help texts did not describe subcommands or exit codes. Before: no demo. Conclusion: the demo judges its own stated outcomes and serves as a feature.

--- /dev/null
+++ b/features/steps/product_commands.py
@@ -0,0 +1,55 @@
+"""Steps that run commands of the command line as processes."""
+
+import re
+import sys
+from pathlib import Path
+from shlex import split
+from subprocess import run
+
+from behave import then, when
+
+from primroseturn.cli.exits import ExitCode
+
+EXIT_CODES_PAGE = Path("docs/exit-codes.md")
+
+
+def run_command(context, command, limit_s, **options):
+    """Run a command and keep its exit code and output."""
+    done = run(
+        [sys.executable, "-m", "primroseturn", *split(command)],
+        capture_output=True,
+        text=True,
+        timeout=limit_s,
+        check=False,
+        **options,
+    )
+    context.exit_code = done.returncode
+    context.output = done.stdout + done.stderr
+    context.stdout = done.stdout
+
+
+@when('the command "{command}" runs for at most {limit_s:d} s')
+def step_command(context, command, limit_s):
+    run_command(context, command, limit_s)
+
+
+@then("the command exits with code {code:d}")
+def step_exit_code(context, code):
+    assert context.exit_code == code, (context.exit_code, context.output)
+
+
+@then('its output contains "{text}"')
+def step_output(context, text):
+    assert text in context.output, context.output
+
+
+@then('its output does not contain "{text}"')
+def step_output_without(context, text):
+    assert text not in context.output, context.output
+
+
+@then("the page of exit codes lists exactly the codes of the command line")
+def step_exit_codes_page(context):
+    rows = re.findall(r"^\| (\d+) \| (\w+) \|", EXIT_CODES_PAGE.read_text(), re.M)
+    listed = {name: int(code) for code, name in rows}
+    assert listed == {code.name: int(code) for code in ExitCode}, listed
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -1,98 +1,39 @@
-"""Command line of primroseturn."""
+"""Command line of primroseturn: the list of its commands."""
 
-import sys
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Annotated
+from functools import reduce
+from operator import or_
 
-from anyio import run
-from cappa import Arg, invoke, Subcommands
+from cappa import command, invoke, Subcommands
 
 from primroseturn import __version__
-from primroseturn.cli.processes import run_daemon, run_store, run_upstream
-from primroseturn.settings.load import load_settings
-from primroseturn.settings.models import DaemonSettings
+from primroseturn.cli.daemon import Daemon
+from primroseturn.cli.settings import Settings
+from primroseturn.cli.standin import Standin
+from primroseturn.plugins.registry import load_plugins
 
-EXIT_SETTINGS = 2
+COMMANDS = (Daemon, Standin, Settings)
 
 
-@dataclass
-class Daemon:
-    """Run the proxy daemon of this VM."""
+def build_root() -> type:
+    """Return the root command with the listed commands and those of plugins."""
+    kinds = reduce(or_, [*COMMANDS, *load_plugins().values()])
 
-    settings: Annotated[Path, Arg(long=True, help="Settings file (JSON).")]
+    @command(
+        name="primroseturn",
+        description="Start with `primroseturn demo`.\n\n"
+        "Exit codes: 0 success, 1 the operation failed or a stated outcome was "
+        "missed, 2 incorrect usage or settings, 3 conflict, 4 not reachable.",
+    )
+    @dataclass
+    class Primroseturn:
+        """Proxy fleet for upstreams with gray failures."""
 
-    def __call__(self) -> None:
-        """Load the settings and serve until a signal."""
-        run(run_daemon, read_settings(self.settings))
+        command: Subcommands[kinds]
 
-
-@dataclass
-class StandinStore:
-    """Run the stand-in of the platform's object API on loopback."""
-
-    port: Annotated[int, Arg(long=True, help="TCP port, 0 for a free one.")] = 0
-
-    def __call__(self) -> None:
-        """Serve until a signal."""
-        run(run_store, self.port)
-
-
-@dataclass
-class StandinUpstream:
-    """Run the stand-in of an upstream VM on loopback."""
-
-    port: Annotated[int, Arg(long=True, help="TCP port, 0 for a free one.")] = 0
-    name: Annotated[str, Arg(long=True, help="Name of the target.")] = "target"
-    slots: Annotated[int, Arg(long=True, help="Requests run at the same time.")] = 6
-
-    def __call__(self) -> None:
-        """Serve until a signal."""
-        run(run_upstream, self.name, self.slots, self.port)
-
-
-@dataclass
-class Standin:
-    """Run a stand-in of an outside system."""
-
-    command: Subcommands[StandinStore | StandinUpstream]
-
-
-@dataclass
-class SettingsCheck:
-    """Check a settings file. Exit code 2 names the wrong field."""
-
-    file: Annotated[Path, Arg(help="Settings file (JSON).")]
-
-    def __call__(self) -> None:
-        """Print the result of the check."""
-        read_settings(self.file)
-        print(f"{self.file}: settings are valid")
-
-
-@dataclass
-class Settings:
-    """Work with settings files."""
-
-    command: Subcommands[SettingsCheck]
-
-
-@dataclass
-class Primroseturn:
-    """Proxy fleet for upstreams with gray failures."""
-
-    command: Subcommands[Daemon | Standin | Settings]
-
-
-def read_settings(path: Path) -> DaemonSettings:
-    """Return the settings of a file or exit with `EXIT_SETTINGS`."""
-    result = load_settings(path, DaemonSettings)
-    if result.is_error():
-        print(f"{path}: {result.error}", file=sys.stderr)
-        raise SystemExit(EXIT_SETTINGS)
-    return result.ok
+    return Primroseturn
 
 
 def main() -> None:
     """Run the command line."""
-    invoke(Primroseturn, version=__version__)
+    invoke(build_root(), version=__version__)
--- /dev/null
+++ b/primroseturn/cli/settings.py
@@ -0,0 +1,44 @@
+"""Commands for settings files."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from cappa import Arg, command, Subcommands
+
+from primroseturn.cli.exits import ExitCode, fail
+from primroseturn.settings.load import load_settings
+from primroseturn.settings.models import DaemonSettings
+
+
+def read_settings(path: Path) -> DaemonSettings:
+    """Return the settings of a file or exit with `ExitCode.USAGE`."""
+    result = load_settings(path, DaemonSettings)
+    if result.is_error():
+        fail(ExitCode.USAGE, f"{path}: {result.error}")
+    return result.ok
+
+
+@command(
+    name="check",
+    aliases=["settings-check"],
+    description="Exits with code 2 and names the field, its value and what was "
+    "expected when the file is not valid. Secret values are not printed.",
+)
+@dataclass
+class SettingsCheck:
+    """Check a settings file."""
+
+    file: Annotated[Path, Arg(help="Settings file (JSON).")]
+
+    def __call__(self) -> None:
+        """Print the result of the check."""
+        read_settings(self.file)
+        print(f"{self.file}: settings are valid")
+
+
+@dataclass
+class Settings:
+    """Work with settings files."""
+
+    command: Subcommands[SettingsCheck]
--- a/primroseturn/plugins/__init__.py
+++ b/primroseturn/plugins/__init__.py
@@ -1,1 +1,1 @@
-"""Optional features that register themselves."""
+"""Optional features that register themselves when they are imported."""
--- /dev/null
+++ b/primroseturn/plugins/demo/callers.py
@@ -0,0 +1,118 @@
+"""Callers of the demo and what they saw."""
+
+from collections import Counter
+from hashlib import sha256
+from random import Random
+from typing import NamedTuple
+
+from anyio import current_time, sleep
+from httpx import AsyncClient, HTTPError, Response
+
+from primroseturn.plugins.demo.fleet import DemoFleet
+from primroseturn.standins.upstream import document_part
+
+DOCUMENT_BYTES = 400_000
+PAUSE_S = 0.02
+
+
+class Exchange(NamedTuple):
+    """One request as its caller saw it."""
+
+    workspace: str
+    kind: str
+    outcome: str
+    latency_s: float
+    ended_at: float
+
+
+class Results:
+    """All exchanges of the demo.
+
+    Attributes
+    ----------
+    wrong_bodies
+        Answers that were passed on as complete with other content.
+    operations
+        Every Idempotency-Key that was sent.
+    """
+
+    def __init__(self) -> None:
+        self.exchanges: list[Exchange] = []
+        self.wrong_bodies = 0
+        self.operations: set[str] = set()
+
+    def count(self, since: int = 0) -> Counter[str]:
+        """Return the outcomes after the first `since` exchanges."""
+        return Counter(item.outcome for item in self.exchanges[since:])
+
+
+def name_outcome(response: Response) -> str:
+    """Return the outcome of an answer: ok, an upstream error or a refusal type."""
+    if response.status_code < 400:
+        return "ok"
+    if response.headers.get("content-type") == "application/json":
+        return response.json().get("type", "upstream-error")
+    return "upstream-error"
+
+
+async def send_lookup(http: AsyncClient, url: str, key: str, results: Results) -> str:
+    """Look a cartridge up."""
+    response = await http.get(f"{url}/find/cartridge", headers={"x-api-key": key})
+    return name_outcome(response)
+
+
+async def send_order(
+    http: AsyncClient, url: str, key: str, results: Results, operation: str
+) -> str:
+    """Place an order that must not run twice."""
+    results.operations.add(operation)
+    headers = {"x-api-key": key, "idempotency-key": operation}
+    response = await http.post(f"{url}/order", headers=headers, content=b"{}")
+    return name_outcome(response)
+
+
+async def send_download(http: AsyncClient, url: str, key: str, results: Results) -> str:
+    """Download a document and compare its content."""
+    path = f"{url}/doc?size={DOCUMENT_BYTES}"
+    response = await http.get(path, headers={"x-api-key": key})
+    outcome = name_outcome(response)
+    if outcome == "ok":
+        expected = sha256(document_part(0, DOCUMENT_BYTES)).digest()
+        if sha256(response.content).digest() != expected:
+            results.wrong_bodies += 1
+    return outcome
+
+
+async def run_caller(
+    fleet: DemoFleet,
+    http: AsyncClient,
+    results: Results,
+    workspace: str,
+    kind: str,
+    seed: int,
+    until: float,
+) -> None:
+    """Send requests of one kind one after the other until a time."""
+    random = Random(seed)
+    key = fleet.secrets_by_workspace[workspace]
+    urls = fleet.urls()
+    number = 0
+    while current_time() < until:
+        number += 1
+        url = random.choice(urls)
+        started = current_time()
+        try:
+            if kind == "order":
+                # Every fifth order repeats the one before through any VM.
+                operation = f"{workspace}-{seed}-{number - (number % 5 == 0)}"
+                outcome = await send_order(http, url, key, results, operation)
+            elif kind == "download":
+                outcome = await send_download(http, url, key, results)
+            else:
+                outcome = await send_lookup(http, url, key, results)
+        except HTTPError:
+            outcome = "broken-visibly"
+        ended = current_time()
+        exchange = Exchange(workspace, kind, outcome, ended - started, ended)
+        results.exchanges.append(exchange)
+        await sleep(random.uniform(0, 2 * PAUSE_S))
--- /dev/null
+++ b/primroseturn/plugins/registry.py
@@ -0,0 +1,24 @@
+"""Registry of optional features; each adds a command to the command line."""
+
+from importlib import import_module
+from pkgutil import iter_modules
+from typing import TypeVar
+
+import primroseturn.plugins
+
+C = TypeVar("C", bound=type)
+
+commands_by_name: dict[str, type] = {}
+
+
+def plugin_command(kind: C) -> C:
+    """Add the decorated command class to the command line."""
+    commands_by_name[kind.__name__] = kind
+    return kind
+
+
+def load_plugins() -> dict[str, type]:
+    """Import all modules of `primroseturn.plugins` and return their commands."""
+    for module in iter_modules(primroseturn.plugins.__path__):
+        import_module(f"primroseturn.plugins.{module.name}")
+    return commands_by_name
