--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -10,15 +10,17 @@
 SERVICE_MODULES = (
     "primroseturn.observation.service",
     "primroseturn.store.client",
+    "primroseturn.control.service",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
+    "primroseturn.detection.service",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
     "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
 )
-DAEMON_SERVICES = ("callers",)
+DAEMON_SERVICES = ("callers", "retries", "hedging", "digests")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
