--- a/features/answers.feature
+++ b/features/answers.feature
@@ -39,6 +39,7 @@
 
   Scenario: A short answer that is cut is fetched again before the caller sees it
     Given 2 targets behind relays and 1 daemon
+    And 10 requests have opened connections
     And target "target1" has the faults {"cut_share": 1.0}
     When 8 callers fetch "/docs-page?size=3000"
     Then all answers are whole documents of 3000 bytes
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -38,12 +38,14 @@
 
   Scenario: An idempotent request moves on from a target that fails
     Given 2 targets behind relays and 1 daemon
+    And 10 requests have opened connections
     And target "target1" has the faults {"error_share": 1.0}
     When 10 callers fetch "/find/item"
     Then all answers name the path "/find/item" and come within 1 s
 
   Scenario: An idempotent request moves on from a target that never answers
     Given 2 targets behind relays and 1 daemon
+    And 10 requests have opened connections
     And target "target1" has the faults {"silent_share": 1.0}
     When 6 callers fetch "/find/item" at once
     Then all answers name the path "/find/item" and come within 2 s
--- a/features/once.feature
+++ b/features/once.feature
@@ -20,6 +20,7 @@
 
   Scenario: An order that a target shed without running it goes to another target
     Given 2 targets behind relays and 1 daemon
+    And 10 requests have opened connections
     And target "target1" has the faults {"draining": true}
     When a caller orders with operation "o1" through "vm1"
     And a caller orders with operation "o2" through "vm1"
--- /dev/null
+++ b/features/retries.feature
@@ -0,0 +1,35 @@
+Feature: Retries and hedges stay within their budget and hide single failures
+
+  Scenario: Without a budget an upstream's error is passed on
+    Given 1 targets behind relays and 1 daemon
+    And the preset "no-retries" is in force
+    And 5 requests have opened connections
+    And target "target1" has the faults {"error_share": 1.0}
+    When 1 callers fetch "/find/item"
+    Then the answer has status 500
+    And the upstreams got 6 requests
+
+  Scenario: With a budget the same error is retried
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    And target "target1" has the faults {"error_share": 1.0}
+    When 1 callers fetch "/find/item"
+    Then the answer has status 500
+    And the upstreams got 8 requests
+
+  Scenario: A late answer is hedged on another target and the loser is cancelled
+    Given 2 targets behind relays and 1 daemon
+    And 120 requests to "/quick/warm" have opened connections
+    And target "target1" has the faults {"extra_delay_s": 3.0}
+    When 4 callers fetch "/quick/item" at once
+    Then all answers name the path "/quick/item" and come within 1.5 s
+    And target "target1" lost a race
+
+  Scenario: An order is never hedged or retried after it was sent
+    Given 2 targets behind relays and 1 daemon
+    And 20 requests have opened connections
+    And target "target1" has the faults {"silent_share": 1.0}
+    And target "target2" has the faults {"silent_share": 1.0}
+    When a caller orders with operation "o1" through "vm1"
+    Then all answers are the refusal "upstream-failed" with status 504 and ran "unknown"
+    And the operation "o1" ran 1 time
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -19,6 +19,7 @@
 CLOSE_WAIT = "08"
 ROUTES = {
     "find": {"deadline_s": 5.0},
+    "quick": {"hedge": True},
     "open": {"open": True},
     "doc": {"download": True, "deadline_s": 1.0},
     "docs-page": {},
@@ -44,6 +45,10 @@
         for name, options in ROUTES.items():
             body = {"name": name, "path_prefix": f"/{name}", "service": "search"}
             fleet.configure("route", name, {**body, **options})
+        for preset, ratio in (("test", 1.0), ("no-retries", 0.0)):
+            body = {"name": preset, "retry_ratio": ratio}
+            fleet.configure("preset", preset, body)
+        fleet.configure("preset-in-force", "in-force", {"preset": "test"})
         fleet.add_workspace("shop")
         for number in range(1, targets + 1):
             name = f"target{number}"
@@ -93,6 +98,13 @@
     context.portal.call(upstream.set_faults, UpstreamFaults(**loads(faults)))
 
 
+@given('the preset "{preset}" is in force')
+def step_preset(context, preset):
+    fleet = context.fleet
+    fleet.configure("preset-in-force", "in-force", {"preset": preset})
+    context.portal.call(fleet.wait_ready)
+
+
 @given('the connections to "{name}" refuse to carry answers')
 def step_cut_requests(context, name):
     context.fleet.relays[name].cut_requests = True
@@ -104,11 +116,12 @@
 
 
 @given("{count:d} requests have opened connections")
-def step_open_connections(context, count):
+@given('{count:d} requests to "{path}" have opened connections')
+def step_open_connections(context, count, path="/find/warm"):
     async def open_connections():
         async with create_task_group() as tasks:
             for _ in range(count):
-                tasks.start_soon(fetch, context, "GET", "/find/warm")
+                tasks.start_soon(fetch, context, "GET", path)
 
     context.portal.call(open_connections)
     assert all(item.status_code == 200 for item in context.answers)
@@ -355,3 +368,19 @@
     seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
     values = [int(item[b"x-request-deadline-ms"]) for item in seen]
     assert values and all(0 < value <= limit_ms for value in values), values
+
+
+@then("the upstreams got {count:d} requests")
+def step_requests(context, count):
+    upstreams = context.fleet.upstreams_by_name.values()
+    assert sum(item.requests for item in upstreams) == count
+
+
+@then('target "{name}" lost a race')
+def step_lost(context, name):
+    async def wait():
+        with fail_after(1):
+            while not context.fleet.upstreams_by_name[name].cancelled:
+                await sleep(0.01)
+
+    context.portal.call(wait)
--- a/primroseturn/requestpath/service.py
+++ b/primroseturn/requestpath/service.py
@@ -31,6 +31,8 @@
         "admission",
         "claims",
         "readiness",
+        "retries",
+        "hedging",
     ),
 )
 @asynccontextmanager
@@ -45,7 +47,7 @@
     readiness = kernel.find("readiness")
     pools = Pools(settings.upstreams, kernel.find("listing"), kernel.find("replica"))
     async with run_pools(pools):
-        services = collect_services(kernel.find, kernel.services_by_name.get, pools)
+        services = collect_services(kernel, pools)
         callers = settings.callers
         async with serve_application(
             Application(services),
--- a/primroseturn/requestpath/services.py
+++ b/primroseturn/requestpath/services.py
@@ -1,12 +1,14 @@
 """What the request path needs from the other concerns."""
 
-from typing import Any, NamedTuple, Protocol
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 from expression import Ok, Result
 
 from primroseturn.claims.direct import DirectClaims
 from primroseturn.configuration.replica import Replica
 from primroseturn.failures import Failure
+from primroseturn.kernel.kernel import Kernel
 from primroseturn.limits.admission import Admission
 from primroseturn.observation.events import EventLog
 from primroseturn.requestpath.pool import Pools
@@ -40,31 +42,16 @@
         """Return why keyed requests must be refused now."""
 
 
-class UnlimitedRetries:
-    """Stands in where no budget runs."""
+class LateIsolation:
+    """Asks the isolation service once that runs, as it may start after callers."""
 
-    def take(self, service: str, now: float) -> bool:
-        """Grant every retry."""
-        return True
-
-    def note_success(self, service: str, now: float) -> None:
-        """Do nothing."""
-
-
-class NoHedging:
-    """Stands in where hedging does not run."""
-
-    def delay_s(self, service: str, route_class: str) -> float | None:
-        """Return that no request is hedged."""
-        return None
-
-
-class NeverIsolated:
-    """Stands in where no membership runs."""
+    def __init__(self, look_up: Callable[[str], Isolation | None]) -> None:
+        self.look_up = look_up
 
     def check(self, now: float) -> Result[None, Failure]:
-        """Let every request pass."""
-        return Ok(None)
+        """Return why keyed requests must be refused now."""
+        isolation = self.look_up("isolation")
+        return Ok(None) if isolation is None else isolation.check(now)
 
 
 class Services(NamedTuple):
@@ -84,25 +71,19 @@
     isolation: Isolation
 
 
-def collect_services(find: Any, optional: Any, pools: Pools) -> Services:
-    """Return the services of a kernel.
-
-    Parameters
-    ----------
-    find, optional
-        Look a service up by name; `optional` returns None if it does not run.
-    """
+def collect_services(kernel: Kernel, pools: Pools) -> Services:
+    """Return the services of a kernel."""
     return Services(
-        find("settings"),
-        find("replica"),
-        find("router"),
-        find("admission"),
-        find("dispatcher"),
-        find("claims"),
-        find("events"),
+        kernel.find("settings"),
+        kernel.find("replica"),
+        kernel.find("router"),
+        kernel.find("admission"),
+        kernel.find("dispatcher"),
+        kernel.find("claims"),
+        kernel.find("events"),
         pools,
-        find("readiness"),
-        optional("retries") or UnlimitedRetries(),
-        optional("hedging") or NoHedging(),
-        optional("isolation") or NeverIsolated(),
+        kernel.find("readiness"),
+        kernel.find("retries"),
+        kernel.find("hedging"),
+        LateIsolation(kernel.services_by_name.get),
     )
