Add the latency benchmark

primroseturn bench measures the daemon and a plain pass-through against direct access in alternating segments of one run.

--- a/primroseturn/bench/__init__.py
+++ b/primroseturn/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load generator and measurements."""
+"""Load generator, pass-through baseline and latency benchmark."""
--- /dev/null
+++ b/primroseturn/bench/client.py
@@ -0,0 +1,82 @@
+"""A lean HTTP client, so that the load generator adds little latency itself."""
+
+from collections.abc import AsyncIterator
+from time import perf_counter
+from typing import NamedTuple
+
+from httpx import AsyncByteStream, HTTPError, Request, URL
+
+from primroseturn.requestpath.connection import (
+    Connection,
+    ExchangeLimits,
+    open_connection,
+)
+
+LIMITS = ExchangeLimits(10.0, 10.0)
+CONNECT_LIMIT_S = 5.0
+
+
+class Timing(NamedTuple):
+    """Result of one request. `status` is 0 when there was no whole answer."""
+
+    status: int
+    latency_s: float
+
+
+class NoBody(AsyncByteStream):
+    """An empty request body."""
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield nothing."""
+        return
+        yield b""
+
+
+class Client:
+    """Sends GET requests to one address over kept connections."""
+
+    def __init__(self, url: str, path: str, headers: list[tuple[bytes, bytes]]) -> None:
+        self.url = URL(url)
+        self.headers = [(b"host", self.url.netloc), *headers]
+        self.extensions = {
+            "target": path.encode(),
+            "limits": LIMITS,
+            "note_sent": lambda: None,
+        }
+        self.idle: list[Connection] = []
+
+    async def fetch(self, scheduled_at: float) -> Timing:
+        """Send a request; the latency counts from the scheduled time."""
+        status = 0
+        try:
+            connection = self.idle.pop() if self.idle else None
+            if connection is None or not connection.is_usable():
+                connection = await open_connection(self.url, None, CONNECT_LIMIT_S)
+            status = await self.exchange(connection)
+        except HTTPError:
+            pass
+        return Timing(status, perf_counter() - scheduled_at)
+
+    async def exchange(self, connection: Connection) -> int:
+        """Carry out one exchange and keep the connection if it ended cleanly."""
+        request = Request(
+            "GET",
+            self.url,
+            headers=self.headers,
+            stream=NoBody(),
+            extensions=self.extensions,
+        )
+        response = await connection.handle_async_request(request)
+        async for _ in response.stream:  # type: ignore[union-attr]
+            pass
+        if connection.finish():
+            self.idle.append(connection)
+        else:
+            connection.abort()
+        return response.status_code
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        for connection in self.idle:
+            connection.abort()
+        self.idle.clear()
--- /dev/null
+++ b/primroseturn/bench/latency.py
@@ -0,0 +1,104 @@
+"""Measures added latency and the highest rate that one daemon sustains."""
+
+from random import Random
+from statistics import median
+from time import perf_counter
+from typing import NamedTuple
+
+from anyio import create_task_group, sleep
+
+from primroseturn.bench.client import Client, Timing
+from primroseturn.bench.processes import Subjects
+
+QUANTILES = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
+TARGET_P99_S = 0.0045
+SEGMENT_S = 2.0
+WARM_UP_S = 1.0
+RATE_STEP = 1.25
+RATE_LIMIT = 3000.0
+STEP_S = 4.0
+
+
+class Spread(NamedTuple):
+    """Smallest, median and largest figure over runs."""
+
+    minimum: float
+    median: float
+    maximum: float
+
+
+class Run(NamedTuple):
+    """Latencies in seconds by quantile, and failed requests, by subject."""
+
+    latencies_s: dict[str, dict[str, float]]
+    failures: dict[str, int]
+    requests: dict[str, int]
+
+    def added_s(self, subject: str, baseline: str = "direct") -> dict[str, float]:
+        """Return the latency of a subject beyond that of a baseline."""
+        own, base = self.latencies_s[subject], self.latencies_s[baseline]
+        return {name: own[name] - base[name] for name in QUANTILES}
+
+
+def quantiles_of(timings: list[Timing]) -> dict[str, float]:
+    """Return the quantiles of the latencies."""
+    ordered = sorted(item.latency_s for item in timings)
+    last = len(ordered) - 1
+    return {name: ordered[round(share * last)] for name, share in QUANTILES.items()}
+
+
+async def send_load(
+    client: Client, rate: float, seconds: float, random: Random
+) -> list[Timing]:
+    """Send requests at random times, whether or not earlier ones were answered."""
+    timings: list[Timing] = []
+
+    async def send(scheduled_at: float) -> None:
+        timings.append(await client.fetch(scheduled_at))
+
+    end = perf_counter() + seconds
+    due = perf_counter()
+    async with create_task_group() as tasks:
+        while (due := due + random.expovariate(rate)) < end:
+            await sleep(max(0.0, due - perf_counter()))
+            tasks.start_soon(send, due)
+    return timings
+
+
+async def measure(subjects: Subjects, rate: float, seconds: float, seed: int) -> Run:
+    """Measure all subjects in alternating segments of one run."""
+    random = Random(seed)
+    timings: dict[str, list[Timing]] = {name: [] for name in Subjects._fields}
+    for client in subjects:
+        await send_load(client, rate, WARM_UP_S, random)
+    for _ in range(max(1, round(seconds / SEGMENT_S))):
+        for name, client in subjects._asdict().items():
+            timings[name] += await send_load(client, rate, SEGMENT_S, random)
+    return Run(
+        {name: quantiles_of(items) for name, items in timings.items()},
+        {
+            name: sum(item.status != 200 for item in items)
+            for name, items in timings.items()
+        },
+        {name: len(items) for name, items in timings.items()},
+    )
+
+
+async def find_highest_rate(subjects: Subjects, rate: float, seed: int) -> float:
+    """Return the highest rate at which the daemon meets the target, or 0."""
+    random = Random(seed)
+    sustained = 0.0
+    while rate <= RATE_LIMIT:
+        direct = await send_load(subjects.direct, rate, STEP_S, random)
+        own = await send_load(subjects.daemon, rate, STEP_S, random)
+        added = quantiles_of(own)["p99"] - quantiles_of(direct)["p99"]
+        if added > TARGET_P99_S or any(item.status != 200 for item in own):
+            break
+        sustained = rate
+        rate *= RATE_STEP
+    return sustained
+
+
+def spread(values: list[float]) -> Spread:
+    """Return minimum, median and maximum."""
+    return Spread(min(values), median(values), max(values))
--- /dev/null
+++ b/primroseturn/bench/processes.py
@@ -0,0 +1,126 @@
+"""Starts the processes under measurement on loopback and ends them by their id."""
+
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import NamedTuple
+
+from anyio import fail_after, move_on_after, open_process, sleep
+from anyio.streams.buffered import BufferedByteReceiveStream
+from httpx import AsyncClient
+from msgspec.json import encode
+
+from primroseturn.bench.client import Client
+from primroseturn.configuration.keys import create_key
+from primroseturn.configuration.log import log_key
+from primroseturn.configuration.models import Change, Target
+from primroseturn.membership.listing import TargetList
+from primroseturn.store.client import StoreClient
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 10.0
+LINE_LIMIT_BYTES = 4096
+SLOTS = 64
+PATH = "/find/cartridge"
+# Far above any rate that one daemon carries, so that limits refuse nothing.
+WORKSPACE_RATE = 100_000.0
+
+
+class Subjects(NamedTuple):
+    """What is measured, each by the URL where it answers and the headers it needs."""
+
+    direct: Client
+    passthrough: Client
+    daemon: Client
+
+
+@asynccontextmanager
+async def run_process(*arguments: str) -> AsyncIterator[int]:
+    """Run a process of this package and yield the port that it prints."""
+    command = [sys.executable, "-m", *arguments]
+    async with await open_process(command, stdin=None, stderr=None) as process:
+        try:
+            assert process.stdout is not None
+            output = BufferedByteReceiveStream(process.stdout)
+            with fail_after(START_LIMIT_S):
+                line = await output.receive_until(b"\n", LINE_LIMIT_BYTES)
+            yield int(line.split()[-1])
+        finally:
+            process.terminate()
+            with move_on_after(STOP_LIMIT_S, shield=True):
+                await process.wait()
+
+
+async def write_configuration(store_url: str, upstream_url: str) -> str:
+    """Write one service, route and workspace to the store and return its key."""
+    given = create_key("bench")
+    stored = given.stored
+    key_body = {name: getattr(stored, name) for name in stored.__struct_fields__}
+    bodies = (
+        ("service", "search", {"name": "search", "slots_per_target": SLOTS}),
+        (
+            "route",
+            "find",
+            {"name": "find", "path_prefix": "/find", "service": "search"},
+        ),
+        (
+            "workspace",
+            "bench",
+            {"name": "bench", "rate": WORKSPACE_RATE, "burst": WORKSPACE_RATE},
+        ),
+        ("key", stored.key_id, key_body),
+    )
+    async with AsyncClient(base_url=store_url, trust_env=False) as http:
+        store = StoreClient(http, START_LIMIT_S)
+        for version, (kind, name, body) in enumerate(bodies, start=1):
+            change = Change(version, f"bench-{version}", "bench", kind, name, body)
+            await store.create(log_key(version), encode(change))
+        target = Target("target1", "search", upstream_url, "dc1", "region1")
+        await store.create("vmlist/search", encode(TargetList([target])))
+    return given.secret
+
+
+async def wait_until_served(client: Client) -> None:
+    """Wait until a subject answers with status 200."""
+    with fail_after(START_LIMIT_S):
+        while (await client.fetch(0.0)).status != 200:
+            await sleep(0.05)
+
+
+@asynccontextmanager
+async def run_subjects() -> AsyncIterator[Subjects]:
+    """Run store, upstream, pass-through and daemon as processes of their own."""
+    upstream = ("primroseturn", "standin", "upstream", "--slots", str(SLOTS))
+    async with (
+        run_process("primroseturn", "standin", "store") as store_port,
+        run_process(*upstream) as upstream_port,
+    ):
+        store_url = f"http://127.0.0.1:{store_port}"
+        upstream_url = f"http://127.0.0.1:{upstream_port}"
+        secret = await write_configuration(store_url, upstream_url)
+        with TemporaryDirectory() as directory:
+            settings = {
+                "identity": {"vm": "bench1"},
+                "store": {"url": store_url},
+                "callers": {"drain_delay_s": 0.0, "drain_limit_s": 1.0},
+                "logs": {"events_file": f"{directory}/events.jsonl"},
+            }
+            file = Path(directory) / "settings.json"
+            file.write_bytes(encode(settings))
+            async with (
+                run_process("primroseturn.bench.passthrough", upstream_url) as plain,
+                run_process("primroseturn", "daemon", "--settings", str(file)) as port,
+            ):
+                headers = [(b"x-api-key", secret.encode())]
+                subjects = Subjects(
+                    Client(upstream_url, PATH, []),
+                    Client(f"http://127.0.0.1:{plain}", PATH, []),
+                    Client(f"http://127.0.0.1:{port}", PATH, headers),
+                )
+                for client in subjects:
+                    await wait_until_served(client)
+                yield subjects
+                for client in subjects:
+                    client.close()
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -7,12 +7,13 @@
 from cappa import command, invoke, Subcommands
 
 from primroseturn import __version__
+from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Standin, Settings)
+COMMANDS = (Daemon, Standin, Settings, Bench)
 
 
 def build_root() -> type:
