--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -10,6 +10,7 @@
 
 from primroseturn import __version__
 from primroseturn.cli.processes import run_daemon, run_store, run_upstream
+from primroseturn.cli.replay import Replay, Traces
 from primroseturn.settings.load import load_settings
 from primroseturn.settings.models import DaemonSettings
 
@@ -81,7 +82,7 @@
 class Primroseturn:
     """Proxy fleet for upstreams with gray failures."""
 
-    command: Subcommands[Daemon | Standin | Settings]
+    command: Subcommands[Daemon | Standin | Settings | Replay | Traces]
 
 
 def read_settings(path: Path) -> DaemonSettings:
--- /dev/null
+++ b/primroseturn/cli/replay.py
@@ -0,0 +1,103 @@
+"""Commands that replay traces and write the shipped ones."""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from cappa import Arg
+from msgspec.json import encode
+
+from primroseturn.replay.driver import run_replay
+from primroseturn.replay.generator import write_traces
+from primroseturn.replay.results import Report
+from primroseturn.replay.trace import load_trace, Trace
+
+EXIT_MISSED = 1
+EXIT_USAGE = 2
+
+
+@dataclass
+class Replay:
+    """Replay traces. Exit code 1 when a stated outcome is missed."""
+
+    files: Annotated[list[Path], Arg(help="Trace files (JSON lines).")]
+    json: Annotated[bool, Arg(long=True, help="Print JSON.")] = False
+    processes: Annotated[int, Arg(long=True, help="Traces run side by side.")] = 1
+
+    def __call__(self) -> None:
+        """Run the traces and print their outcomes."""
+        traces = [read_trace(path) for path in self.files]
+        reports = run_reports(traces, self.processes)
+        if self.json:
+            print(encode([as_document(item) for item in reports]).decode())
+        else:
+            print_reports(reports)
+        if not all(item.passed() for item in reports):
+            raise SystemExit(EXIT_MISSED)
+
+
+@dataclass
+class Traces:
+    """Write the shipped traces into a directory."""
+
+    directory: Annotated[Path, Arg(help="Directory for the trace files.")]
+
+    def __call__(self) -> None:
+        """Write the files and print how many."""
+        paths = write_traces(self.directory)
+        print(f"wrote {len(paths)} traces to {self.directory}")
+
+
+def read_trace(path: Path) -> Trace:
+    """Return the trace of a file or exit with `EXIT_USAGE`."""
+    result = load_trace(path)
+    if result.is_error():
+        print(result.error, file=sys.stderr)
+        raise SystemExit(EXIT_USAGE)
+    return result.ok
+
+
+def run_reports(traces: list[Trace], processes: int) -> list[Report]:
+    """Run traces one after the other or side by side."""
+    if processes <= 1:
+        return [run_replay(trace) for trace in traces]
+    with ProcessPoolExecutor(processes) as pool:
+        return list(pool.map(run_replay, traces))
+
+
+def describe(value: float | None) -> str:
+    """Return a measured value as text."""
+    return "never" if value is None else f"{value:.3f}"
+
+
+def print_reports(reports: list[Report]) -> None:
+    """Print a table of the stated outcomes."""
+    print(f"{'trace':32} {'outcome':24} {'bound':>10} {'measured':>10}  result")
+    for report in reports:
+        for item in report.checks:
+            expect = item.expect
+            if expect.most is not None:
+                bound = f"<= {expect.most:g}"
+            else:
+                bound = f">= {expect.least:g}"
+            result = "met" if item.met else "MISSED"
+            print(
+                f"{report.name:32} {expect.measure:24} {bound:>10} "
+                f"{describe(item.measured):>10}  {result}"
+            )
+
+
+def as_document(report: Report) -> dict:
+    """Return a report as a JSON document."""
+    checks = [
+        {"expect": item.expect, "measured": item.measured, "met": item.met}
+        for item in report.checks
+    ]
+    return {
+        "trace": report.name,
+        "passed": report.passed(),
+        "checks": checks,
+        "figures": report.figures,
+    }
--- a/primroseturn/replay/__init__.py
+++ b/primroseturn/replay/__init__.py
@@ -1,1 +1,1 @@
-"""Replay of recorded traces through the decision code."""
+"""Replays traces on a virtual clock through the decision code of the daemon."""
--- /dev/null
+++ b/primroseturn/replay/trace.py
@@ -0,0 +1,371 @@
+"""Trace format: JSON lines, described on docs/traces.md."""
+
+from pathlib import Path
+from typing import Annotated, Any, Literal, NamedTuple
+
+from expression import Error, Ok, Result
+from msgspec import field, Meta, MsgspecError, Struct
+from msgspec.json import Decoder
+
+from primroseturn.failures import Failure
+
+LINE_LIMIT_BYTES = 65_536
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+Name = Annotated[str, Meta(min_length=1, max_length=120)]
+
+
+class TraceInvalid(Failure):
+    """A trace file cannot be read or has a wrong line."""
+
+    code = "trace-invalid"
+
+    def __init__(self, path: Path, line: int, reason: str) -> None:
+        super().__init__(f"{path}:{line}: {reason}")
+        self.path = path
+        self.line = line
+
+
+class Fleet(
+    Struct,
+    tag="fleet",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """The entry VMs and the preset. Must be the first line."""
+
+    seed: int
+    duration_s: Annotated[float, Meta(gt=0, le=86_400)]
+    vms: Annotated[int, Meta(ge=1, le=1000)] = 40
+    regions: Annotated[int, Meta(ge=1, le=16)] = 2
+    data_centers_per_region: Annotated[int, Meta(ge=1, le=16)] = 2
+    profile: Literal["fast", "careful"] = "fast"
+    floor: Share = 0.6
+    retry_ratio: Share = 0.1
+    queue_limit: Annotated[int, Meta(ge=0)] = 200
+
+
+class ServiceLine(
+    Struct,
+    tag="service",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """A service, its targets and their healthy answers (lognormal latency).
+
+    Attributes
+    ----------
+    waiting
+        Requests that a target lets wait for a slot before it sheds.
+    tail_share, tail_factor
+        Answers that take `tail_factor` times as long, beyond the lognormal tail.
+    """
+
+    name: Name
+    targets: Count
+    slots: Count
+    median_s: Positive
+    sigma: NotNegative = 0.8
+    failed_share: Share = 0.001
+    tail_share: Share = 0.005
+    tail_factor: Positive = 10.0
+    waiting: int = 24
+
+
+class RouteLine(
+    Struct,
+    tag="route",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """A route class of a service."""
+
+    service: Name
+    route_class: Name
+    repeatable: bool = True
+    download: bool = False
+    deadline_s: Positive = 2.0
+
+
+class Arrivals(
+    Struct,
+    tag="arrivals",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """From `at_s` on, a workspace sends `rate` requests/s over all VMs."""
+
+    at_s: NotNegative
+    workspace: Name
+    service: Name
+    route_class: Name
+    rate: NotNegative
+    share: Positive = 1.0
+
+
+class Arrival(
+    Struct,
+    tag="arrival",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """One recorded request."""
+
+    at_s: NotNegative
+    workspace: Name
+    service: Name
+    route_class: Name
+    share: Positive = 1.0
+
+
+class Exchange(
+    Struct,
+    tag="exchange",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """One recorded exchange; requests near it in time end in the same way."""
+
+    at_s: NotNegative
+    service: Name
+    target: Name
+    route_class: Name
+    outcome: Literal["ok", "error", "reset", "stall", "cut", "shed", "timeout"]
+    latency_s: NotNegative
+
+
+class Behaviour(
+    Struct,
+    tag="behaviour",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """From `at_s` on, targets behave in this way; the defaults are healthy.
+
+    Attributes
+    ----------
+    targets
+        Names such as ``search-3``; empty for all targets of the service.
+    route_class
+        The only class that is affected; empty for all.
+    slow
+        Factor on the latency.
+    cold_s
+        The factor falls back to 1 over this time.
+    """
+
+    at_s: NotNegative
+    service: Name
+    targets: list[Name] = field(default_factory=list)
+    route_class: str = ""
+    slow: Positive = 1.0
+    failed_share: Share = 0.0
+    silent_share: Share = 0.0
+    cold_s: NotNegative = 0.0
+
+
+class ListingLine(
+    Struct,
+    tag="listing",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """Targets change their state in the VM list. VMs hear of it after `lag_s`."""
+
+    at_s: NotNegative
+    service: Name
+    targets: list[Name]
+    state: Literal["live", "leaving", "gone"]
+    lag_s: NotNegative = 1.0
+
+
+class StoreLine(
+    Struct,
+    tag="store",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """The store stops or resumes answering; listing changes wait for it."""
+
+    at_s: NotNegative
+    available: bool
+
+
+class NetworkLine(
+    Struct,
+    tag="network",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """Faults of the control network and of single VMs' paths to targets.
+
+    Attributes
+    ----------
+    loss_share
+        Share of the digests that are lost.
+    deaf_vms
+        VMs that digests do not reach, while their own arrive (one-way partition).
+    blind_vms
+        VMs whose exchanges with all targets get no answer.
+    """
+
+    at_s: NotNegative
+    loss_share: Share = 0.0
+    deaf_vms: list[Name] = field(default_factory=list)
+    blind_vms: list[Name] = field(default_factory=list)
+
+
+class LoadLine(
+    Struct, tag="load", tag_field="kind", forbid_unknown_fields=True, omit_defaults=True
+):
+    """Targets report their load every `every_s`, as it was `lag_s` before."""
+
+    at_s: NotNegative
+    every_s: Positive = 1.0
+    lag_s: NotNegative = 0.0
+
+
+Measure = Literal[
+    "detection_s",
+    "ejections",
+    "false_ejections",
+    "worst_workspace_ratio",
+    "added_load",
+    "served_share",
+    "floor_breaches",
+]
+
+
+class Expect(
+    Struct,
+    tag="expect",
+    tag_field="kind",
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """A stated outcome.
+
+    Attributes
+    ----------
+    target, route_class, since_s
+        Whose ejection `detection_s` measures, and since when; an empty class
+        stands for all classes.
+    neighbour
+        Workspace that `worst_workspace_ratio` leaves out.
+    """
+
+    measure: Measure
+    most: float | None = None
+    least: float | None = None
+    target: str = ""
+    service: str = ""
+    route_class: str = ""
+    since_s: float = 0.0
+    neighbour: str = ""
+
+
+Line = (
+    Fleet
+    | ServiceLine
+    | RouteLine
+    | Arrivals
+    | Arrival
+    | Exchange
+    | Behaviour
+    | ListingLine
+    | StoreLine
+    | NetworkLine
+    | LoadLine
+    | Expect
+)
+EVENT_TYPES = (Arrivals, Behaviour, ListingLine, StoreLine, NetworkLine, LoadLine)
+
+
+class Trace(NamedTuple):
+    """A trace by kinds of lines; `events` are ordered by time."""
+
+    name: str
+    fleet: Fleet
+    services_by_name: dict[str, ServiceLine]
+    routes_by_key: dict[tuple[str, str], RouteLine]
+    events: list[Any]
+    arrivals: list[Arrival]
+    exchanges: list[Exchange]
+    expectations: list[Expect]
+
+
+def load_trace(path: Path) -> Result[Trace, TraceInvalid]:
+    """Read a trace file."""
+    decoder = Decoder(Line)
+    lines: list[Any] = []
+    try:
+        with path.open("rb") as stream:
+            for number, raw in enumerate(stream, 1):
+                if not raw.strip():
+                    continue
+                if len(raw) > LINE_LIMIT_BYTES:
+                    return Error(TraceInvalid(path, number, "the line is too long"))
+                try:
+                    lines.append(decoder.decode(raw))
+                except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
+                    return Error(TraceInvalid(path, number, str(error)))
+    except OSError as error:
+        return Error(TraceInvalid(path, 0, error.strerror or str(error)))
+    reason = find_fault(lines)
+    if reason:
+        return Error(TraceInvalid(path, len(lines), reason))
+    return Ok(sort_lines(path.stem, lines))
+
+
+def find_fault(lines: list[Any]) -> str:
+    """Return what is wrong between the lines of a trace, or an empty string."""
+    if not lines or not isinstance(lines[0], Fleet):
+        return "the first line must be of kind 'fleet'"
+    if sum(isinstance(line, Fleet) for line in lines) > 1:
+        return "only one line may be of kind 'fleet'"
+    services = {line.name for line in lines if isinstance(line, ServiceLine)}
+    routes = {
+        (line.service, line.route_class)
+        for line in lines
+        if isinstance(line, RouteLine)
+    }
+    for line in lines:
+        service = getattr(line, "service", "")
+        if service and service not in services:
+            return f"no line of kind 'service' names {service!r}"
+        if isinstance(line, Arrivals | Arrival | Exchange):
+            route = (line.service, line.route_class)
+            if route not in routes:
+                return f"no line of kind 'route' names {'/'.join(route)}"
+    return ""
+
+
+def sort_lines(name: str, lines: list[Any]) -> Trace:
+    """Return the trace of checked lines."""
+
+    def of_kind(*kinds: type) -> list[Any]:
+        return [line for line in lines if isinstance(line, kinds)]
+
+    return Trace(
+        name,
+        lines[0],
+        {line.name: line for line in of_kind(ServiceLine)},
+        {(line.service, line.route_class): line for line in of_kind(RouteLine)},
+        sorted(of_kind(*EVENT_TYPES), key=lambda line: line.at_s),
+        sorted(of_kind(Arrival), key=lambda line: line.at_s),
+        sorted(of_kind(Exchange), key=lambda line: line.at_s),
+        of_kind(Expect),
+    )
