--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -73,6 +73,7 @@
         self.flights: dict[int, Flight] = {}
         self.aged_ends_by_key: dict[Key, deque[float]] = {}
         self.classes_by_service: dict[str, set[str]] = {}
+        self.wholes_by_key: dict[Key, Key] = {}
         self.path_checked_at = float("-inf")
         self.path_bad = False
         self.use_profile(profile)
@@ -143,16 +144,22 @@
     def add_own(self, key: Key, counts: Counts, now: float) -> None:
         """Add this VM's own evidence."""
         self.classes_by_service.setdefault(key.service, set()).add(key.route_class)
-        whole = key._replace(route_class=ALL_CLASSES)
-        self.own_shares.add(whole, counts, now)
+        self.own_shares.add(self.whole_of(key), counts, now)
         if self.path_suspected(now):
             return
         self.writer.add(key, counts)
         self.pool(key, self.vm, counts, now)
 
+    def whole_of(self, key: Key) -> Key:
+        """Return the key of all classes of a target."""
+        whole = self.wholes_by_key.get(key)
+        if whole is None:
+            whole = self.wholes_by_key[key] = key._replace(route_class=ALL_CLASSES)
+        return whole
+
     def pool(self, key: Key, source: str, counts: Counts, now: float) -> None:
         """Add evidence of any VM to the detector, for the class and the target."""
-        for scope in (key, key._replace(route_class=ALL_CLASSES)):
+        for scope in (key, self.whole_of(key)):
             self.shares.add(scope, counts, now)
             self.detector.add(scope, source, counts, now)
         if counts.is_bad():
@@ -160,7 +167,7 @@
 
     def check(self, key: Key, now: float) -> None:
         """Report the target, or some of its classes, if the suspicion suffices."""
-        whole = key._replace(route_class=ALL_CLASSES)
+        whole = self.whole_of(key)
         suspicion = max(
             self.detector.suspicion(key, now), self.detector.suspicion(whole, now)
         )
@@ -192,9 +199,7 @@
         if now - self.path_checked_at >= PATH_REFRESH_S:
             self.path_checked_at = now
             observed, bad = 0, 0
-            for key in list(self.own_shares.spans_by_key):
-                if not key.target:
-                    continue
+            for key in self.own_shares.counts_by_key:
                 shares = self.own_shares.own(key, now)
                 if shares.weight >= PATH_WEIGHT:
                     observed += 1
@@ -233,6 +238,7 @@
         for target in targets:
             for name in names:
                 key = Key(service, target, name)
+                self.wholes_by_key.pop(key, None)
                 self.detector.forget(key)
                 self.shares.forget(key)
                 self.own_shares.forget(key)
--- a/primroseturn/detection/shares.py
+++ b/primroseturn/detection/shares.py
@@ -7,6 +7,8 @@
 
 SHORT_S = 0.5
 LONG_S = 5.0
+# Decay is applied in steps of this length, which saves most exponentials.
+STEP_S = 0.01
 
 
 class Shares(NamedTuple):
@@ -17,68 +19,73 @@
     weight: float
 
 
+NO_SHARES = Shares(0.0, 0.0, 0.0)
+
+
 class DecayedCounts:
-    """Counts that decay exponentially."""
+    """Counts that decay exponentially, over a short and a long span."""
 
-    def __init__(self, span_s: float) -> None:
-        self.span_s = span_s
+    __slots__ = ("at", "long", "short")
+
+    def __init__(self) -> None:
         self.at = 0.0
-        self.total = 0.0
-        self.failed = 0.0
-        self.late = 0.0
+        self.short = [0.0, 0.0, 0.0]
+        self.long = [0.0, 0.0, 0.0]
 
     def advance(self, now: float) -> None:
         """Apply the decay up to `now`."""
-        if now <= self.at:
+        elapsed = now - self.at
+        if elapsed < STEP_S:
             return
-        factor = exp((self.at - now) / self.span_s)
         self.at = now
-        self.total *= factor
-        self.failed *= factor
-        self.late *= factor
+        factor = exp(-elapsed / SHORT_S)
+        self.short = [value * factor for value in self.short]
+        factor = exp(-elapsed / LONG_S)
+        self.long = [value * factor for value in self.long]
 
     def add(self, counts: Counts, now: float) -> None:
         """Add counts at `now`."""
         self.advance(now)
-        self.total += counts.total
-        self.failed += counts.failed
-        self.late += counts.late
-
-    def minus(self, other: "DecayedCounts", now: float) -> Shares:
-        """Return the shares without those of `other`."""
-        self.advance(now)
-        other.advance(now)
-        total = max(0.0, self.total - other.total)
-        if total < 1e-9:
-            return Shares(0.0, 0.0, 0.0)
-        failed = max(0.0, self.failed - other.failed) / total
-        late = max(0.0, self.late - other.late) / total
-        return Shares(min(1.0, failed), min(1.0, late), total)
+        total, failed, late = counts
+        for values in (self.short, self.long):
+            values[0] += total
+            values[1] += failed
+            values[2] += late
 
 
-EMPTY_SHORT = DecayedCounts(SHORT_S)
-EMPTY_LONG = DecayedCounts(LONG_S)
+def shares_without(all_counts: list[float], own: list[float]) -> Shares:
+    """Return the shares of all counts without some of them."""
+    total = all_counts[0] - own[0]
+    if total < 1e-9:
+        return NO_SHARES
+    failed = (all_counts[1] - own[1]) / total
+    late = (all_counts[2] - own[2]) / total
+    return Shares(min(1.0, max(0.0, failed)), min(1.0, max(0.0, late)), total)
 
 
 class ShareTable:
     """Short and long shares of each target and of its service as a whole."""
 
     def __init__(self) -> None:
-        self.spans_by_key: dict[Key, tuple[DecayedCounts, DecayedCounts]] = {}
-
-    def spans_of(self, key: Key) -> tuple[DecayedCounts, DecayedCounts]:
-        """Return the decayed counts of a key."""
-        spans = self.spans_by_key.get(key)
-        if spans is None:
-            spans = (DecayedCounts(SHORT_S), DecayedCounts(LONG_S))
-            self.spans_by_key[key] = spans
-        return spans
+        self.counts_by_key: dict[Key, DecayedCounts] = {}
+        self.counts_by_group: dict[tuple[str, str], DecayedCounts] = {}
+
+    def counts_of(self, key: Key) -> tuple[DecayedCounts, DecayedCounts]:
+        """Return the counts of a target and those of its service."""
+        own = self.counts_by_key.get(key)
+        if own is None:
+            own = self.counts_by_key[key] = DecayedCounts()
+        name = (key.service, key.route_class)
+        group = self.counts_by_group.get(name)
+        if group is None:
+            group = self.counts_by_group[name] = DecayedCounts()
+        return own, group
 
     def add(self, key: Key, counts: Counts, now: float) -> None:
         """Add counts to a target and to its service."""
-        for item in (key, key._replace(target="")):
-            for span in self.spans_of(item):
-                span.add(counts, now)
+        own, group = self.counts_of(key)
+        own.add(counts, now)
+        group.add(counts, now)
 
     def peers(self, key: Key, now: float) -> Shares:
         """Return the larger of the short and the long shares of the other targets.
@@ -86,10 +93,11 @@
         The short span lets the peers' share rise as fast as the target's own
         evidence when the whole service degrades.
         """
-        own = self.spans_of(key)
-        service = self.spans_of(key._replace(target=""))
-        short = service[0].minus(own[0], now)
-        long = service[1].minus(own[1], now)
+        own, group = self.counts_of(key)
+        own.advance(now)
+        group.advance(now)
+        short = shares_without(group.short, own.short)
+        long = shares_without(group.long, own.long)
         return Shares(
             max(short.failed, long.failed),
             max(short.late, long.late),
@@ -98,8 +106,12 @@
 
     def own(self, key: Key, now: float) -> Shares:
         """Return the short shares of a target."""
-        return self.spans_of(key)[0].minus(EMPTY_SHORT, now)
+        counts = self.counts_by_key.get(key)
+        if counts is None:
+            return NO_SHARES
+        counts.advance(now)
+        return shares_without(counts.short, [0.0, 0.0, 0.0])
 
     def forget(self, key: Key) -> None:
         """Drop what is known of a key."""
-        self.spans_by_key.pop(key, None)
+        self.counts_by_key.pop(key, None)
--- a/primroseturn/ejection/ejector.py
+++ b/primroseturn/ejection/ejector.py
@@ -112,6 +112,8 @@
 
     def ejections_of(self, service: str, route_class: str) -> dict[str, Ejection]:
         """Return the ejections that count for a route class, by target."""
+        if not self.ejections_by_key:
+            return {}
         return {
             key.target: ejection
             for key, ejection in self.ejections_by_key.items()
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -26,7 +26,6 @@
 REPORT_LIFE_S = 1.0
 LATENCY_WEIGHT = 0.1
 FAILURE_PENALTY = 4.0
-# A free slot of the region is preferred to the local tier only when that is full.
 LEAST_LATENCY_S = 0.001
 
 
@@ -116,21 +115,34 @@
                 return Ok(trial)
         out = self.ejector.ejections_of(service, route_class)
         for tier in tiers:
-            free = [
-                item
-                for item in tier
-                if item.name not in out
-                and item.name not in excluded
-                and self.has_free_slot(item, now)
-            ]
-            if not free:
+            pair = self.draw_pair(tier, now, out, excluded)
+            if not pair:
                 continue
             if tier is tiers.metered and not self.link.take(download, now):
                 continue
-            pair = free if len(free) < 2 else self.random.sample(free, 2)
             return Ok(Choice(min(pair, key=lambda item: self.cost(item, now))))
         return Error(NoCapacity(service))
 
+    def draw_pair(
+        self,
+        tier: tuple[Target, ...],
+        now: float,
+        out: Collection[str],
+        excluded: Collection[str],
+    ) -> list[Target]:
+        """Return up to two random targets of a tier that may take a request."""
+        pair: list[Target] = []
+        for item in self.random.sample(tier, len(tier)):
+            if (
+                item.name not in out
+                and item.name not in excluded
+                and self.has_free_slot(item, now)
+            ):
+                pair.append(item)
+                if len(pair) == 2:
+                    break
+        return pair
+
     def choose_trial(
         self,
         service: str,
