--- /dev/null
+++ b/features/detection.feature
@@ -0,0 +1,45 @@
+Feature: Evidence of all VMs finds unhealthy targets
+
+  Scenario: Lost, duplicated and reordered digests add each evidence at most once
+    Then for any loss, duplication and order the pooled counts never exceed the sent ones
+
+  Scenario: A lost digest is made good by the next one
+    Given a peer whose digests carry 10 failures each
+    When the second of 3 digests is lost
+    Then the pooled failures since the first digest are 20
+
+  Scenario: A running request counts as late before it ends
+    Given a monitor whose targets answer in 20 ms
+    When a request has run for 200 ms
+    Then one late exchange is counted, also after its end
+
+  Scenario: A VM that finds most targets unhealthy ejects none on its own evidence
+    Given a monitor whose targets answer in 20 ms
+    When all 6 targets fail 20 times in turn
+    Then no target is suspected
+
+  Scenario: A failing target is suspected while the others are healthy
+    Given a monitor whose targets answer in 20 ms
+    When one target of 6 fails and the others answer 40 times in turn
+    Then only that target is suspected
+
+  Scenario: The evidence of one VM alone does not convince the others
+    Given a monitor whose targets answer in 20 ms
+    When the peer "vm2" reports 10 failures of a target that others find healthy
+    Then no target is suspected
+
+  Scenario: Digests stay within their byte budget with many peers and targets
+    Given an exchange with 100 peers and 400 failing targets
+    When 20 seconds pass on a virtual clock
+    Then it sent at most 4096 bytes a second and reached every peer
+
+  Scenario Outline: Every registered detector suspects a dead target and no healthy one
+    Given the detector "<name>" with threshold <threshold>
+    Then it suspects a dead target within 60 requests and a healthy one never
+
+    Examples:
+      | name        | threshold |
+      | consecutive | 5         |
+      | outlier     | 0.2       |
+      | phi         | 8         |
+      | cusum       | 18        |
--- /dev/null
+++ b/features/ejection.feature
@@ -0,0 +1,55 @@
+Feature: Unhealthy targets leave rotation within the floor and come back through trials
+
+  Scenario: No sequence of ejections, returns and list changes breaches the floor
+    Then in any sequence of ejections and list changes the floor is kept
+
+  Scenario: The least unhealthy target returns when the list shrinks
+    Given an ejector with 10 targets and a floor of 0.6
+    When the targets 1 to 4 are ejected with rising scores
+    And the targets 6 to 10 leave the list
+    Then the targets 3 and 4 are out of rotation
+
+  Scenario: A clearly worse target takes the place of a less unhealthy one
+    Given an ejector with 10 targets and a floor of 0.6
+    When the targets 1 to 4 are ejected with rising scores
+    And the target 5 is ejected with score 9
+    Then the target 5 is out of rotation
+    And the target 1 is in rotation
+
+  Scenario: A slightly worse target is held by the floor
+    Given an ejector with 10 targets and a floor of 0.6
+    When the targets 1 to 4 are ejected with rising scores
+    And the target 5 is ejected with score 1.2
+    Then the target 5 is in rotation
+
+  Scenario: Three good trials return a target, which then ramps up
+    Given an ejector with 10 targets and a floor of 0.6
+    When the target 1 is ejected with score 2
+    And 1.0 seconds pass
+    Then the target 1 gets no trial
+    When 1.5 seconds pass
+    And 3 trials of the target 1 succeed
+    Then the target 1 is in rotation
+    And the target 1 gets 10% of its load
+
+  Scenario: Each repetition doubles the time until a trial
+    Given an ejector with 10 targets and a floor of 0.6
+    When the target 1 is ejected with score 2
+    And 2.5 seconds pass
+    And a trial of the target 1 fails
+    And 2.5 seconds pass
+    Then the target 1 gets no trial
+    When 2.5 seconds pass
+    Then the target 1 gets a trial
+
+  Scenario: Trials are sent for idempotent requests only
+    Given a dispatcher on a virtual clock with an ejected target due for a trial
+    Then 50 requests that must not repeat never reach it
+    And 1 idempotent request reaches it while the trial runs
+
+  Scenario: An ejected target takes no requests in a running daemon
+    Given a fleet with 3 targets and 1 daemons
+    When the target "target1" answers errors only
+    And the workspace "shop" sends 300 times GET "/find/cartridge" through "vm1"
+    Then the daemon "vm1" has ejected "target1"
+    And at least 28 of the last 30 requests were answered by other targets than "target1"
--- /dev/null
+++ b/features/steps/ejection.py
@@ -0,0 +1,226 @@
+"""Steps for the floor, ejections and trials."""
+
+from math import ceil
+
+from anyio import create_task_group, current_time, sleep
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+from features.decisions import build_dispatcher, demand, run_on_clock
+from primroseturn.detection.evidence import ALL_CLASSES, Key
+from primroseturn.detection.profiles import Profile
+from primroseturn.ejection.ejector import Ejector
+
+SERVICE = "search"
+CALLERS = 10
+PROFILE = Profile("test", backoff_s=2.0)
+
+actions = st.one_of(
+    st.tuples(
+        st.just("eject"),
+        st.integers(0, 9),
+        st.sampled_from(["lookup", "order", ALL_CLASSES]),
+        st.floats(1, 20),
+    ),
+    st.tuples(st.just("list"), st.sets(st.integers(0, 9))),
+    st.tuples(st.just("trial"), st.integers(0, 9), st.booleans()),
+    st.tuples(st.just("floor"), st.floats(0, 1)),
+)
+
+
+def slots_out(ejector: Ejector, route_class: str) -> int:
+    """Return how many targets are out of rotation for a class."""
+    return len(ejector.ejections_of(SERVICE, route_class))
+
+
+@then("in any sequence of ejections and list changes the floor is kept")
+def step_floor_property(context):
+    @settings(max_examples=300, derandomize=True, database=None, deadline=None)
+    @for_all(st.lists(actions, max_size=40), st.floats(0, 1))
+    def check(sequence, floor):
+        ejector = Ejector(PROFILE, floor, lambda key: None)
+        ejector.set_live(SERVICE, {str(number) for number in range(10)}, 0.0)
+        for now, action in enumerate(sequence):
+            if action[0] == "eject":
+                key = Key(SERVICE, str(action[1]), action[2])
+                ejector.eject(key, action[3], now)
+            elif action[0] == "list":
+                live = {str(number) for number in action[1]}
+                ejector.set_live(SERVICE, live, now)
+            elif action[0] == "trial":
+                target = str(action[1])
+                ejector.note_outcome(SERVICE, target, "lookup", action[2], now)
+            else:
+                ejector.set_floor(action[1], now)
+            live = ejector.live_by_service[SERVICE]
+            for route_class in ("lookup", "order", ALL_CLASSES):
+                left = len(live) - slots_out(ejector, route_class)
+                assert left >= ceil(ejector.floor * len(live) - 1e-9), sequence
+
+    check()
+
+
+@given("an ejector with {count:d} targets and a floor of {floor:f}")
+def step_ejector(context, count, floor):
+    context.now = 100.0
+    context.ejector = Ejector(PROFILE, floor, lambda key: None)
+    live = {str(number) for number in range(1, count + 1)}
+    context.ejector.set_live(SERVICE, live, context.now)
+
+
+def key_of(target: int) -> Key:
+    """Return the key of a target for all classes."""
+    return Key(SERVICE, str(target), ALL_CLASSES)
+
+
+@when("the targets {first:d} to {last:d} are ejected with rising scores")
+def step_eject_many(context, first, last):
+    for number in range(first, last + 1):
+        score = 1.0 + 0.1 * number
+        assert context.ejector.eject(key_of(number), score, context.now).is_ok()
+
+
+@when("the target {target:d} is ejected with score {score:g}")
+def step_eject(context, target, score):
+    context.ejector.eject(key_of(target), score, context.now)
+
+
+@when("the targets {first:d} to {last:d} leave the list")
+def step_leave(context, first, last):
+    gone = {str(number) for number in range(first, last + 1)}
+    live = context.ejector.live_by_service[SERVICE] - gone
+    context.ejector.set_live(SERVICE, live, context.now)
+
+
+@then("the targets {first:d} and {second:d} are out of rotation")
+def step_out_pair(context, first, second):
+    out = set(context.ejector.ejections_of(SERVICE, "lookup"))
+    assert out == {str(first), str(second)}, out
+
+
+@then("the target {target:d} is out of rotation")
+def step_out(context, target):
+    assert str(target) in context.ejector.ejections_of(SERVICE, "lookup")
+
+
+@then("the target {target:d} is in rotation")
+def step_in(context, target):
+    assert str(target) not in context.ejector.ejections_of(SERVICE, "lookup")
+
+
+@when("{seconds:f} seconds pass")
+def step_pass(context, seconds):
+    context.now += seconds
+
+
+@then("the target {target:d} gets no trial")
+def step_no_trial(context, target):
+    assert context.ejector.trial_key(SERVICE, "lookup", context.now) is None
+
+
+@then("the target {target:d} gets a trial")
+def step_trial(context, target):
+    key = context.ejector.trial_key(SERVICE, "lookup", context.now)
+    assert key == key_of(target), key
+
+
+@when("{count:d} trials of the target {target:d} succeed")
+def step_trials(context, count, target):
+    for _ in range(count):
+        key = context.ejector.trial_key(SERVICE, "lookup", context.now)
+        assert key == key_of(target), key
+        context.ejector.begin_trial(key, context.now)
+        context.ejector.note_outcome(SERVICE, str(target), "lookup", False, context.now)
+        context.ejector.end_trial(key)
+        context.now += 0.2
+
+
+@when("a trial of the target {target:d} fails")
+def step_trial_fails(context, target):
+    context.ejector.begin_trial(key_of(target), context.now)
+    context.ejector.note_outcome(SERVICE, str(target), "lookup", True, context.now)
+    context.ejector.end_trial(key_of(target))
+
+
+@then("the target {target:d} gets {percent:d}% of its load")
+def step_ramp(context, target, percent):
+    ramp = context.ejector.ramp(SERVICE, str(target), context.now - 0.2)
+    assert abs(ramp - percent / 100) < 0.02, ramp
+
+
+@given("a dispatcher on a virtual clock with an ejected target due for a trial")
+def step_trial_dispatcher(context):
+    async def send(repeatable: bool, count: int) -> list[str]:
+        dispatcher = build_dispatcher(targets=5, slots=6)
+        key = Key(SERVICE, "target0", ALL_CLASSES)
+        dispatcher.ejector.eject(key, 2.0, current_time())
+        await sleep(5)
+        targets = []
+        for _ in range(count):
+            async with dispatcher.acquire(demand(repeatable=repeatable)) as result:
+                targets.append(result.ok.name)
+                if repeatable:
+                    async with dispatcher.acquire(demand()) as other:
+                        targets.append(other.ok.name)
+        return targets
+
+    context.send = lambda *arguments: run_on_clock(send, *arguments)
+
+
+@then("{count:d} requests that must not repeat never reach it")
+def step_no_trial_requests(context, count):
+    targets = context.send(False, count)
+    assert len(targets) == count and "target0" not in targets, targets
+
+
+@then("{count:d} idempotent request reaches it while the trial runs")
+def step_one_trial_request(context, count):
+    targets = context.send(True, 1)
+    assert targets.count("target0") == count, targets
+
+
+@when('the target "{target}" answers errors only')
+def step_errors_only(context, target):
+    faults = context.fleet.upstreams_by_name[target].faults
+    faults.error_share = 1.0
+
+
+@when(
+    'the workspace "{workspace}" sends {count:d} times {method} "{path}" through "{vm}"'
+)
+def step_send_many(context, workspace, count, method, path, vm):
+    fleet = context.fleet
+    key = fleet.secrets_by_workspace[workspace]
+
+    async def send():
+        answers = []
+
+        async def caller():
+            for _ in range(count // CALLERS):
+                answers.append(await fleet.request(vm, method, path, key))
+
+        async with create_task_group() as tasks:
+            for _ in range(CALLERS):
+                tasks.start_soon(caller)
+        return answers
+
+    context.answers = context.portal.call(send)
+
+
+@then('the daemon "{vm}" has ejected "{target}"')
+def step_daemon_ejected(context, vm, target):
+    ejector = context.fleet.kernels_by_vm[vm].find("dispatcher").ejector
+    out = ejector.ejections_of(SERVICE, "default")
+    assert target in out, out
+
+
+@then(
+    "at least {least:d} of the last {count:d} requests were answered by other targets "
+    'than "{target}"'
+)
+def step_other_targets(context, least, count, target):
+    # A slow machine may send the first trial requests within these.
+    last = context.answers[-count:]
+    good = [item for item in last if item.status_code == 200]
+    assert all(item.json()["target"] != target for item in good)
+    assert len(good) >= least, len(good)
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -13,12 +13,13 @@
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
     "primroseturn.detection.service",
+    "primroseturn.replay.recorder",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
     "primroseturn.requestpath.service",
 )
-DAEMON_SERVICES = ("callers", "retries", "hedging", "digests")
+DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "recorder")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- a/primroseturn/detection/cusum.py
+++ b/primroseturn/detection/cusum.py
@@ -24,16 +24,16 @@
 # From this multiple of the threshold on, a VM's own evidence is enough for itself.
 OWN_FACTOR = 1.5
 SOURCE_LIFE_S = 2.0
+# A suspect's recent bad share must be this many times that of its peers. In an
+# overload all targets are late, some a little more than others.
+CONTRAST = 2.0
 
 
 def gain(bad: Any, total: Any, baseline: float, alternative: float) -> Any:
     """Return the log-likelihood ratio of `bad` among `total` exchanges.
 
-    `bad` and `total` may be numbers or arrays. The ratio is 0 when the baseline
-    reaches the alternative, because then the peers are as bad as a faulty target.
+    `bad` and `total` may be numbers or arrays.
     """
-    if baseline >= alternative:
-        return 0.0 * bad
     bad_gain = log(alternative / baseline)
     good_gain = log((1.0 - alternative) / (1.0 - baseline))
     return bad * bad_gain + (total - bad) * good_gain
@@ -46,6 +46,24 @@
         self.value = 0.0
         self.parts_by_source: dict[str, float] = {}
 
+    def clear(self) -> None:
+        """Start anew."""
+        self.value = 0.0
+        self.parts_by_source.clear()
+
+    def add_counts(
+        self, source: str, bad: int, total: int, baseline: float, alternative: float
+    ) -> None:
+        """Add a batch of exchanges.
+
+        The sum starts anew when the baseline reaches the alternative, because then
+        the peers are as bad as a faulty target.
+        """
+        if baseline >= alternative:
+            self.clear()
+        else:
+            self.add(source, gain(bad, total, baseline, alternative))
+
     def add(self, source: str, amount: float) -> None:
         """Add a log-likelihood ratio; the sum never goes below zero."""
         self.value = max(0.0, self.value + amount)
@@ -90,21 +108,27 @@
         sums.seen_at_by_source[source] = now
         peers = self.shares.peers(key, now)
         baseline = max(FAILED_BASELINE, BASELINE_MARGIN * peers.failed)
-        amount = gain(counts.failed, counts.total, baseline, FAILED_ALTERNATIVE)
-        sums.failed.add(source, amount)
+        sums.failed.add_counts(
+            source, counts.failed, counts.total, baseline, FAILED_ALTERNATIVE
+        )
         baseline = max(LATE_BASELINE, BASELINE_MARGIN * peers.late)
-        amount = gain(counts.late, counts.total, baseline, LATE_ALTERNATIVE)
-        sums.late.add(source, amount)
+        sums.late.add_counts(
+            source, counts.late, counts.total, baseline, LATE_ALTERNATIVE
+        )
 
     def suspicion(self, key: Key, now: float) -> float:
         """Return the larger sum as a multiple of the threshold."""
         sums = self.sums_by_key.get(key)
         if sums is None:
             return 0.0
-        return max(
-            self.channel_suspicion(sums, channel, now)
-            for channel in (sums.failed, sums.late)
-        )
+        own, peers = self.shares.own(key, now), self.shares.recent_peers(key, now)
+        suspicion = 0.0
+        if own.failed >= CONTRAST * peers.failed:
+            suspicion = self.channel_suspicion(sums, sums.failed, now)
+        if own.late >= CONTRAST * peers.late:
+            late = self.channel_suspicion(sums, sums.late, now)
+            suspicion = max(suspicion, late)
+        return suspicion
 
     def channel_suspicion(
         self, sums: TargetSums, channel: Channel, now: float
--- a/primroseturn/detection/exchange.py
+++ b/primroseturn/detection/exchange.py
@@ -45,6 +45,7 @@
         self.rounds = 0
         self.sent_bytes = 0
         self.unsent = 0
+        self.starts_by_kind: dict[str, int] = {}
         bus.handle(EvidenceDigest, self.receive)
 
     async def receive(self, sender: Sender, digest: EvidenceDigest) -> None:
@@ -65,20 +66,29 @@
         if digest is None:
             return
         near, far = self.find_peers()
-        due = rotate(near, self.rounds)
+        await self.send_to(near, "near", digest)
         if self.rounds % FAR_EVERY == 0:
-            due += rotate(far, self.rounds)
+            await self.send_to(far, "far", digest)
+
+    async def send_to(self, peers: list[str], kind: str, digest: EvidenceDigest):
+        """Send a digest to peers while the budget lasts.
+
+        The next round starts with the first peer that was left out, so that all
+        are served in turn.
+        """
         size = ENVELOPE_BYTES + len(digest.entries)
-        for peer in due:
+        start = self.starts_by_kind.get(kind, 0)
+        for index, peer in enumerate(rotate(peers, start)):
             if not self.budget.take(size, current_time()):
-                self.unsent += 1
-                continue
+                self.unsent += len(peers) - index
+                self.starts_by_kind[kind] = (start + index) % len(peers)
+                return
             self.sent_bytes += size
             await self.bus.send(peer, digest)
 
 
 def rotate(peers: list[str], start: int) -> list[str]:
-    """Return the peers from another start each round, so that none always loses."""
+    """Return the peers in turn, beginning at a start."""
     if not peers:
         return []
     first = start % len(peers)
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -25,7 +25,7 @@
 SETTLE_LIMIT_S = 1.0
 # A VM suspects its own network path when more than this share of the targets that
 # it observes look bad.
-PATH_SHARE = 0.5
+PATH_SHARE = 0.66
 PATH_TARGETS = 3
 PATH_BAD_SHARE = 0.5
 PATH_WEIGHT = 1.5
@@ -159,11 +159,25 @@
 
     def pool(self, key: Key, source: str, counts: Counts, now: float) -> None:
         """Add evidence of any VM to the detector, for the class and the target."""
-        for scope in (key, self.whole_of(key)):
-            self.shares.add(scope, counts, now)
-            self.detector.add(scope, source, counts, now)
-        if counts.is_bad():
-            self.check(key, now)
+        self.pool_all([(key, counts)], source, now)
+
+    def pool_all(
+        self, batch: list[tuple[Key, Counts]], source: str, now: float
+    ) -> None:
+        """Add evidence on several targets.
+
+        All shares are updated first, so that the peers' share is as new as the
+        evidence that is compared with it.
+        """
+        for key, counts in batch:
+            self.shares.add(key, counts, now)
+            self.shares.add(self.whole_of(key), counts, now)
+        for key, counts in batch:
+            self.detector.add(key, source, counts, now)
+            self.detector.add(self.whole_of(key), source, counts, now)
+        for key, counts in batch:
+            if counts.is_bad():
+                self.check(key, now)
 
     def check(self, key: Key, now: float) -> None:
         """Report the target, or some of its classes, if the suspicion suffices."""
@@ -220,8 +234,7 @@
         """Pool the evidence of a peer."""
         if not self.detector.pools:
             return
-        for key, counts in self.reader.read(vm, incarnation, digest, now):
-            self.pool(key, vm, counts, now)
+        self.pool_all(list(self.reader.read(vm, incarnation, digest, now)), vm, now)
 
     def restart(self, key: Key) -> None:
         """Forget the evidence against a target that returns into rotation."""
--- a/primroseturn/detection/shares.py
+++ b/primroseturn/detection/shares.py
@@ -104,6 +104,13 @@
             long.weight,
         )
 
+    def recent_peers(self, key: Key, now: float) -> Shares:
+        """Return the short shares of the other targets."""
+        own, group = self.counts_of(key)
+        own.advance(now)
+        group.advance(now)
+        return shares_without(group.short, own.short)
+
     def own(self, key: Key, now: float) -> Shares:
         """Return the short shares of a target."""
         counts = self.counts_by_key.get(key)
--- a/primroseturn/replay/driver.py
+++ b/primroseturn/replay/driver.py
@@ -24,6 +24,7 @@
     Arrival,
     Arrivals,
     Behaviour,
+    end_of,
     ListingLine,
     LoadLine,
     NetworkLine,
@@ -42,6 +43,7 @@
 REGION_S = 0.001
 FAR_S = 0.012
 ATTEMPTS = 2
+DRAIN_LIMIT_S = 10.0
 LINK_BYTES_PER_S = 1_000_000.0
 
 
@@ -76,6 +78,9 @@
         self.store_available = True
         self.waiting_lists: list[ListingLine] = []
         self.started_at = current_time()
+        self.stopping = False
+        self.running = 0
+        self.warm_s = 0.0 if trace.fleet.ends_with_lines else WARM_S
 
     def now(self) -> float:
         """Return the time since the start of the trace."""
@@ -85,8 +90,7 @@
         """Create targets, lists, VMs and their digests."""
         for line in self.trace.services_by_name.values():
             targets = {}
-            for number in range(line.targets):
-                name = f"{line.name}-{number}"
+            for number, name in enumerate(line.target_names()):
                 place = place_of(number, self.trace)
                 seed = f"{self.trace.fleet.seed}/{name}"
                 self.targets_by_name[name] = ReplayTarget(line, name, Random(seed))
@@ -315,7 +319,7 @@
         random = Random(f"{self.trace.fleet.seed}/{key}/{version}")
         while True:
             await sleep(random.expovariate(event.rate))
-            if self.rates[key] != version:
+            if self.stopping or self.rates[key] != version:
                 return
             self.start_request(random.choice(vms), route, event.workspace, event.share)
 
@@ -336,14 +340,29 @@
         self, vm: str, route: RouteLine, workspace: str, share: float
     ) -> None:
         """Start the task of one request."""
+        self.running += 1
         self.tasks.start_soon(self.run_request, vm, route, workspace, share)
 
     async def run_request(
         self, vm: str, route: RouteLine, workspace: str, share: float
     ) -> None:
-        """Run one request with at most one retry, as the request path would."""
+        """Run one request and count its end."""
+        await self.carry_request(vm, route, workspace, share)
+        self.running -= 1
+
+    async def finish_requests(self) -> None:
+        """Start no more requests and wait for the running ones, within a limit."""
+        self.stopping = True
+        limit_at = current_time() + DRAIN_LIMIT_S
+        while self.running and current_time() < limit_at:
+            await sleep(0.05)
+
+    async def carry_request(
+        self, vm: str, route: RouteLine, workspace: str, share: float
+    ) -> None:
+        """Carry one request with at most one retry, as the request path would."""
         started = current_time()
-        measured = started - self.started_at >= WARM_S
+        measured = started - self.started_at >= self.warm_s
         self.tally.requests += measured
         dispatcher = self.dispatchers_by_vm[vm]
         deadline_at = started + route.deadline_s
@@ -422,7 +441,8 @@
         replay = Replay(trace, profile, tasks)
         replay.build()
         replay.run_all()
-        await sleep(trace.fleet.duration_s)
+        await sleep(end_of(trace))
+        await replay.finish_requests()
         replay.tally.digest_bytes = sum(item.sent_bytes for item in replay.exchanges)
         replay.tally.sheds = sum(t.sheds for t in replay.targets_by_name.values())
         report = summarise(trace, replay.tally)
--- a/primroseturn/replay/generator.py
+++ b/primroseturn/replay/generator.py
@@ -26,6 +26,8 @@
 WORKSPACE_PARTS = (0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05)
 DETECTION_LIMIT_S = 1.0
 RATIO_LIMIT = 1.5
+VMS = 40
+CENTERS = 4
 
 
 class Size(NamedTuple):
@@ -47,6 +49,7 @@
     rate: float
     classes: tuple[tuple[str, float], ...]
     archive: str
+    archive_targets: int
     archive_rate: float
 
 
@@ -59,6 +62,7 @@
         3000.0,
         (("lookup", 0.6), ("detail", 0.35), ("order", 0.05)),
         "documents",
+        8,
         60.0,
     ),
     Size(
@@ -69,6 +73,7 @@
         1700.0,
         (("status", 0.6), ("quote", 0.35), ("issue", 0.05)),
         "certificates",
+        8,
         30.0,
     ),
 )
@@ -100,7 +105,9 @@
     """Return the fleet, services, routes and healthy load of a size."""
     lines: list[Line] = [Fleet(seed, duration_s, **fleet)]
     lines.append(ServiceLine(size.service, size.targets, size.slots, 0.018))
-    lines.append(ServiceLine(size.archive, 8, size.slots, 0.3, waiting=40))
+    lines.append(
+        ServiceLine(size.archive, size.archive_targets, size.slots, 0.3, waiting=40)
+    )
     for number, (name, _) in enumerate(size.classes):
         repeatable = number < len(size.classes) - 1
         lines.append(RouteLine(size.service, name, repeatable))
@@ -112,12 +119,28 @@
     return lines
 
 
+def one_center(size: Size) -> Size:
+    """Return the part of a size that stands in one of its four data centres."""
+    targets = -(-size.targets // CENTERS)
+    return size._replace(
+        targets=targets,
+        rate=size.rate * targets / size.targets,
+        archive_targets=size.archive_targets // CENTERS,
+        archive_rate=size.archive_rate / CENTERS,
+    )
+
+
+def target_name(size: Size, number: int) -> str:
+    """Return the name of a target; numbers beyond the last one start again."""
+    return f"{size.service}-{number % size.targets}"
+
+
 def expect_detection(size: Size, number: int, route_class: str = "") -> Expect:
     """Return the bound on the detection of a target that fails at `FAULT_AT_S`."""
     return Expect(
         "detection_s",
         most=DETECTION_LIMIT_S,
-        target=f"{size.service}-{number}",
+        target=target_name(size, number),
         route_class=route_class,
         since_s=FAULT_AT_S,
     )
@@ -129,7 +152,7 @@
 
 def at_fault(size: Size, targets: list[int], **behaviour: Any) -> Behaviour:
     """Return a change of behaviour at `FAULT_AT_S`."""
-    names = [f"{size.service}-{number}" for number in targets]
+    names = [target_name(size, number) for number in targets]
     return Behaviour(FAULT_AT_S, size.service, names, **behaviour)
 
 
@@ -185,7 +208,7 @@
 def flapping(size: Size) -> list[Line]:
     """A target fails and recovers again and again."""
     lines: list[Line] = []
-    name = f"{size.service}-8"
+    name = target_name(size, 8)
     for cycle in range(3):
         at_s = FAULT_AT_S + 3.0 * cycle
         lines.append(Behaviour(at_s, size.service, [name], failed_share=0.5))
@@ -274,6 +297,12 @@
     return lines + scenarios_by_name[name](size)
 
 
+def center_lines(name: str, size: Size, seed: int, **fleet: Any) -> list[Line]:
+    """Return the lines of a named trace for one data centre of a size."""
+    options = {"vms": VMS // CENTERS, "regions": 1, "data_centers_per_region": 1}
+    return trace_lines(name, one_center(size), seed, **options, **fleet)
+
+
 def write_trace(path: Path, lines: list[Line]) -> None:
     """Write a trace file."""
     path.write_bytes(b"".join(encode(line) + b"\n" for line in lines))
--- a/primroseturn/replay/results.py
+++ b/primroseturn/replay/results.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from primroseturn.detection.evidence import ALL_CLASSES, Key
-from primroseturn.replay.trace import Expect, Trace
+from primroseturn.replay.trace import end_of, Expect, Trace
 
 # Requests before this time only warm the fleet up and are not measured.
 WARM_S = 1.5
@@ -132,7 +132,7 @@
 def summarise(trace: Trace, tally: Tally) -> Report:
     """Return the report of a finished replay."""
     latencies = [v for values in tally.latencies_by_workspace.values() for v in values]
-    measured_s = trace.fleet.duration_s
+    measured_s = end_of(trace)
     figures = {
         "requests": tally.requests,
         "served": tally.served,
--- a/primroseturn/replay/trace.py
+++ b/primroseturn/replay/trace.py
@@ -36,7 +36,13 @@
     forbid_unknown_fields=True,
     omit_defaults=True,
 ):
-    """The entry VMs and the preset. Must be the first line."""
+    """The entry VMs and the preset. Must be the first line.
+
+    Attributes
+    ----------
+    ends_with_lines
+        Whether the replay ends with the last recorded line instead of `duration_s`.
+    """
 
     seed: int
     duration_s: Annotated[float, Meta(gt=0, le=86_400)]
@@ -47,6 +53,7 @@
     floor: Share = 0.6
     retry_ratio: Share = 0.1
     queue_limit: Annotated[int, Meta(ge=0)] = 200
+    ends_with_lines: bool = False
 
 
 class ServiceLine(
@@ -62,6 +69,8 @@
     ----------
     waiting
         Requests that a target lets wait for a slot before it sheds.
+    names
+        Names of recorded targets; by default the service's name and a number.
     tail_share, tail_factor
         Answers that take `tail_factor` times as long, beyond the lognormal tail.
     """
@@ -74,7 +83,12 @@
     failed_share: Share = 0.001
     tail_share: Share = 0.005
     tail_factor: Positive = 10.0
-    waiting: int = 24
+    waiting: Annotated[int, Meta(ge=0)] = 24
+    names: list[Name] = field(default_factory=list)
+
+    def target_names(self) -> list[str]:
+        """Return the names of the targets."""
+        return self.names or [f"{self.name}-{n}" for n in range(self.targets)]
 
 
 class RouteLine(
@@ -307,6 +321,15 @@
     expectations: list[Expect]
 
 
+def end_of(trace: Trace) -> float:
+    """Return when a replay ends, in seconds since its start."""
+    if not trace.fleet.ends_with_lines:
+        return trace.fleet.duration_s
+    ends = [line.at_s + line.latency_s for line in trace.exchanges]
+    ends += [line.at_s for line in trace.arrivals]
+    return min(max(ends, default=0.0) + 1.0, trace.fleet.duration_s)
+
+
 def load_trace(path: Path) -> Result[Trace, TraceInvalid]:
     """Read a trace file."""
     decoder = Decoder(Line)
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -24,6 +24,10 @@
 DEFAULT_SLOTS = 6
 # A reported load loses its weight with this time constant, because it lags.
 REPORT_LIFE_S = 1.0
+# A report may be older than its arrival. With more weight all VMs would follow it
+# to the same targets.
+REPORT_WEIGHT = 0.2
+VIEW_LIFE_S = 1.0
 LATENCY_WEIGHT = 0.1
 FAILURE_PENALTY = 4.0
 LEAST_LATENCY_S = 0.001
@@ -58,14 +62,26 @@
     def __init__(self) -> None:
         self.latency_s = 0.0
         self.failed_share = 0.0
+        self.at = 0.0
 
-    def add(self, latency_s: float, failed: bool) -> None:
+    def add(self, latency_s: float, failed: bool, now: float) -> None:
         """Update the moving averages."""
+        self.at = now
         if self.latency_s == 0.0:
             self.latency_s = latency_s
         self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
         self.failed_share += LATENCY_WEIGHT * (failed - self.failed_share)
 
+    def cost(self, now: float) -> float:
+        """Return the expected time of one request.
+
+        It is discounted by its age, so that a target that looked bad is tried
+        again and evidence on it does not run dry.
+        """
+        freshness = exp((self.at - now) / VIEW_LIFE_S)
+        latency = max(self.latency_s * freshness, LEAST_LATENCY_S)
+        return latency * (1.0 + FAILURE_PENALTY * self.failed_share * freshness)
+
 
 class Balancer:
     """Knows this VM's requests in flight at each target."""
@@ -198,11 +214,8 @@
         if report is not None:
             load += report.others * exp((report.at - now) / REPORT_LIFE_S)
         ramp = self.ejector.ramp(target.service, target.name, now)
-        if view is None:
-            return load * LEAST_LATENCY_S / (slots * ramp)
-        latency = max(view.latency_s, LEAST_LATENCY_S)
-        penalty = 1.0 + FAILURE_PENALTY * view.failed_share
-        return load * latency * penalty / (slots * ramp)
+        cost = LEAST_LATENCY_S if view is None else view.cost(now)
+        return load * cost / (slots * ramp)
 
     def in_flight_of(self, target: str) -> int:
         """Return this VM's requests in flight at a target."""
@@ -231,7 +244,7 @@
 
     def report_load(self, target: str, busy: float, at: float) -> None:
         """Take note of the load that a target reported; it is weak evidence."""
-        others = max(0.0, busy - self.in_flight_of(target))
+        others = REPORT_WEIGHT * max(0.0, busy - self.in_flight_of(target))
         self.reports_by_target[target] = Report(others, at)
 
     def observe(self, observation: Observation) -> None:
@@ -248,7 +261,7 @@
         view = self.views_by_target.get(target)
         if view is None:
             view = self.views_by_target[target] = LocalView()
-        view.add(observation.first_byte_s, not good)
+        view.add(observation.first_byte_s, not good, observation.at)
 
     def forget(self, targets: set[str]) -> None:
         """Drop targets that are no longer listed."""
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from anyio import current_time, Event, move_on_after
 from expression import Error, Ok, Result
@@ -51,6 +51,16 @@
     download: bool = False
 
 
+class Recorder(Protocol):
+    """Writes down what the request path asks and sees."""
+
+    def note_demand(self, demand: Demand) -> None:
+        """Take note of a request."""
+
+    def note_observation(self, seen: Observation) -> None:
+        """Take note of the end of an exchange."""
+
+
 class Grant(NamedTuple):
     """A held slot."""
 
@@ -75,6 +85,7 @@
         self.budget = budget
         self.hedging = hedging
         self.queue_limit = 200
+        self.recorder: Recorder | None = None
         self.shares_by_workspace: dict[str, float] = {}
         self.queues_by_service: dict[str, FairQueue] = {}
         self.targets_by_service: dict[str, set[str]] = {}
@@ -89,6 +100,8 @@
             The target, or why the request gets none. A failure means that
             nothing was sent.
         """
+        if self.recorder is not None:
+            self.recorder.note_demand(demand)
         result = self.grant_at_once(demand)
         if result.is_error():
             result = await self.wait_in_queue(demand)
@@ -207,6 +220,8 @@
 
     def observe(self, observation: Observation) -> None:
         """Take note of what an exchange with a target showed."""
+        if self.recorder is not None:
+            self.recorder.note_observation(observation)
         self.balancer.observe(observation)
         bad = self.monitor.observe(observation)
         self.ejector.note_outcome(
