--- a/primroseturn/detection/cusum.py
+++ b/primroseturn/detection/cusum.py
@@ -24,9 +24,9 @@
 # From this multiple of the threshold on, a VM's own evidence is enough for itself.
 OWN_FACTOR = 1.5
 SOURCE_LIFE_S = 2.0
-# A suspect's recent bad share must be this many times that of its peers. In an
-# overload all targets are late, some a little more than others.
-CONTRAST = 2.0
+# The odds of a suspect's recent exchanges to be bad must be this many times those
+# of its peers. In an overload all targets are late, some a little more than others.
+CONTRAST = 6.0
 
 
 def gain(bad: Any, total: Any, baseline: float, alternative: float) -> Any:
@@ -39,6 +39,11 @@
     return bad * bad_gain + (total - bad) * good_gain
 
 
+def stands_out(own: float, peers: float) -> bool:
+    """Return whether a bad share is clearly beyond that of the peers."""
+    return own * (1.0 - peers) >= CONTRAST * peers * (1.0 - own)
+
+
 class Channel:
     """One cumulative sum with the positive part that each source added."""
 
@@ -123,9 +128,9 @@
             return 0.0
         own, peers = self.shares.own(key, now), self.shares.recent_peers(key, now)
         suspicion = 0.0
-        if own.failed >= CONTRAST * peers.failed:
+        if stands_out(own.failed, peers.failed):
             suspicion = self.channel_suspicion(sums, sums.failed, now)
-        if own.late >= CONTRAST * peers.late:
+        if stands_out(own.late, peers.late):
             late = self.channel_suspicion(sums, sums.late, now)
             suspicion = max(suspicion, late)
         return suspicion
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -31,9 +31,9 @@
 PATH_WEIGHT = 1.5
 PATH_REFRESH_S = 0.05
 # Another class shows health when it has this weight of evidence and less than this
-# part of the suspect scope's bad share.
-CLASS_WEIGHT = 3.0
-CLASS_PART = 0.5
+# part of the bad share of the worst class.
+CLASS_WEIGHT = 4.0
+CLASS_PART = 0.25
 
 Suspect = Callable[[Key, float, float], None]
 
@@ -199,14 +199,17 @@
 
     def healthy_classes(self, whole: Key, now: float) -> set[str]:
         """Return the route classes for which a target shows health."""
-        shares = self.shares.own(whole, now)
-        limit = CLASS_PART * max(shares.failed, shares.late)
-        healthy = set()
-        for name in self.classes_by_service.get(whole.service, ()):
-            part = self.shares.own(whole._replace(route_class=name), now)
-            if part.weight >= CLASS_WEIGHT and max(part.failed, part.late) < limit:
-                healthy.add(name)
-        return healthy
+        shares_by_class = {
+            name: self.shares.own(whole._replace(route_class=name), now)
+            for name in self.classes_by_service.get(whole.service, ())
+        }
+        worst = max(max(item.failed, item.late) for item in shares_by_class.values())
+        return {
+            name
+            for name, item in shares_by_class.items()
+            if item.weight >= CLASS_WEIGHT
+            and max(item.failed, item.late) < CLASS_PART * worst
+        }
 
     def path_suspected(self, now: float) -> bool:
         """Return whether most targets look bad, so this VM's path may be at fault."""
