--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -9,11 +9,12 @@
 from primroseturn import __version__
 from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
+from primroseturn.cli.replay import Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Standin, Settings, Bench)
+COMMANDS = (Daemon, Standin, Settings, Bench, Replay, Traces)
 
 
 def build_root() -> type:
