Commit claims in groups into splitting slot objects

One store object per operation costs two writes per request, far above the platform's several hundred writes per second at the target rate. Claims of the same slot now share a conditional update; a slot above 700 KB splits in two.

--- /dev/null
+++ b/features/exploration/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded exploration of protocols on virtual time."""
--- /dev/null
+++ b/primroseturn/claims/claims.py
@@ -0,0 +1,197 @@
+"""Claims of operations that must not repeat, as the request path uses them."""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any, NamedTuple
+
+from anyio import create_task_group, Event, get_cancelled_exc_class
+from anyio.abc import TaskGroup
+from expression import Error, Ok, Result
+
+from primroseturn.claims.batches import Batches
+from primroseturn.claims.commit import SlotCommitter
+from primroseturn.claims.events import CLAIM_DROPPED, CLAIM_UNSETTLED
+from primroseturn.claims.messages import ClaimReply, ClaimRequest
+from primroseturn.claims.metrics import CLAIMS
+from primroseturn.claims.models import (
+    ClaimGranted,
+    ClaimInDoubt,
+    ClaimMismatch,
+    ClaimUnavailable,
+    Operation,
+    OutcomeNotKept,
+    RecordedOutcome,
+)
+from primroseturn.clock import Clock
+from primroseturn.configuration.models import EntryVm
+from primroseturn.control.bus import Bus, Sender
+from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.limits.owners import choose_owners
+
+COMMITTER_LIMIT_S = 0.25
+SETTLE_LIMIT_S = 3.0
+UNSETTLED_CHANGES = 2000
+FIRST_RETRY_S = 0.2
+LAST_RETRY_S = 10.0
+
+
+class ClaimSurroundings(NamedTuple):
+    """What the protocol is given."""
+
+    committer: SlotCommitter
+    bus: Bus
+    clock: Clock
+    random: Random
+    live_daemons: Callable[[], Mapping[str, EntryVm]]
+    commit_interval_s: float
+    emit: Callable[..., Any]
+
+
+class Claims:
+    """Claims operations through the committer of their slot, or directly."""
+
+    def __init__(self, surroundings: ClaimSurroundings, tasks: TaskGroup) -> None:
+        self.committer = surroundings.committer
+        self.bus = surroundings.bus
+        self.clock = surroundings.clock
+        self.random = surroundings.random
+        self.live_daemons = surroundings.live_daemons
+        self.emit = surroundings.emit
+        interval_s = surroundings.commit_interval_s
+        self.batches = Batches(self.committer, self.clock, interval_s, tasks)
+        self.unsettled_by_attempt: dict[str, ClaimRequest] = {}
+        self.unsettled = Event()
+        self.bus.handle(ClaimRequest, self.answer)
+
+    async def claim(
+        self, operation: Operation
+    ) -> Result[ClaimGranted | RecordedOutcome, Failure]:
+        """Claim an operation for its attempt, or return what is recorded of it.
+
+        Call it once per attempt: a grant allows one execution.
+        """
+        try:
+            reply = await self.decide(form_change("claim", operation))
+        except get_cancelled_exc_class():
+            self.give_up(operation)
+            raise
+        CLAIMS.labels(reply.verdict).inc()
+        if reply.verdict == "granted":
+            return Ok(ClaimGranted(operation))
+        if reply.verdict == "recorded" and reply.outcome is not None:
+            if reply.outcome.truncated:
+                return Error(OutcomeNotKept(reply.outcome.status))
+            return Ok(reply.outcome)
+        if reply.verdict == "in-doubt":
+            return Error(ClaimInDoubt())
+        if reply.verdict == "mismatch":
+            return Error(ClaimMismatch())
+        self.give_up(operation)
+        return Error(ClaimUnavailable())
+
+    async def record(self, operation: Operation, outcome: RecordedOutcome) -> None:
+        """Record the outcome of an operation that this attempt ran.
+
+        Without the store it is recorded later, as long as this process runs.
+        """
+        await self.settle(form_change("record", operation, outcome))
+
+    async def release(self, operation: Operation) -> None:
+        """Give up a claim whose operation certainly did not run."""
+        await self.settle(form_change("release", operation))
+
+    def give_up(self, operation: Operation) -> None:
+        """Release an attempt later whose claim may be recorded unknown to it.
+
+        The attempt never runs. Without this, its claim would answer all repeats with
+        "unknown" until the retention ends.
+        """
+        self.postpone(form_change("release", operation))
+
+    async def decide(self, change: ClaimRequest) -> ClaimReply:
+        """Commit a change through the slot's committer, else directly."""
+        try:
+            prefix = await self.committer.locate(change.operation_id)
+        except StoreUnavailable:
+            return ClaimReply(change.attempt, "unavailable")
+        (peer,) = choose_owners(prefix, self.live_daemons(), 1) or (self.bus.vm,)
+        if peer != self.bus.vm:
+            result = await self.bus.request(peer, change, COMMITTER_LIMIT_S)
+            reply = result.default_value(None)
+            if self.is_answer(change, reply):
+                return reply
+        return await self.batches.submit(change)
+
+    @staticmethod
+    def is_answer(change: ClaimRequest, reply: Any) -> bool:
+        """Return whether a reply answers a change and says more than "unavailable"."""
+        return (
+            isinstance(reply, ClaimReply)
+            and reply.attempt == change.attempt
+            and (reply.verdict == "done") == (change.action != "claim")
+            and reply.verdict != "unavailable"
+        )
+
+    async def answer(self, sender: Sender, change: ClaimRequest) -> ClaimReply:
+        """Commit a change of a peer."""
+        return await self.batches.submit(change)
+
+    async def settle(self, change: ClaimRequest) -> None:
+        """Commit a record or a release, later if the store does not answer."""
+        try:
+            reply = await self.decide(change)
+        except get_cancelled_exc_class():
+            self.postpone(change)
+            raise
+        if reply.verdict != "done":
+            self.postpone(change)
+
+    def postpone(self, change: ClaimRequest) -> None:
+        """Keep a change to be committed later."""
+        if len(self.unsettled_by_attempt) >= UNSETTLED_CHANGES:
+            oldest = next(iter(self.unsettled_by_attempt))
+            del self.unsettled_by_attempt[oldest]
+            self.emit(CLAIM_DROPPED, attempt=oldest)
+        self.unsettled_by_attempt[change.attempt] = change
+        self.emit(CLAIM_UNSETTLED, attempt=change.attempt, action=change.action)
+        self.unsettled.set()
+
+    async def settle_for_ever(self) -> None:
+        """Commit the postponed changes as soon as the store answers."""
+        delay = FIRST_RETRY_S
+        while True:
+            await self.unsettled.wait()
+            await self.clock.sleep(delay * (0.5 + self.random.random()))
+            delay = min(2 * delay, LAST_RETRY_S)
+            for attempt, change in list(self.unsettled_by_attempt.items()):
+                reply = await self.decide(change)
+                if reply.verdict != "done":
+                    break
+                self.unsettled_by_attempt.pop(attempt, None)
+            if not self.unsettled_by_attempt:
+                self.unsettled = Event()
+                delay = FIRST_RETRY_S
+
+
+def form_change(
+    action: str, operation: Operation, outcome: RecordedOutcome | None = None
+) -> ClaimRequest:
+    """Return the change of an operation's attempt."""
+    return ClaimRequest(
+        action,
+        operation.operation_id,
+        operation.attempt,
+        operation.fingerprint,
+        outcome,
+    )
+
+
+@asynccontextmanager
+async def run_claims(surroundings: ClaimSurroundings) -> AsyncIterator[Claims]:
+    """Run claims for the life of the context."""
+    async with create_task_group() as tasks:
+        claims = Claims(surroundings, tasks)
+        tasks.start_soon(claims.settle_for_ever)
+        yield claims
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/primroseturn/claims/messages.py
@@ -0,0 +1,31 @@
+"""Messages of the group commit of claims."""
+
+from typing import Literal
+
+from primroseturn.claims.models import RecordedOutcome
+from primroseturn.control.messages import Message, message
+
+Action = Literal["claim", "record", "release"]
+VerdictKind = Literal[
+    "granted", "recorded", "in-doubt", "mismatch", "unavailable", "done"
+]
+
+
+@message("claim-request")
+class ClaimRequest(Message, frozen=True, array_like=True):
+    """Asks the committer of a slot to commit one change. A repeat is harmless."""
+
+    action: Action
+    operation_id: str
+    attempt: str
+    fingerprint: str
+    outcome: RecordedOutcome | None = None
+
+
+@message("claim-reply")
+class ClaimReply(Message, frozen=True, array_like=True):
+    """What the slot says of the change of `attempt` after the commit."""
+
+    attempt: str
+    verdict: VerdictKind
+    outcome: RecordedOutcome | None = None
--- a/primroseturn/claims/models.py
+++ b/primroseturn/claims/models.py
@@ -57,7 +57,10 @@
     code = "claim-unavailable"
 
     def __init__(self) -> None:
-        super().__init__("the claim could not be recorded; the operation did not run")
+        super().__init__(
+            "the claim could not be recorded and this request did not run; an earlier "
+            "request with the same Idempotency-Key may have run"
+        )
 
 
 class ClaimInDoubt(Failure):
@@ -72,6 +75,19 @@
         )
 
 
+class OutcomeNotKept(Failure):
+    """The operation ran, but its answer was too large to be kept."""
+
+    code = "outcome-not-kept"
+
+    def __init__(self, status: int) -> None:
+        super().__init__(
+            f"the operation ran and was answered with status {status}; "
+            "the answer was too large to be kept"
+        )
+        self.status = status
+
+
 class ClaimMismatch(Failure):
     """The Idempotency-Key was used for a different request."""
 
--- a/primroseturn/claims/service.py
+++ b/primroseturn/claims/service.py
@@ -2,14 +2,36 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
+from time import time
 
-from primroseturn.claims.direct import DirectClaims
+from primroseturn.claims.claims import Claims, ClaimSurroundings, run_claims
+from primroseturn.claims.commit import SlotCommitter
+from primroseturn.clock import MonotonicClock
+from primroseturn.control.surroundings import find_bus, find_members, optional
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 
+NEEDS = ("settings", "events", "store", *optional("bus", "membership"))
 
-@service("claims", needs=("store",))
+
+@service("claims", needs=NEEDS)
 @asynccontextmanager
-async def provide_claims(kernel: Kernel) -> AsyncIterator[DirectClaims]:
+async def provide_claims(kernel: Kernel) -> AsyncIterator[Claims]:
     """Provide claims of operations that must not repeat."""
-    yield DirectClaims(kernel.find("store"))
+    settings, events = kernel.find("settings").claims, kernel.find("events")
+    clock = MonotonicClock()
+    committer = SlotCommitter(
+        kernel.find("store"), clock, time, settings.slots, settings.retention_s
+    )
+    surroundings = ClaimSurroundings(
+        committer,
+        find_bus(kernel, events.vm, events.incarnation),
+        clock,
+        Random(),
+        find_members(kernel),
+        settings.commit_interval_s,
+        events.emit,
+    )
+    async with run_claims(surroundings) as claims:
+        yield claims
--- /dev/null
+++ b/primroseturn/claims/slots.py
@@ -0,0 +1,125 @@
+"""Content of claim slots and how changes apply to it."""
+
+from typing import Literal
+
+from msgspec import field, Struct
+from msgspec.msgpack import decode, Encoder
+
+from primroseturn.claims.messages import ClaimReply, ClaimRequest
+from primroseturn.claims.models import RecordedOutcome
+
+SLOT_PREFIX = "claims/"
+LAYOUT_KEY = "claims/layout"
+RELEASED_KEPT = 8
+
+encoder = Encoder()
+
+
+class ClaimEntry(Struct, frozen=True, array_like=True):
+    """What is recorded of one operation.
+
+    Attributes
+    ----------
+    attempt
+        Holder of the claim; empty after a release.
+    released
+        Latest attempts that gave up. A delayed copy of their request must not claim
+        the operation, because nobody would run it.
+    """
+
+    attempt: str
+    fingerprint: str
+    at_unix_s: int
+    outcome: RecordedOutcome | None = None
+    released: tuple[str, ...] = ()
+
+
+class Slot(Struct, frozen=True):
+    """Content of the object ``claims/<prefix>``.
+
+    `splitting` freezes the entries until both children exist; `split` is final.
+    """
+
+    state: Literal["open", "splitting", "split"] = "open"
+    entries_by_id: dict[str, ClaimEntry] = field(default_factory=dict)
+
+
+class Layout(Struct, frozen=True):
+    """Content of the object ``claims/layout``: bits of the first slots' prefixes.
+
+    It is created once. If each VM followed its own settings, an operation could have
+    two places.
+    """
+
+    depth: int
+
+
+def encode_slot(slot: Slot) -> bytes:
+    """Return the stored form of a slot."""
+    return encoder.encode(slot)
+
+
+def decode_slot(value: bytes) -> Slot:
+    """Return the slot of a stored value."""
+    return decode(value, type=Slot)
+
+
+def bits_of(operation_id: str) -> str:
+    """Return the hash of an operation as a bit string."""
+    return f"{int(operation_id, 16):0{4 * len(operation_id)}b}"
+
+
+def apply_change(
+    entry: ClaimEntry | None, change: ClaimRequest, now_unix_s: int
+) -> tuple[ClaimEntry | None, ClaimReply]:
+    """Return the entry after a change and the reply to it."""
+    if change.action == "claim":
+        return apply_claim(entry, change, now_unix_s)
+    done = ClaimReply(change.attempt, "done")
+    if change.action == "record":
+        if entry and entry.attempt == change.attempt and entry.outcome is None:
+            return replace_outcome(entry, change.outcome), done
+        return entry, done
+    return apply_release(entry, change, now_unix_s), done
+
+
+def apply_claim(
+    entry: ClaimEntry | None, change: ClaimRequest, now_unix_s: int
+) -> tuple[ClaimEntry | None, ClaimReply]:
+    """Grant an operation that nobody holds, or say what is recorded of it."""
+    attempt = change.attempt
+    released = entry.released if entry else ()
+    if attempt in released:
+        return entry, ClaimReply(attempt, "unavailable")
+    if entry is None or not entry.attempt:
+        taken = ClaimEntry(attempt, change.fingerprint, now_unix_s, None, released)
+        return taken, ClaimReply(attempt, "granted")
+    if entry.fingerprint != change.fingerprint:
+        return entry, ClaimReply(attempt, "mismatch")
+    if entry.outcome is not None:
+        return entry, ClaimReply(attempt, "recorded", entry.outcome)
+    verdict = "granted" if entry.attempt == attempt else "in-doubt"
+    return entry, ClaimReply(attempt, verdict)
+
+
+def apply_release(
+    entry: ClaimEntry | None, change: ClaimRequest, now_unix_s: int
+) -> ClaimEntry | None:
+    """Free an operation of an attempt that certainly did not run it."""
+    attempt = change.attempt
+    released = entry.released if entry else ()
+    if attempt in released:
+        return entry
+    kept = (*released, attempt)[-RELEASED_KEPT:]
+    if entry is None or not entry.attempt:
+        return ClaimEntry("", change.fingerprint, now_unix_s, None, kept)
+    if entry.attempt != attempt or entry.outcome is not None:
+        return entry
+    return ClaimEntry("", change.fingerprint, now_unix_s, None, kept)
+
+
+def replace_outcome(entry: ClaimEntry, outcome: RecordedOutcome | None) -> ClaimEntry:
+    """Return an entry with its outcome."""
+    return ClaimEntry(
+        entry.attempt, entry.fingerprint, entry.at_unix_s, outcome, entry.released
+    )
--- a/primroseturn/clock.py
+++ b/primroseturn/clock.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from anyio import current_time, sleep
+from anyio import current_time, Event, move_on_after, sleep
 
 # Covers two clocks that each run at most 0.9% fast or slow.
 CLOCK_MARGIN = 1.02
@@ -17,6 +17,9 @@
     async def sleep(self, delay_s: float) -> None:
         """Return after `delay_s`."""
 
+    async def wait(self, event: Event, limit_s: float) -> bool:
+        """Return whether an event came within `limit_s`."""
+
 
 class MonotonicClock:
     """The clock of the event loop."""
@@ -28,3 +31,9 @@
     async def sleep(self, delay_s: float) -> None:
         """Return after `delay_s`."""
         await sleep(delay_s)
+
+    async def wait(self, event: Event, limit_s: float) -> bool:
+        """Return whether an event came within `limit_s`."""
+        with move_on_after(max(0.0, limit_s)):
+            await event.wait()
+        return event.is_set()
--- a/primroseturn/limits/admission.py
+++ b/primroseturn/limits/admission.py
@@ -24,7 +24,6 @@
 from primroseturn.limits.ownership import Ownership
 from primroseturn.limits.sessions import OwnerSession, SessionObserver
 from primroseturn.limits.share import Limits, Share
-from primroseturn.limits.waiting import wait_for
 from primroseturn.settings.models import LimitSettings
 from primroseturn.store.client import StoreClient
 
@@ -96,9 +95,6 @@
 class Admission:
     """Token buckets of this VM, filled by owned units and by loans."""
 
-    borrower_type: type[Borrower] = Borrower
-    lender_type: type[Lender] = Lender
-
     def __init__(
         self,
         identity: Identity,
@@ -132,8 +128,8 @@
             isinstance(bus, BusWithoutPeers),
         )
         name = f"{identity.vm}-{identity.incarnation}"
-        self.lender = self.lender_type(clock, name, loan_s, self.find_share)
-        self.borrower = self.borrower_type(clock, bus, loan_s, self.lenders_of)
+        self.lender = Lender(clock, name, loan_s, self.find_share)
+        self.borrower = Borrower(clock, bus, loan_s, self.lenders_of)
         bus.handle(LoanRequest, self.lender.answer)
         bus.handle(LoanReturn, self.lender.take_back)
 
@@ -164,7 +160,7 @@
             while (now := self.clock.now()) < deadline:
                 share.woken.set()
                 delay = min(deadline - now, share.time_until_token(now))
-                await wait_for(share.changed, self.clock, delay)
+                await self.clock.wait(share.changed, delay)
                 if share.take(self.clock.now()):
                     return True
             return False
@@ -246,7 +242,9 @@
 
 @asynccontextmanager
 async def run_admission(
-    identity: Identity, settings: LimitSettings, surroundings: Surroundings
+    identity: Identity,
+    settings: LimitSettings,
+    surroundings: Surroundings,
 ) -> AsyncIterator[Admission]:
     """Run admission for the life of the context and end its session after it."""
     async with create_task_group() as tasks:
--- a/primroseturn/limits/borrowing.py
+++ b/primroseturn/limits/borrowing.py
@@ -11,10 +11,12 @@
 from primroseturn.limits.messages import LoanGrant, LoanRequest, LoanReturn
 from primroseturn.limits.metrics import LOANS
 from primroseturn.limits.share import Loan, Share
-from primroseturn.limits.waiting import wait_for
 
 REQUEST_LIMIT_S = 0.1
-ROUND_PAUSE_S = 0.01
+# Pause between rounds while requests wait, doubled after each fruitless round: an
+# overloaded workspace must not flood its owners.
+FIRST_PAUSE_S = 0.01
+LAST_PAUSE_S = 0.5
 # How often loans are renewed, as a part of their life: twice, so that one lost
 # message does not end them.
 RENEWAL_PART = 0.4
@@ -41,19 +43,27 @@
 
     async def keep(self, share: Share) -> None:
         """Borrow, extend and return loans of one workspace, for ever."""
+        pause_s = FIRST_PAUSE_S
         while True:
             share.woken = Event()
-            pause_s = await self.run_round(share)
+            fruitful, hint_s = await self.run_round(share)
+            pause_s = FIRST_PAUSE_S if fruitful else min(LAST_PAUSE_S, 2 * pause_s)
             await self.trim(share)
             if share.waiting:
-                await self.clock.sleep(pause_s)
+                await self.clock.sleep(max(pause_s, hint_s))
                 continue
-            await wait_for(share.woken, self.clock, self.loan_s * RENEWAL_PART)
+            await self.clock.wait(share.woken, self.loan_s * RENEWAL_PART)
 
-    async def run_round(self, share: Share) -> float:
-        """Ask the owners in turn until nothing is short. Returns a pause."""
-        pause_s = 1.0
-        asked = False
+    async def run_round(self, share: Share) -> tuple[bool, float]:
+        """Ask the owners in turn until nothing is short.
+
+        Returns
+        -------
+        tuple
+            Whether anything was lent, and the shortest time that an owner named.
+        """
+        hints: list[float] = []
+        fruitful = False
         for peer in self.lenders_of(share):
             now = self.clock.now()
             if self.avoid_until_by_peer.get(peer, now) > now:
@@ -61,12 +71,12 @@
             request = self.form_request(share, peer, now)
             if request is None:
                 continue
-            asked = True
             grant = await self.ask(share, peer, request)
             if grant is not None:
                 share.owners = grant.owners or share.owners
-                pause_s = min(pause_s, grant.wait_s)
-        return max(ROUND_PAUSE_S, pause_s if asked else ROUND_PAUSE_S)
+                fruitful = fruitful or bool(grant.loan_id)
+                hints.append(grant.wait_s)
+        return fruitful, min(hints, default=0.0)
 
     def form_request(self, share: Share, peer: str, now: float) -> LoanRequest | None:
         """Return the request for a peer, None if it is not needed."""
--- a/primroseturn/limits/ownership.py
+++ b/primroseturn/limits/ownership.py
@@ -18,7 +18,6 @@
     SessionObserver,
 )
 from primroseturn.limits.share import Share, UNITS
-from primroseturn.limits.waiting import wait_for
 from primroseturn.store.client import StoreClient
 
 CONFLICT_ATTEMPTS = 6
@@ -73,7 +72,7 @@
             delay = LAST_DELAY_S if settled else min(delay * 2, LAST_DELAY_S)
             # Spreads the retries of many VMs after an outage.
             jitter = 0.5 + self.random.random()
-            if await wait_for(share.ledger_woken, self.clock, delay * jitter):
+            if await self.clock.wait(share.ledger_woken, delay * jitter):
                 delay = FIRST_DELAY_S
 
     async def settle(self, share: Share) -> bool:
--- a/primroseturn/limits/service.py
+++ b/primroseturn/limits/service.py
@@ -1,16 +1,15 @@
 """Kernel service that admits requests by rate and burst."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
-from typing import Any
 
 from primroseturn.clock import MonotonicClock
-from primroseturn.configuration.models import EntryVm, Workspace
+from primroseturn.configuration.models import Workspace
 from primroseturn.configuration.replica import Replica
-from primroseturn.control.alone import BusWithoutPeers
+from primroseturn.control.surroundings import find_bus, find_members, optional
 from primroseturn.kernel.kernel import Kernel
-from primroseturn.kernel.registry import entries_by_name, service
+from primroseturn.kernel.registry import service
 from primroseturn.limits.admission import (
     Admission,
     Identity,
@@ -21,25 +20,6 @@
 from primroseturn.settings.models import DaemonSettings
 
 
-def find_bus(kernel: Kernel, vm: str, incarnation: str) -> Any:
-    """Return the bus of the kernel, or one without peers if there is none."""
-    bus = kernel.services_by_name.get("bus")
-    return bus if bus is not None else BusWithoutPeers(vm, incarnation)
-
-
-def find_members(kernel: Kernel) -> Callable[[], Mapping[str, EntryVm]]:
-    """Return the function that gives the live VMs; without membership, this one."""
-    identity = kernel.find("settings").identity
-    entry = EntryVm(identity.vm, "", 0, identity.data_center, identity.region)
-    membership = kernel.services_by_name.get("membership")
-
-    def live_daemons() -> Mapping[str, EntryVm]:
-        daemons = membership.live_daemons() if membership is not None else {}
-        return daemons or {identity.vm: entry}
-
-    return live_daemons
-
-
 def identify(settings: DaemonSettings, incarnation: str) -> Identity:
     """Return the identity of this VM.
 
@@ -63,12 +43,10 @@
     return limits_of
 
 
-def optional(*names: str) -> tuple[str, ...]:
-    """Return those of the names that are registered as services."""
-    return tuple(name for name in names if name in entries_by_name)
+NEEDS = ("settings", "events", "store", "replica", *optional("bus", "membership"))
 
 
-@service("admission", needs=("settings", "events", "store", "replica"))
+@service("admission", needs=NEEDS)
 @asynccontextmanager
 async def provide_admission(kernel: Kernel) -> AsyncIterator[Admission]:
     """Provide admission by rate and burst."""
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -10,7 +10,7 @@
 from expression import Result
 from httpx import AsyncClient, HTTPError, Response
 
-from primroseturn.claims.direct import DirectClaims
+from primroseturn.claims.claims import Claims
 from primroseturn.claims.models import (
     ClaimGranted,
     Operation,
@@ -60,7 +60,7 @@
     router: Router
     admission: Admission
     dispatcher: Dispatcher
-    claims: DirectClaims
+    claims: Claims
     http: AsyncClient
     events: EventLog
     wait_limit_s: float
--- a/primroseturn/requestpath/refusals.py
+++ b/primroseturn/requestpath/refusals.py
@@ -13,6 +13,7 @@
     "method-not-allowed": 405,
     "rate-exceeded": 429,
     "operation-in-doubt": 409,
+    "outcome-not-kept": 409,
     "idempotency-key-reused": 422,
 }
 RETRY_AFTER_S = 1
