--- a/features/exploration/run.py
+++ b/features/exploration/run.py
@@ -8,12 +8,13 @@
 from hypothesis.stateful import run_state_machine_as_test
 from trio._core import _run
 
-from features.exploration import limits
+from features.exploration import claims, limits
 
 # Makes the scheduler's choices part of the seed, so that a run can be repeated.
 _run._hypothesis_plugin_setup()
 
 PROTOCOLS = {
+    "claims": claims,
     "limits": limits,
 }
 
--- a/primroseturn/claims/batches.py
+++ b/primroseturn/claims/batches.py
@@ -40,6 +40,14 @@
         self.interval_s = interval_s
         self.tasks = tasks
         self.waiting_by_prefix: dict[str, list[Waiting]] = {}
+        self.closed = False
+
+    def close(self) -> None:
+        """Answer whatever waits; messages may still arrive while the daemon stops."""
+        self.closed = True
+        for batch in self.waiting_by_prefix.values():
+            for item in batch:
+                item.answered.set()
 
     async def submit(self, change: ClaimRequest) -> ClaimReply:
         """Commit a change with others of its slot and return the reply.
@@ -52,6 +60,8 @@
                 prefix = await self.committer.locate(change.operation_id)
             except StoreUnavailable:
                 return ClaimReply(change.attempt, "unavailable")
+            if self.closed:
+                return ClaimReply(change.attempt, "unavailable")
             waiting = Waiting(change)
             if prefix in self.waiting_by_prefix:
                 self.waiting_by_prefix[prefix].append(waiting)
@@ -75,11 +85,13 @@
 
     async def commit(self, prefix: str, batch: list[Waiting]) -> None:
         """Commit one batch and answer its changes."""
+        replies = [ClaimReply(item.change.attempt, "unavailable") for item in batch]
         try:
             replies = await self.committer.commit(
                 prefix, [item.change for item in batch]
             )
         except (StoreUnavailable, SlotMoved):
-            replies = [ClaimReply(item.change.attempt, "unavailable") for item in batch]
-        for item, reply in zip(batch, replies, strict=True):
-            item.answer(reply)
+            return
+        finally:
+            for item, reply in zip(batch, replies, strict=True):
+                item.answer(reply)
--- a/primroseturn/claims/claims.py
+++ b/primroseturn/claims/claims.py
@@ -48,6 +48,13 @@
     emit: Callable[..., Any]
 
 
+class Decision(NamedTuple):
+    """A reply, and whether a copy of the request may still reach a committer."""
+
+    reply: ClaimReply
+    asked: bool
+
+
 class Claims:
     """Claims operations through the committer of their slot, or directly."""
 
@@ -72,7 +79,7 @@
         Call it once per attempt: a grant allows one execution.
         """
         try:
-            reply = await self.decide(form_change("claim", operation))
+            reply, asked = await self.decide(form_change("claim", operation))
         except get_cancelled_exc_class():
             self.give_up(operation)
             raise
@@ -83,11 +90,12 @@
             if reply.outcome.truncated:
                 return Error(OutcomeNotKept(reply.outcome.status))
             return Ok(reply.outcome)
+        if asked or reply.verdict == "unavailable":
+            self.give_up(operation)
         if reply.verdict == "in-doubt":
             return Error(ClaimInDoubt())
         if reply.verdict == "mismatch":
             return Error(ClaimMismatch())
-        self.give_up(operation)
         return Error(ClaimUnavailable())
 
     async def record(self, operation: Operation, outcome: RecordedOutcome) -> None:
@@ -104,24 +112,25 @@
     def give_up(self, operation: Operation) -> None:
         """Release an attempt later whose claim may be recorded unknown to it.
 
-        The attempt never runs. Without this, its claim would answer all repeats with
-        "unknown" until the retention ends.
+        The attempt never runs. A write in flight, or a delayed copy of its request at
+        the committer, could still claim the operation after the present holder has
+        released it; all repeats would be answered "unknown" until the retention ends.
         """
         self.postpone(form_change("release", operation))
 
-    async def decide(self, change: ClaimRequest) -> ClaimReply:
+    async def decide(self, change: ClaimRequest) -> Decision:
         """Commit a change through the slot's committer, else directly."""
         try:
             prefix = await self.committer.locate(change.operation_id)
         except StoreUnavailable:
-            return ClaimReply(change.attempt, "unavailable")
+            return Decision(ClaimReply(change.attempt, "unavailable"), False)
         (peer,) = choose_owners(prefix, self.live_daemons(), 1) or (self.bus.vm,)
         if peer != self.bus.vm:
             result = await self.bus.request(peer, change, COMMITTER_LIMIT_S)
             reply = result.default_value(None)
             if self.is_answer(change, reply):
-                return reply
-        return await self.batches.submit(change)
+                return Decision(reply, True)
+        return Decision(await self.batches.submit(change), peer != self.bus.vm)
 
     @staticmethod
     def is_answer(change: ClaimRequest, reply: Any) -> bool:
@@ -140,7 +149,7 @@
     async def settle(self, change: ClaimRequest) -> None:
         """Commit a record or a release, later if the store does not answer."""
         try:
-            reply = await self.decide(change)
+            reply, _ = await self.decide(change)
         except get_cancelled_exc_class():
             self.postpone(change)
             raise
@@ -165,7 +174,7 @@
             await self.clock.sleep(delay * (0.5 + self.random.random()))
             delay = min(2 * delay, LAST_RETRY_S)
             for attempt, change in list(self.unsettled_by_attempt.items()):
-                reply = await self.decide(change)
+                reply, _ = await self.decide(change)
                 if reply.verdict != "done":
                     break
                 self.unsettled_by_attempt.pop(attempt, None)
@@ -193,5 +202,8 @@
     async with create_task_group() as tasks:
         claims = Claims(surroundings, tasks)
         tasks.start_soon(claims.settle_for_ever)
-        yield claims
-        tasks.cancel_scope.cancel()
+        try:
+            yield claims
+        finally:
+            claims.batches.close()
+            tasks.cancel_scope.cancel()
--- a/primroseturn/claims/slots.py
+++ b/primroseturn/claims/slots.py
@@ -113,8 +113,11 @@
     kept = (*released, attempt)[-RELEASED_KEPT:]
     if entry is None or not entry.attempt:
         return ClaimEntry("", change.fingerprint, now_unix_s, None, kept)
-    if entry.attempt != attempt or entry.outcome is not None:
+    if entry.outcome is not None:
         return entry
+    if entry.attempt != attempt:
+        # The holder may release the operation before the delayed request arrives.
+        return ClaimEntry(entry.attempt, entry.fingerprint, entry.at_unix_s, None, kept)
     return ClaimEntry("", change.fingerprint, now_unix_s, None, kept)
 
 
--- a/primroseturn/limits/admission.py
+++ b/primroseturn/limits/admission.py
@@ -229,8 +229,6 @@
 
     async def close(self) -> None:
         """Stop admitting, return loans and give up all units."""
-        self.closed = True
-        self.tasks.cancel_scope.cancel()
         now = self.clock.now()
         lent = False
         for share in self.shares_by_workspace.values():
@@ -250,6 +248,9 @@
     async with create_task_group() as tasks:
         admission = Admission(identity, settings, surroundings, tasks)
         tasks.start_soon(admission.ownership.renew_for_ever)
-        yield admission
-        tasks.cancel_scope.cancel()
+        try:
+            yield admission
+        finally:
+            admission.closed = True
+            tasks.cancel_scope.cancel()
     await admission.close()
