Add the administration API and its commands

Cause: operators had no way to change the configuration of a running fleet. Before: changes were written into the store by hand. Conclusion: a repeat, a lost store answer and racing operators leave exactly one accepted change per operation id.

--- a/features/steps/product_commands.py
+++ b/features/steps/product_commands.py
@@ -2,6 +2,8 @@
 
 import re
 import sys
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
 from pathlib import Path
 from shlex import split
 from subprocess import run
@@ -9,6 +11,7 @@
 from behave import then, when
 
 from primroseturn.cli.exits import ExitCode
+from primroseturn.cli.main import main
 
 EXIT_CODES_PAGE = Path("docs/exit-codes.md")
 
@@ -28,6 +31,19 @@
     context.stdout = done.stdout
 
 
+def call_command(context, command):
+    """Run a command in this process, which saves the start of an interpreter."""
+    stdout, stderr = StringIO(), StringIO()
+    context.exit_code = 0
+    with redirect_stdout(stdout), redirect_stderr(stderr):
+        try:
+            main(split(command))
+        except SystemExit as ended:
+            context.exit_code = int(ended.code or 0)
+    context.stdout = stdout.getvalue()
+    context.output = context.stdout + stderr.getvalue()
+
+
 @when('the command "{command}" runs for at most {limit_s:d} s')
 def step_command(context, command, limit_s):
     run_command(context, command, limit_s)
--- a/primroseturn/admin/__init__.py
+++ b/primroseturn/admin/__init__.py
@@ -1,1 +1,1 @@
-"""Administration API and its client."""
+"""Administration API, its client and the status report."""
--- /dev/null
+++ b/primroseturn/admin/application.py
@@ -0,0 +1,200 @@
+"""The ASGI application of the administration API."""
+
+from typing import Any, TypeVar
+
+from msgspec import DecodeError, to_builtins
+from msgspec.json import decode
+
+from primroseturn.admin.changes import ChangeRequest, submit_change
+from primroseturn.admin.credentials import Credential, identify_operator
+from primroseturn.admin.events import ADMIN_CHANGE, ADMIN_REFUSED
+from primroseturn.admin.failures import (
+    CredentialReadOnly,
+    MethodRefused,
+    RequestInvalid,
+    ResourceMissing,
+    status_of,
+)
+from primroseturn.admin.keys import give_key, KeyRequest, withdraw_key
+from primroseturn.admin.objects import (
+    items_of,
+    read_object,
+    require_kind,
+    view_object,
+)
+from primroseturn.admin.paging import cut_page, read_number
+from primroseturn.admin.results import unwrap
+from primroseturn.admin.status import read_status
+from primroseturn.configuration.log import log_key
+from primroseturn.configuration.models import Change
+from primroseturn.failures import Failure
+from primroseturn.kernel.kernel import Kernel
+from primroseturn.serving.http import answer_json, query_of
+
+T = TypeVar("T")
+
+BODY_LIMIT_BYTES = 65_536
+PREFIX = "/v1/"
+AUDIT_LIMIT = 50
+VERSION_LIMIT = 10**11
+
+
+async def read_request(receive: Any, kind: type[T]) -> T:
+    """Return the typed body of a call.
+
+    Raises
+    ------
+    RequestInvalid
+        If the body is too large, no JSON or does not fit `kind`.
+    """
+    body = bytearray()
+    more = True
+    while more:
+        event = await receive()
+        body += event.get("body", b"")
+        more = event.get("more_body", False)
+        if len(body) > BODY_LIMIT_BYTES:
+            raise RequestInvalid(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+    try:
+        return decode(bytes(body), type=kind)
+    except (DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise RequestInvalid(f"the body is not valid: {error}") from None
+
+
+class AdminApplication:
+    """Serves operators. Every call needs a credential, changes a read-write one."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one call."""
+        if scope["type"] != "http":
+            return
+        try:
+            value = await self.serve(scope, receive)
+        except Failure as failure:
+            fields = {"type": failure.code, "detail": str(failure)}
+            for name in ("expected", "found", "operation_id", "version"):
+                if hasattr(failure, name):
+                    fields[name] = getattr(failure, name)
+            self.kernel.find("events").emit(ADMIN_REFUSED, refusal=failure.code)
+            await answer_json(send, status_of(failure), fields)
+            return
+        await answer_json(send, 200, to_builtins(value))
+
+    async def serve(self, scope: Any, receive: Any) -> Any:
+        """Identify the operator and run the call that path and method name."""
+        settings = self.kernel.find("settings").admin
+        operator = unwrap(identify_operator(scope, settings))
+        method, path = scope["method"], scope["path"]
+        if method != "GET" and not operator.may_write:
+            raise CredentialReadOnly
+        if not path.startswith(PREFIX):
+            raise ResourceMissing(path)
+        parts = path.removeprefix(PREFIX).split("/")
+        query = query_of(scope)
+        match method, *parts:
+            case "GET", "status":
+                return await read_status(self.kernel)
+            case "GET", "targets":
+                return self.list_targets(query)
+            case "GET", "audit":
+                return await self.list_audit(query)
+            case "GET", "objects", kind:
+                return self.list_objects(kind, query)
+            case "GET", "objects", kind, name:
+                state = self.kernel.find("replica").state
+                return read_object(state, kind, name)._asdict()
+            case (("PUT" | "DELETE"), "objects", kind, name):
+                request = await read_request(receive, ChangeRequest)
+                return await self.change(method, kind, name, request, operator)
+            case "POST", "workspaces", workspace, "keys":
+                request = await read_request(receive, KeyRequest)
+                return await give_key(self.kernel, operator, workspace, request)
+            case "POST", "keys", key_id, "withdrawal":
+                request = await read_request(receive, KeyRequest)
+                return await withdraw_key(self.kernel, operator, key_id, request)
+            case _, ("status" | "targets" | "audit"):
+                raise MethodRefused(method, path)
+        raise ResourceMissing(f"{method} {path}")
+
+    def list_objects(self, kind: str, query: dict[str, str]) -> dict[str, Any]:
+        """Return a page of a kind's objects."""
+        require_kind(kind)
+        state = self.kernel.find("replica").state
+        items = items_of(state, kind)
+        page = cut_page(items, query)
+        objects = [view_object(state, kind, name, items[name]) for name in page.names]
+        return {
+            "version": state.version,
+            "objects": [item._asdict() for item in objects],
+            "next_after": page.next_after,
+        }
+
+    def list_targets(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return a page of the listed targets, of one service if the query says so."""
+        listed = self.kernel.find("listing").targets_by_service
+        wanted = query.get("service")
+        targets_by_id = {
+            f"{service}/{name}": target
+            for service, targets in listed.items()
+            if wanted in (None, service)
+            for name, target in targets.items()
+        }
+        page = cut_page(targets_by_id, query)
+        targets = [targets_by_id[name] for name in page.names]
+        return {"targets": targets, "next_after": page.next_after}
+
+    async def list_audit(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return accepted changes after a version, without their bodies."""
+        limit = max(1, read_number(query, "limit", AUDIT_LIMIT, AUDIT_LIMIT))
+        after = read_number(query, "after", 0, VERSION_LIMIT)
+        newest = self.kernel.find("replica").state.version
+        last = min(newest, after + limit)
+        entries = []
+        for version in range(after + 1, last + 1):
+            stored = await self.kernel.find("store").read(log_key(version))
+            if stored is not None:
+                change = decode(stored.value, type=Change)
+                entry = to_builtins(change)
+                entry["deleted"] = entry.pop("body") is None
+                entries.append(entry)
+        return {"entries": entries, "next_after": last if last < newest else None}
+
+    async def change(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        request: ChangeRequest,
+        operator: Credential,
+    ) -> dict[str, Any]:
+        """Submit a change of one object."""
+        if kind == "key":
+            raise MethodRefused(method, "objects/key")
+        if (method == "PUT") != (request.body is not None):
+            raise RequestInvalid("PUT needs a body, DELETE must have none")
+        state = self.kernel.find("replica").state
+        change = Change(
+            state.version,
+            request.operation_id,
+            operator.name,
+            kind,  # type: ignore[arg-type]
+            name,
+            request.body,
+            request.expected_version,
+        )
+        store = self.kernel.find("store")
+        accepted = unwrap(await submit_change(store, state, change, request.dry_run))
+        if not accepted.dry_run:
+            self.kernel.find("events").emit(
+                ADMIN_CHANGE,
+                operator=operator.name,
+                kind=kind,
+                name=name,
+                version=accepted.version,
+                operation_id=request.operation_id,
+                deleted=request.body is None,
+            )
+        return accepted._asdict()
--- /dev/null
+++ b/primroseturn/admin/changes.py
@@ -0,0 +1,198 @@
+"""Validates and proposes operators' changes."""
+
+from typing import Annotated, Any, NamedTuple
+
+from expression import Error, Ok, Result
+from msgspec import Meta, Struct
+from msgspec.json import decode
+
+from primroseturn.admin.failures import (
+    MethodRefused,
+    ReferenceInvalid,
+    RequestInvalid,
+    ResourceMissing,
+)
+from primroseturn.admin.objects import (
+    IN_FORCE_NAME,
+    items_of,
+    PRESET_IN_FORCE,
+    require_kind,
+    version_of,
+)
+from primroseturn.configuration.log import (
+    ChangeConflict,
+    log_key,
+    propose_change,
+    read_changes,
+)
+from primroseturn.configuration.models import Change
+from primroseturn.configuration.state import (
+    ConfigurationState,
+    parse_body,
+)
+from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.store.client import StoreClient
+
+OperationId = Annotated[
+    str, Meta(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+]
+Version = Annotated[int, Meta(ge=0)]
+
+
+class ChangeRequest(Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a call that changes an object.
+
+    Attributes
+    ----------
+    operation_id
+        Chosen by the client; a repeat with the same id has no further effect.
+    expected_version
+        Version of the object as the operator saw it, 0 for a new object.
+    dry_run
+        Check everything and change nothing.
+    """
+
+    operation_id: OperationId
+    expected_version: Version
+    body: dict[str, Any] | None = None
+    dry_run: bool = False
+
+
+class Accepted(NamedTuple):
+    """Answer to a change. `repeated` is true for an operation id seen before."""
+
+    kind: str
+    name: str
+    version: int
+    operation_id: str
+    dry_run: bool = False
+    repeated: bool = False
+
+
+def check_change(state: ConfigurationState, change: Change) -> None:
+    """Raise the failure that makes a change invalid in the state in force.
+
+    Raises
+    ------
+    ChangeInvalid
+        If the body does not fit the kind.
+    ReferenceInvalid
+        If a referenced object does not exist or would be missing.
+    RequestInvalid
+        If the name in the body differs.
+    """
+    require_kind(change.kind)
+    item = parse_body(change)
+    if change.kind == PRESET_IN_FORCE:
+        if change.name != IN_FORCE_NAME:
+            raise RequestInvalid(f"the name must be {IN_FORCE_NAME!r}")
+        if item is None:
+            raise MethodRefused("DELETE", PRESET_IN_FORCE)
+        if item.preset not in state.presets_by_name:
+            raise ReferenceInvalid(f"preset {item.preset!r} does not exist")
+    elif item is not None and change.kind != "key" and item.name != change.name:
+        raise RequestInvalid("the name in the body differs from the name in the path")
+    if item is None and change.name not in items_of(state, change.kind):
+        raise ResourceMissing(f"{change.kind} {change.name!r}")
+    check_references(state, change, item)
+
+
+def check_references(
+    state: ConfigurationState, change: Change, item: Struct | None
+) -> None:
+    """Raise `ReferenceInvalid` if the change breaks a reference."""
+    if change.kind == "route" and item is not None:
+        if item.service not in state.services_by_name:
+            raise ReferenceInvalid(f"service {item.service!r} does not exist")
+        for route in state.routes_by_name.values():
+            same = route.path_prefix.rstrip("/") == item.path_prefix.rstrip("/")
+            if same and route.name != change.name:
+                raise ReferenceInvalid(f"route {route.name!r} has the same prefix")
+    elif change.kind == "key" and item is not None:
+        if item.workspace not in state.workspaces_by_name:
+            raise ReferenceInvalid(f"workspace {item.workspace!r} does not exist")
+    elif change.kind == "service" and item is None:
+        for route in state.routes_by_name.values():
+            if route.service == change.name:
+                raise ReferenceInvalid(f"route {route.name!r} uses the service")
+    elif (
+        change.kind == "preset"
+        and item is None
+        and change.name == state.preset_in_force.name
+    ):
+        raise ReferenceInvalid("the preset is in force")
+
+
+async def find_repeated(
+    store: StoreClient, found: int, known: list[Change], operation_id: str
+) -> Change | None:
+    """Return the accepted change with the operation id, if there is one.
+
+    Parameters
+    ----------
+    found
+        Version of the change that last touched the object, 0 for none.
+    known
+        The changes after the operator's view.
+    """
+    for item in known:
+        if item.operation_id == operation_id:
+            return item
+    stored = await store.read(log_key(found)) if found else None
+    if stored is None:
+        return None
+    last = decode(stored.value, type=Change)
+    return last if last.operation_id == operation_id else None
+
+
+async def submit_change(
+    store: StoreClient, state: ConfigurationState, change: Change, dry_run: bool
+) -> Result[Accepted, Failure]:
+    """Check a change and append it to the log, unless it is a dry run.
+
+    Parameters
+    ----------
+    state
+        The configuration in force in this daemon.
+    """
+    expected = change.expected_version or 0
+    found = version_of(state, change.kind, change.name)
+    # If the object is at the expected version, neither a conflict nor an earlier
+    # try can lie between that version and the replica's version.
+    after = expected if found > expected else state.version
+    try:
+        known = await read_changes(store, after)
+        repeated = await find_repeated(store, found, known, change.operation_id)
+    except StoreUnavailable as failure:
+        return Error(failure)
+    if repeated is not None:
+        return answer_repeat(repeated, change)
+    if found > expected:
+        return Error(ChangeConflict(change.kind, change.name, expected, found))
+    try:
+        check_change(state, change)
+    except Failure as failure:
+        return Error(failure)
+    if dry_run:
+        version = (known[-1].version if known else state.version) + 1
+        return Ok(accept(change, version, dry_run=True))
+    proposed = await propose_change(store, change, known)
+    return proposed.map(lambda item: accept(item, item.version))
+
+
+def accept(
+    change: Change, version: int, dry_run: bool = False, repeated: bool = False
+) -> Accepted:
+    """Return the answer to an accepted change."""
+    return Accepted(
+        change.kind, change.name, version, change.operation_id, dry_run, repeated
+    )
+
+
+def answer_repeat(accepted: Change, change: Change) -> Result[Accepted, Failure]:
+    """Return the recorded answer of an operation id, or refuse its reuse."""
+    same = (accepted.kind, accepted.name) == (change.kind, change.name)
+    if not same:
+        reason = f"operation id {change.operation_id!r} was used for another change"
+        return Error(RequestInvalid(reason))
+    return Ok(accept(accepted, accepted.version, repeated=True))
--- /dev/null
+++ b/primroseturn/admin/client.py
@@ -0,0 +1,129 @@
+"""Client of the administration API."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from ssl import create_default_context
+from typing import Any
+from uuid import uuid4
+
+from httpx import AsyncClient, HTTPError, InvalidURL
+
+from primroseturn.failures import Failure
+
+CALL_LIMIT_S = 10.0
+
+
+class AdminUnreachable(Failure):
+    """The administration API did not answer."""
+
+    code = "admin-unreachable"
+
+    def __init__(self, url: str, detail: str) -> None:
+        super().__init__(f"{url} did not answer ({detail})")
+
+
+class AdminRefused(Failure):
+    """The administration API refused a call with a typed error."""
+
+    code = "admin-refused"
+
+    def __init__(self, status: int, error: dict[str, Any]) -> None:
+        super().__init__(f"{error.get('type')}: {error.get('detail')}")
+        self.status = status
+        self.kind = error.get("type", "")
+        self.error = error
+
+
+def create_operation_id() -> str:
+    """Return a new operation id."""
+    return uuid4().hex
+
+
+class AdminClient:
+    """Calls one daemon's administration API."""
+
+    def __init__(self, http: AsyncClient, url: str) -> None:
+        self.http = http
+        self.url = url
+
+    async def call(
+        self, method: str, path: str, body: Any = None, **query: Any
+    ) -> dict[str, Any]:
+        """Send a call and return its answer.
+
+        Raises
+        ------
+        AdminUnreachable
+            If no answer came.
+        AdminRefused
+            If the answer is an error.
+        """
+        query = {name: value for name, value in query.items() if value is not None}
+        try:
+            response = await self.http.request(
+                method, f"/v1/{path}", json=body, params=query
+            )
+            value = response.json()
+        except (HTTPError, ValueError, InvalidURL) as error:
+            raise AdminUnreachable(self.url, type(error).__name__) from None
+        if response.status_code != 200:
+            raise AdminRefused(response.status_code, value)
+        return value
+
+    async def find_version(self, kind: str, name: str) -> tuple[int, dict | None]:
+        """Return an object's version and body; the body is None if it is missing."""
+        try:
+            found = await self.call("GET", f"objects/{kind}/{name}")
+        except AdminRefused as failure:
+            if failure.kind != "not-found":
+                raise
+            return failure.error.get("version", 0), None
+        return found["version"], found["body"]
+
+    async def change(
+        self,
+        kind: str,
+        name: str,
+        body: dict | None,
+        expected_version: int,
+        operation_id: str,
+        dry_run: bool = False,
+    ) -> dict[str, Any]:
+        """Replace an object, or delete it with a body of None."""
+        request = {
+            "operation_id": operation_id,
+            "expected_version": expected_version,
+            "dry_run": dry_run,
+        }
+        if body is None:
+            return await self.call("DELETE", f"objects/{kind}/{name}", request)
+        request["body"] = body
+        return await self.call("PUT", f"objects/{kind}/{name}", request)
+
+
+@asynccontextmanager
+async def open_client(
+    url: str, token: str, ca_file: str | None = None
+) -> AsyncIterator[AdminClient]:
+    """Open a client for the life of the context.
+
+    Parameters
+    ----------
+    ca_file
+        Certificate of the authority that is trusted for https, instead of the
+        system's authorities.
+    """
+    verify = create_default_context(cafile=ca_file) if ca_file else True
+    headers = {"authorization": f"Bearer {token}"}
+    try:
+        http = AsyncClient(
+            base_url=url,
+            headers=headers,
+            timeout=CALL_LIMIT_S,
+            verify=verify,
+            trust_env=False,
+        )
+    except (InvalidURL, ValueError) as error:
+        raise AdminUnreachable(url, str(error)) from None
+    async with http:
+        yield AdminClient(http, url)
--- /dev/null
+++ b/primroseturn/admin/keys.py
@@ -0,0 +1,147 @@
+"""Gives and withdraws caller keys."""
+
+from hashlib import sha256
+from inspect import isawaitable
+from typing import Any
+
+from expression import Result
+from msgspec import Struct, to_builtins
+from msgspec.structs import replace
+
+from primroseturn.admin.changes import OperationId, submit_change
+from primroseturn.admin.credentials import Credential
+from primroseturn.admin.events import ADMIN_CHANGE, ADMIN_WITHDRAWAL
+from primroseturn.admin.failures import ResourceMissing
+from primroseturn.admin.objects import version_of
+from primroseturn.admin.results import unwrap
+from primroseturn.configuration.keys import create_key, GivenKey, KEY_PREFIX
+from primroseturn.configuration.models import Change
+from primroseturn.failures import ServiceMissing
+from primroseturn.kernel.kernel import Kernel
+
+KEY_ID_DIGITS = 16
+
+
+class KeyRequest(Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a call that gives or withdraws a key."""
+
+    operation_id: OperationId
+    dry_run: bool = False
+
+
+def create_named_key(workspace: str, operation_id: str) -> GivenKey:
+    """Create a key whose id follows from the operation id.
+
+    A repeat of the operation then meets the key that the first try stored.
+    """
+    given = create_key(workspace)
+    digest = sha256(f"{workspace}\0{operation_id}".encode()).hexdigest()
+    stored = replace(given.stored, key_id=digest[:KEY_ID_DIGITS])
+    secret = given.secret.split("_", 2)[2]
+    return GivenKey(stored, f"{KEY_PREFIX}_{stored.key_id}_{secret}")
+
+
+async def give_key(
+    kernel: Kernel, operator: Credential, workspace: str, request: KeyRequest
+) -> dict[str, Any]:
+    """Create a key. Its secret is in this answer only.
+
+    A repeat of the operation id returns the key's id without the secret, because
+    only a salted hash is stored.
+    """
+    state = kernel.find("replica").state
+    given = create_named_key(workspace, request.operation_id)
+    stored = given.stored
+    change = Change(
+        state.version,
+        request.operation_id,
+        operator.name,
+        "key",
+        stored.key_id,
+        to_builtins(stored),
+        0,
+    )
+    store = kernel.find("store")
+    accepted = unwrap(await submit_change(store, state, change, request.dry_run))
+    # A change that another try recorded holds the hash of another secret.
+    shown = not (accepted.repeated or accepted.dry_run)
+    if shown:
+        kernel.find("events").emit(
+            ADMIN_CHANGE,
+            operator=operator.name,
+            kind="key",
+            name=stored.key_id,
+            workspace=workspace,
+            version=accepted.version,
+            operation_id=request.operation_id,
+            deleted=False,
+        )
+    answer = accepted._asdict()
+    answer |= {"workspace": workspace, "secret": given.secret if shown else None}
+    return answer
+
+
+async def withdraw_key(
+    kernel: Kernel, operator: Credential, key_id: str, request: KeyRequest
+) -> dict[str, Any]:
+    """Withdraw a key for good, through the fleet's withdrawals if they run."""
+    replica = kernel.find("replica")
+    key = replica.state.keys_by_id.get(key_id)
+    if key is None:
+        raise ResourceMissing(f"key {key_id!r}")
+    answer: dict[str, Any] = {"key_id": key_id, "dry_run": request.dry_run}
+    if request.dry_run:
+        return answer
+    try:
+        withdrawals = kernel.find("withdrawals")
+    except ServiceMissing:
+        answer |= await propose_withdrawal(kernel, operator, key_id, request)
+    else:
+        answer |= await spread_withdrawal(withdrawals, key_id, request.operation_id)
+    kernel.find("events").emit(
+        ADMIN_WITHDRAWAL,
+        operator=operator.name,
+        key_id=key_id,
+        workspace=key.workspace,
+        operation_id=request.operation_id,
+    )
+    return answer
+
+
+async def propose_withdrawal(
+    kernel: Kernel, operator: Credential, key_id: str, request: KeyRequest
+) -> dict[str, Any]:
+    """Append the withdrawal to the log and stop the key in this daemon."""
+    replica = kernel.find("replica")
+    state = replica.state
+    key = state.keys_by_id[key_id]
+    if key.withdrawn:
+        return {"result": "accepted", "version": version_of(state, "key", key_id)}
+    change = Change(
+        state.version,
+        request.operation_id,
+        operator.name,
+        "key",
+        key_id,
+        to_builtins(replace(key, withdrawn=True)),
+        version_of(state, "key", key_id),
+    )
+    store = kernel.find("store")
+    accepted = unwrap(await submit_change(store, state, change, False))
+    replica.withdraw(key_id)
+    return {"result": "accepted", "version": accepted.version}
+
+
+async def spread_withdrawal(
+    withdrawals: Any, key_id: str, operation_id: str
+) -> dict[str, Any]:
+    """Withdraw a key through the kernel service `withdrawals`."""
+    outcome = withdrawals.withdraw(key_id, operation_id)
+    if isawaitable(outcome):
+        outcome = await outcome
+    if isinstance(outcome, Result):
+        outcome = unwrap(outcome)
+    if hasattr(outcome, "_asdict"):
+        outcome = outcome._asdict()
+    value = to_builtins(outcome)
+    return value if isinstance(value, dict) else {"result": value}
--- /dev/null
+++ b/primroseturn/admin/status.py
@@ -0,0 +1,104 @@
+"""Status of a daemon for operators; subsystems add sections by decorator."""
+
+from collections.abc import Callable
+from inspect import isawaitable
+from typing import Any
+
+from anyio import current_time, move_on_after
+
+from primroseturn.failures import Failure
+from primroseturn.kernel.kernel import Kernel
+from primroseturn.store.client import StoreClient
+
+Section = Callable[[Kernel], Any]
+STORE_LIMIT_S = 1.0
+
+sections_by_name: dict[str, Section] = {}
+
+
+def status_section(name: str) -> Callable[[Section], Section]:
+    """Add the decorated function as a section of the status.
+
+    It gets the kernel and returns, or awaits, what JSON can hold. A section whose
+    kernel service does not run is left out.
+    """
+
+    def register(section: Section) -> Section:
+        sections_by_name[name] = section
+        return section
+
+    return register
+
+
+async def read_status(kernel: Kernel) -> dict[str, Any]:
+    """Return all sections of the status."""
+    status: dict[str, Any] = {}
+    for name, section in sections_by_name.items():
+        try:
+            value = section(kernel)
+            status[name] = await value if isawaitable(value) else value
+        except Failure as failure:
+            status[name] = {"unavailable": failure.code}
+    return status
+
+
+@status_section("identity")
+def describe_identity(kernel: Kernel) -> dict[str, Any]:
+    """Return who this daemon is."""
+    identity = kernel.find("settings").identity
+    return {
+        "vm": identity.vm,
+        "incarnation": kernel.find("events").incarnation,
+        "data_center": identity.data_center,
+        "region": identity.region,
+    }
+
+
+@status_section("configuration")
+def describe_configuration(kernel: Kernel) -> dict[str, Any]:
+    """Return the version in force and the counts of objects."""
+    state = kernel.find("replica").state
+    return {
+        "version": state.version,
+        "preset_in_force": state.preset_in_force.name,
+        "workspaces": len(state.workspaces_by_name),
+        "keys": len(state.keys_by_id),
+        "routes": len(state.routes_by_name),
+        "services": len(state.services_by_name),
+        "withdrawn_keys": len(kernel.find("replica").withdrawn_ids),
+    }
+
+
+@status_section("targets")
+def describe_targets(kernel: Kernel) -> dict[str, dict[str, int]]:
+    """Return the counts of listed targets by service and state."""
+    counts: dict[str, dict[str, int]] = {}
+    for service, targets in kernel.find("listing").targets_by_service.items():
+        states = counts[service] = {"live": 0, "leaving": 0}
+        for target in targets.values():
+            states[target.state] += 1
+    return counts
+
+
+@status_section("readiness")
+def describe_readiness(kernel: Kernel) -> dict[str, Any]:
+    """Return whether the daemon is ready and whether it drains."""
+    readiness = kernel.find("readiness")
+    reasons = readiness.find_reasons(current_time())
+    return {
+        "ready": not reasons,
+        "draining": readiness.draining,
+        "reasons": reasons,
+    }
+
+
+@status_section("store")
+async def describe_store(kernel: Kernel) -> dict[str, Any]:
+    """Return whether the store answers now and how long it took."""
+    store: StoreClient = kernel.find("store")
+    started = current_time()
+    reachable = False
+    with move_on_after(STORE_LIMIT_S):
+        await store.read("config/probe")
+        reachable = True
+    return {"reachable": reachable, "latency_s": current_time() - started}
--- /dev/null
+++ b/primroseturn/cli/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of operators over the client of the administration API."""
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -7,12 +7,13 @@
 from cappa import command, invoke, Subcommands
 
 from primroseturn import __version__
+from primroseturn.cli.admin.main import Admin
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Standin, Settings)
+COMMANDS = (Daemon, Admin, Standin, Settings)
 
 
 def build_root() -> type:
@@ -34,6 +35,6 @@
     return Primroseturn
 
 
-def main() -> None:
-    """Run the command line."""
-    invoke(build_root(), version=__version__)
+def main(argv: list[str] | None = None) -> None:
+    """Run the command line, with the process's arguments by default."""
+    invoke(build_root(), argv=argv, version=__version__)
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -16,8 +16,10 @@
     "primroseturn.limits.service",
     "primroseturn.claims.service",
     "primroseturn.requestpath.service",
+    "primroseturn.observation.readiness",
+    "primroseturn.admin.service",
 )
-DAEMON_SERVICES = ("callers",)
+DAEMON_SERVICES = ("callers", "admin")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -9,6 +9,8 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from primroseturn.settings.models import TlsSettings
+
 CLOSE_LIMIT_S = 5.0
 KEEP_ALIVE_S = 60.0
 
@@ -65,7 +67,9 @@
         return not left
 
 
-def create_config(descriptor: int, header_limit_bytes: int) -> Config:
+def create_config(
+    descriptor: int, header_limit_bytes: int, tls: TlsSettings | None = None
+) -> Config:
     """Return hypercorn's configuration for HTTP/1.1 on a bound socket."""
     config = Config()
     config.bind = [f"fd://{descriptor}"]
@@ -77,6 +81,9 @@
     config.alpn_protocols = ["http/1.1"]
     config.h11_max_incomplete_size = header_limit_bytes
     config.loglevel = "CRITICAL"
+    if tls is not None:
+        config.certfile = tls.certificate_file
+        config.keyfile = tls.key_file
     return config
 
 
@@ -87,6 +94,7 @@
     port: int = 0,
     finish_limit_s: float = 0.0,
     header_limit_bytes: int = 16_384,
+    tls: TlsSettings | None = None,
 ) -> AsyncIterator[int]:
     """Serve an ASGI application for the life of the context.
 
@@ -94,6 +102,8 @@
     ----------
     finish_limit_s
         Time that running requests get to finish when the context ends.
+    tls
+        Certificate files; None serves plain HTTP.
 
     Yields
     ------
@@ -103,7 +113,7 @@
     listener = bind_listener(host, port)
     bound_port = listener.getsockname()[1]
     # hypercorn owns and closes the descriptor from here on.
-    config = create_config(listener.detach(), header_limit_bytes)
+    config = create_config(listener.detach(), header_limit_bytes, tls)
     running = RunningRequests(application)
     stop, stopped = Event(), Event()
     async with create_task_group() as tasks:
