--- a/primroseturn/admin/keys.py
+++ b/primroseturn/admin/keys.py
@@ -1,10 +1,8 @@
 """Gives and withdraws caller keys."""
 
 from hashlib import sha256
-from inspect import isawaitable
 from typing import Any
 
-from expression import Result
 from msgspec import Struct, to_builtins
 from msgspec.structs import replace
 
@@ -97,7 +95,7 @@
     except ServiceMissing:
         answer |= await propose_withdrawal(kernel, operator, key_id, request)
     else:
-        answer |= await spread_withdrawal(withdrawals, key_id, request.operation_id)
+        answer |= await spread_withdrawal(withdrawals, operator, key_id, request)
     kernel.find("events").emit(
         ADMIN_WITHDRAWAL,
         operator=operator.name,
@@ -116,7 +114,7 @@
     state = replica.state
     key = state.keys_by_id[key_id]
     if key.withdrawn:
-        return {"result": "accepted", "version": version_of(state, "key", key_id)}
+        return {"state": "recorded", "version": version_of(state, "key", key_id)}
     change = Change(
         state.version,
         request.operation_id,
@@ -129,19 +127,12 @@
     store = kernel.find("store")
     accepted = unwrap(await submit_change(store, state, change, False))
     replica.withdraw(key_id)
-    return {"result": "accepted", "version": accepted.version}
+    return {"state": "recorded", "version": accepted.version}
 
 
 async def spread_withdrawal(
-    withdrawals: Any, key_id: str, operation_id: str
+    withdrawals: Any, operator: Credential, key_id: str, request: KeyRequest
 ) -> dict[str, Any]:
     """Withdraw a key through the kernel service `withdrawals`."""
-    outcome = withdrawals.withdraw(key_id, operation_id)
-    if isawaitable(outcome):
-        outcome = await outcome
-    if isinstance(outcome, Result):
-        outcome = unwrap(outcome)
-    if hasattr(outcome, "_asdict"):
-        outcome = outcome._asdict()
-    value = to_builtins(outcome)
-    return value if isinstance(value, dict) else {"result": value}
+    outcome = await withdrawals.withdraw(key_id, request.operation_id, operator.name)
+    return to_builtins(unwrap(outcome)._asdict())
--- a/primroseturn/admin/status.py
+++ b/primroseturn/admin/status.py
@@ -84,7 +84,7 @@
 def describe_readiness(kernel: Kernel) -> dict[str, Any]:
     """Return whether the daemon is ready and whether it drains."""
     readiness = kernel.find("readiness")
-    reasons = readiness.find_reasons(current_time())
+    reasons = readiness.reasons()
     return {
         "ready": not reasons,
         "draining": readiness.draining,
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -10,16 +10,18 @@
 SERVICE_MODULES = (
     "primroseturn.observation.service",
     "primroseturn.store.client",
+    "primroseturn.control.service",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
+    "primroseturn.detection.service",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
+    "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
-    "primroseturn.observation.readiness",
     "primroseturn.admin.service",
 )
-DAEMON_SERVICES = ("callers", "admin")
+DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "admin")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
