Serve metrics, liveness and readiness and check the catalogue of events

Cause: a new scenario showed three events that were defined and never emitted: store-call-failed, queue-refused and path-suspected. Before: no metrics address, 3 unused events. Conclusion: docs/events.md equals the catalogue, and a running fleet emits nothing else.

--- /dev/null
+++ b/features/steps/observation.py
@@ -0,0 +1,130 @@
+"""Steps about metrics, health and events."""
+
+import json
+import re
+from pathlib import Path
+
+from anyio import sleep
+from behave import then, when
+from expression import Error
+from httpx import AsyncClient
+
+from features.steps.admin import wait_until
+from primroseturn.failures import Failure
+from primroseturn.observation.catalogue import events_by_number
+from primroseturn.observation.page import render_page
+from primroseturn.standins.store import StoreFaults
+
+EVENTS_PAGE = Path("docs/events.md")
+DEFINITION = re.compile(r"^(\w+) = define_event\(", re.M)
+
+
+def fetch(context, vm, path):
+    """Return the answer of a daemon's metrics address."""
+    port = context.fleet.kernels_by_vm[vm].find("metrics")
+
+    async def work():
+        async with AsyncClient(trust_env=False) as http:
+            return await http.get(f"http://127.0.0.1:{port}{path}")
+
+    return context.portal.call(work)
+
+
+@then('the metrics of "{vm}" contain these samples')
+def step_samples(context, vm):
+    wanted = {row["sample"] for row in context.table}
+    lines = fetch(context, vm, "/metrics").text.splitlines()
+    assert wanted <= set(lines), (wanted - set(lines), lines)
+
+
+@then('the metrics of "{vm}" show neither the key nor the name of "{workspace}"')
+def step_metrics_hide(context, vm, workspace):
+    text = fetch(context, vm, "/metrics").text
+    assert "primroseturn_request_seconds_count 1.0" in text
+    assert context.fleet.secrets_by_workspace[workspace] not in text
+    assert f'"{workspace}"' not in text
+
+
+@when('a daemon "{vm}" starts while the store has an outage')
+def step_start_without_store(context, vm):
+    fleet = context.fleet
+
+    async def start():
+        fleet.store.set_faults(StoreFaults(outage=True))
+        fleet.entry_vms = []
+        await fleet.add_daemon(vm)
+        await sleep(0.2)
+
+    context.portal.call(start)
+
+
+@then('"{vm}" is live')
+def step_live(context, vm):
+    assert fetch(context, vm, "/live").status_code == 200
+
+
+@then('"{vm}" becomes ready')
+def step_ready(context, vm):
+    wait_until(lambda: fetch(context, vm, "/ready").status_code == 200, 5)
+
+
+@then('"{vm}" is not ready because of "{reason}"')
+def step_not_ready(context, vm, reason):
+    answer = fetch(context, vm, "/ready")
+    assert answer.status_code == 503, answer.text
+    assert reason in answer.json()["reasons"], answer.text
+
+
+@when('"{vm}" begins to drain')
+def step_drain(context, vm):
+    context.fleet.kernels_by_vm[vm].find("readiness").begin_drain()
+
+
+class FailingIsolation:
+    """Isolation service of a daemon that hears nobody."""
+
+    def check(self, now):
+        """Fail as the service does when the daemon is isolated."""
+        return Error(Failure("isolated"))
+
+
+@when('the isolation check of "{vm}" fails')
+def step_isolated(context, vm):
+    services = context.fleet.kernels_by_vm[vm].services_by_name
+    services["isolation"] = FailingIsolation()
+
+
+@then('the page of events is what "primroseturn events" prints')
+def step_events_page(context):
+    assert EVENTS_PAGE.read_text() == render_page(), (
+        "run: primroseturn events > docs/events.md"
+    )
+
+
+@then("every defined event is used outside its definition")
+def step_events_used(context):
+    files = [path.read_text() for path in Path("primroseturn").rglob("*.py")]
+    names = [name for text in files for name in DEFINITION.findall(text)]
+    assert len(names) == len(events_by_number), names
+    source = "\n".join(files)
+    unused = []
+    for name in names:
+        imported = len(re.findall(rf"^from .*\b{name}$|^    {name},$", source, re.M))
+        uses = len(re.findall(rf"\b{name}\b", source)) - 1 - imported
+        if uses < 1:
+            unused.append(name)
+    assert not unused, unused
+
+
+@then("the events file holds only events of the page, with their names")
+def step_events_emitted(context):
+    rows = re.findall(r"^\| (\d+) \| ([\w-]+) \|", EVENTS_PAGE.read_text(), re.M)
+    listed = {(int(number), name) for number, name in rows}
+    lines = context.events_file.read_text().splitlines()
+    emitted = {
+        (item["event"], item["message_type"])
+        for item in map(json.loads, lines)
+        if "event" in item
+    }
+    assert {(201, "request-refused"), (1001, "admin-change")} <= emitted, emitted
+    assert emitted <= listed, emitted - listed
--- /dev/null
+++ b/primroseturn/admin/sections.py
@@ -0,0 +1,60 @@
+"""Sections of the status about ejections, queues and limits."""
+
+from typing import Any
+
+from anyio import current_time
+
+from primroseturn.admin.status import status_section
+from primroseturn.kernel.kernel import Kernel
+
+# A status answer stays small at 340,000 workspaces and 92,000 targets.
+ROWS_LIMIT = 100
+
+
+@status_section("ejections")
+def describe_ejections(kernel: Kernel) -> dict[str, Any]:
+    """Return the targets out of rotation, their evidence and the floor."""
+    dispatcher = kernel.find("dispatcher")
+    ejector, now = dispatcher.ejector, current_time()
+    ejections = list(ejector.ejections_by_key.values())
+    return {
+        "floor": ejector.floor,
+        "count": len(ejections),
+        "path_suspected": dispatcher.monitor.path_bad,
+        "targets": [
+            {
+                **item.key._asdict(),
+                "score": item.score,
+                "ejected_for_s": now - item.since,
+                "trial_in_s": max(0.0, item.until - now),
+                "trials_passed": item.trials_passed,
+            }
+            for item in ejections[:ROWS_LIMIT]
+        ],
+    }
+
+
+@status_section("queues")
+def describe_queues(kernel: Kernel) -> dict[str, int]:
+    """Return the number of waiting requests by service, without empty queues."""
+    queues = kernel.find("dispatcher").queues_by_service
+    return {name: queue.size for name, queue in queues.items() if queue.size}
+
+
+@status_section("limits")
+def describe_limits(kernel: Kernel) -> dict[str, Any]:
+    """Return tokens and loans of the workspaces that are active here."""
+    shares = kernel.find("admission").shares_by_workspace
+    return {
+        "active_workspaces": len(shares),
+        "workspaces": {
+            name: {
+                "tokens": share.tokens,
+                "rate": share.rate,
+                "burst": share.burst,
+                "borrowed_loans": len(share.borrowed_by_id),
+                "lent_loans": len(share.lent_by_id),
+            }
+            for name, share in sorted(shares.items())[:ROWS_LIMIT]
+        },
+    }
--- a/primroseturn/admin/service.py
+++ b/primroseturn/admin/service.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import primroseturn.admin.sections  # noqa: F401
 from primroseturn.admin.application import AdminApplication
 from primroseturn.admin.events import ADMIN_STARTED
 from primroseturn.kernel.kernel import Kernel
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -9,11 +9,12 @@
 from primroseturn import __version__
 from primroseturn.cli.admin.main import Admin
 from primroseturn.cli.daemon import Daemon
+from primroseturn.cli.events import Events
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Admin, Standin, Settings)
+COMMANDS = (Daemon, Admin, Events, Standin, Settings)
 
 
 def build_root() -> type:
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -20,8 +20,9 @@
     "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
     "primroseturn.admin.service",
+    "primroseturn.observation.health",
 )
-DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "admin")
+DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "admin", "metrics")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- /dev/null
+++ b/primroseturn/observation/health.py
@@ -0,0 +1,69 @@
+"""Serves metrics, liveness and readiness on their own address."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from primroseturn.failures import StoreUnavailable
+from primroseturn.kernel.kernel import Kernel
+from primroseturn.kernel.registry import service
+from primroseturn.observation.catalogue import STORE_CALL_FAILED
+from primroseturn.observation.metrics import CONTENT_TYPE, DaemonMetrics
+from primroseturn.serving.asgi import serve_application
+from primroseturn.serving.http import answer, answer_json
+
+
+class HealthApplication:
+    """Answers ``/metrics``, ``/live`` and ``/ready``."""
+
+    def __init__(self, kernel: Kernel, metrics: DaemonMetrics) -> None:
+        self.kernel = kernel
+        self.metrics = metrics
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one call."""
+        if scope["type"] != "http":
+            return
+        if scope["method"] not in ("GET", "HEAD"):
+            await answer(send, 405)
+            return
+        match scope["path"]:
+            case "/metrics":
+                headers = [(b"content-type", CONTENT_TYPE)]
+                await answer(send, 200, self.metrics.render(), headers)
+            case "/live":
+                await answer_json(send, 200, {"live": True})
+            case "/ready":
+                reasons = self.kernel.find("readiness").reasons()
+                body = {"ready": not reasons, "reasons": reasons}
+                await answer_json(send, 503 if reasons else 200, body)
+            case _:
+                await answer(send, 404)
+
+
+def report_store_failure(kernel: Kernel) -> Callable[[StoreUnavailable], None]:
+    """Return a listener that reports failed calls of the store as events."""
+    events = kernel.find("events")
+
+    def report(failure: StoreUnavailable) -> None:
+        events.emit(STORE_CALL_FAILED, maybe_applied=failure.maybe_applied)
+
+    return report
+
+
+@service(
+    "metrics",
+    needs=("settings", "events", "store", "replica", "listing", "readiness"),
+)
+@asynccontextmanager
+async def provide_metrics(kernel: Kernel) -> AsyncIterator[int]:
+    """Serve metrics and health and provide the port."""
+    metrics = DaemonMetrics(kernel)
+    listeners = kernel.find("events").listeners
+    listeners.append(metrics.events.note_event)
+    kernel.find("store").failure_listeners.append(report_store_failure(kernel))
+    address = kernel.find("settings").metrics.address
+    application = HealthApplication(kernel, metrics)
+    async with serve_application(application, address.host, address.port) as port:
+        yield port
+    listeners.remove(metrics.events.note_event)
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -1,6 +1,6 @@
 """Grants requests a slot at a target; the request path's view of all decisions."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
@@ -75,6 +75,7 @@
         self.budget = budget
         self.hedging = hedging
         self.queue_limit = 200
+        self.refusal_listeners: list[Callable[[Demand, QueueRefused], None]] = []
         self.shares_by_workspace: dict[str, float] = {}
         self.queues_by_service: dict[str, FairQueue] = {}
         self.targets_by_service: dict[str, set[str]] = {}
@@ -93,6 +94,9 @@
         if result.is_error():
             result = await self.wait_in_queue(demand)
         if result.is_error():
+            if isinstance(result.error, QueueRefused):
+                for listener in self.refusal_listeners:
+                    listener(demand, result.error)
             yield Error(result.error)
             return
         try:
--- a/primroseturn/routing/service.py
+++ b/primroseturn/routing/service.py
@@ -9,25 +9,33 @@
 from primroseturn.configuration.state import ConfigurationState
 from primroseturn.detection.evidence import Key
 from primroseturn.detection.profiles import profiles_by_name
+from primroseturn.ejection.events import PATH_SUSPECTED
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.listing import Listing
 from primroseturn.observation.catalogue import Event
+from primroseturn.observation.events import EventLog
+from primroseturn.queueing.events import QUEUE_REFUSED
+from primroseturn.queueing.queue import QueueRefused
 from primroseturn.retries.budget import RetryBudget
 from primroseturn.retries.hedging import Hedging
 from primroseturn.routing.assembly import assemble_dispatcher
-from primroseturn.routing.dispatcher import Dispatcher
+from primroseturn.routing.dispatcher import Demand, Dispatcher
 from primroseturn.routing.router import Router
 from primroseturn.routing.subset import Place
 
 TICK_S = 0.05
 
 
-async def tick_forever(dispatcher: Dispatcher) -> None:
+async def tick_forever(dispatcher: Dispatcher, events: EventLog) -> None:
     """Let the dispatcher do what time alone makes due."""
+    suspected = False
     while True:
         await sleep(TICK_S)
         dispatcher.tick(current_time())
+        if dispatcher.monitor.path_bad != suspected:
+            suspected = not suspected
+            events.emit(PATH_SUSPECTED, suspected=suspected)
 
 
 def follow_configuration(
@@ -62,14 +70,23 @@
     def report(event: Event, key: Key, now: float) -> None:
         events.emit(event, **key._asdict())
 
+    def report_refusal(demand: Demand, refusal: QueueRefused) -> None:
+        events.emit(
+            QUEUE_REFUSED,
+            workspace=demand.workspace,
+            service=demand.service,
+            reason=refusal.reason,
+        )
+
     dispatcher.ejector.listeners.append(report)
+    dispatcher.refusal_listeners.append(report_refusal)
     for name in list(listing.targets_by_service):
         dispatcher.use_list(listing, name, current_time())
     listing.subscribe(lambda name: dispatcher.use_list(listing, name, current_time()))
     follow_configuration(dispatcher, listing, replica.state)
     replica.subscribe(lambda state: follow_configuration(dispatcher, listing, state))
     async with create_task_group() as tasks:
-        tasks.start_soon(tick_forever, dispatcher)
+        tasks.start_soon(tick_forever, dispatcher, events)
         yield dispatcher
         tasks.cancel_scope.cancel()
 
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -4,7 +4,7 @@
 raises `StoreUnavailable` with ``maybe_applied``; the caller resolves it by reading.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -40,6 +40,7 @@
     def __init__(self, http: AsyncClient, call_limit_s: float) -> None:
         self.http = http
         self.call_limit_s = call_limit_s
+        self.failure_listeners: list[Callable[[StoreUnavailable], None]] = []
 
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
@@ -121,7 +122,16 @@
             raise VersionConflict(key, expected)
         return int(response.headers["etag"].strip('"'))
 
-    async def call(
+    async def call(self, method: str, path: str, **options: Any) -> Response:
+        """Send one call and tell the listeners if it fails."""
+        try:
+            return await self.send_call(method, path, **options)
+        except StoreUnavailable as failure:
+            for listener in self.failure_listeners:
+                listener(failure)
+            raise
+
+    async def send_call(
         self, method: str, path: str, limit_s: float | None = None, **options: Any
     ) -> Response:
         """Send one call and return its answer if that is not a server error."""
