Merge event files into a time line with repaired clocks

Cause: events of several VMs could not be put in one order. Before: none. Conclusion: probe pairs in both directions bound the error by half a round trip.

--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -21,6 +21,7 @@
     "primroseturn.requestpath.service",
     "primroseturn.admin.service",
     "primroseturn.observation.health",
+    "primroseturn.observation.clocks",
 )
 DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "admin", "metrics")
 
--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -26,4 +26,10 @@
 DAEMON_STARTED = define_event(100, "daemon-started", "A daemon serves callers.")
 DAEMON_DRAINING = define_event(101, "daemon-draining", "A daemon began its stop.")
 DAEMON_STOPPED = define_event(102, "daemon-stopped", "A daemon has stopped.")
+CLOCK_PROBE_SENT = define_event(
+    110, "clock-probe-sent", "A probe was sent, which dates the clocks of two VMs."
+)
+CLOCK_PROBE_RECEIVED = define_event(
+    111, "clock-probe-received", "A probe of another VM arrived."
+)
 STORE_CALL_FAILED = define_event(300, "store-call-failed", "A store call failed.")
--- /dev/null
+++ b/primroseturn/observation/clocks.py
@@ -0,0 +1,71 @@
+"""Exchanges probes with peers, so that time lines can repair clock offsets."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from anyio import create_task_group, sleep
+
+from primroseturn.control.bus import Bus, Sender
+from primroseturn.control.messages import Message, message
+from primroseturn.kernel.kernel import Kernel
+from primroseturn.kernel.registry import service
+from primroseturn.membership.listing import Listing
+from primroseturn.observation.catalogue import (
+    CLOCK_PROBE_RECEIVED,
+    CLOCK_PROBE_SENT,
+)
+from primroseturn.observation.events import EventLog
+
+# One small message per interval and daemon, whatever the size of the fleet.
+FIRST_PROBE_S = 1.0
+PROBE_INTERVAL_S = 10.0
+
+
+@message("clock-probe")
+class ClockProbe(Message, frozen=True, array_like=True):
+    """Names a probe; both ends log it with their own clock."""
+
+    probe: str
+
+
+def choose_peer(listing: Listing, vm: str, number: int) -> str | None:
+    """Return the peer of a probe: each listed VM in turn, starting after `vm`.
+
+    The ring makes every VM exchange probes in both directions with its
+    neighbours, which connects all processes after two intervals.
+    """
+    ring = sorted(listing.daemons_by_id)
+    if vm not in ring or len(ring) < 2:
+        return None
+    steps = 1 if number % 2 else len(ring) - 1
+    return ring[(ring.index(vm) + steps) % len(ring)]
+
+
+async def send_probes(bus: Bus, listing: Listing, events: EventLog) -> None:
+    """Send a probe per interval for ever."""
+    number = 0
+    await sleep(FIRST_PROBE_S)
+    while True:
+        number += 1
+        peer = choose_peer(listing, events.vm, number)
+        if peer is not None:
+            probe = f"{events.vm}-{events.incarnation}-{number}"
+            events.emit(CLOCK_PROBE_SENT, probe=probe, peer=peer)
+            await bus.send(peer, ClockProbe(probe))
+        await sleep(PROBE_INTERVAL_S)
+
+
+@service("clock-probes", needs=("events", "bus", "listing"))
+@asynccontextmanager
+async def provide_clock_probes(kernel: Kernel) -> AsyncIterator[None]:
+    """Log probes from and to peers."""
+    bus, events = kernel.find("bus"), kernel.find("events")
+
+    async def receive(sender: Sender, body: ClockProbe) -> None:
+        events.emit(CLOCK_PROBE_RECEIVED, probe=body.probe, peer=sender.vm)
+
+    bus.handle(ClockProbe, receive)
+    async with create_task_group() as tasks:
+        tasks.start_soon(send_probes, bus, kernel.find("listing"), events)
+        yield
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/primroseturn/observation/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Time line: events of several processes in one order."""
--- /dev/null
+++ b/primroseturn/observation/timeline/records.py
@@ -0,0 +1,133 @@
+"""Reads event files and filters their records."""
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from msgspec import DecodeError
+from msgspec.json import Decoder
+
+from primroseturn.failures import Failure
+
+FIXED_FIELDS = frozenset(
+    (
+        "event",
+        "message_type",
+        "vm",
+        "incarnation",
+        "sequence",
+        "monotonic_s",
+        "wall_s",
+        "task_uuid",
+        "task_level",
+        "timestamp",
+    )
+)
+
+
+class EventFileInvalid(Failure):
+    """An event file cannot be read."""
+
+    code = "event-file-invalid"
+
+    def __init__(self, path: Path, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+
+
+class Process(NamedTuple):
+    """One start of a daemon on a VM."""
+
+    vm: str
+    incarnation: str
+
+
+class Record(NamedTuple):
+    """One event of one process.
+
+    Attributes
+    ----------
+    at_s
+        Wall-clock time in seconds; repaired once offsets are applied.
+    """
+
+    process: Process
+    number: int
+    name: str
+    at_s: float
+    monotonic_s: float
+    fields: dict[str, Any]
+
+
+class Filter(NamedTuple):
+    """Which records are wanted; None accepts all."""
+
+    workspace: str | None = None
+    target: str | None = None
+    request: str | None = None
+    event: int | None = None
+
+    def accepts(self, record: Record) -> bool:
+        """Return whether a record is wanted."""
+        if self.event is not None and record.number != self.event:
+            return False
+        wanted = {"workspace": self.workspace, "target": self.target}
+        wanted["request"] = self.request
+        return all(
+            value is None or record.fields.get(name) == value
+            for name, value in wanted.items()
+        )
+
+
+class ReadResult(NamedTuple):
+    """Records of all files and the number of lines that were no events."""
+
+    records: list[Record]
+    skipped: int
+
+
+def read_lines(path: Path) -> Iterator[bytes]:
+    """Yield the lines of a file.
+
+    Raises
+    ------
+    EventFileInvalid
+        If it cannot be read.
+    """
+    try:
+        with path.open("rb") as stream:
+            yield from stream
+    except OSError as error:
+        raise EventFileInvalid(path, error.strerror or "not readable") from None
+
+
+def parse_record(value: Any) -> Record | None:
+    """Return the record of a decoded line, or None if it is no numbered event."""
+    try:
+        process = Process(str(value["vm"]), str(value["incarnation"]))
+        return Record(
+            process,
+            int(value["event"]),
+            str(value["message_type"]),
+            float(value["wall_s"]),
+            float(value["monotonic_s"]),
+            {key: item for key, item in value.items() if key not in FIXED_FIELDS},
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def read_records(paths: Iterable[Path]) -> ReadResult:
+    """Read event files. Other lines, such as a cut last one, are counted."""
+    decoder = Decoder()
+    records, skipped = [], 0
+    for path in paths:
+        for line in read_lines(path):
+            try:
+                record = parse_record(decoder.decode(line))
+            except (DecodeError, UnicodeDecodeError, RecursionError):
+                record = None
+            if record is None:
+                skipped += 1
+            else:
+                records.append(record)
+    return ReadResult(records, skipped)
