--- a/primroseturn/cli/settings.py
+++ b/primroseturn/cli/settings.py
@@ -9,6 +9,7 @@
 from primroseturn.cli.exits import ExitCode, fail
 from primroseturn.settings.load import load_settings
 from primroseturn.settings.models import DaemonSettings
+from primroseturn.settings.reference import render_reference
 
 
 def read_settings(path: Path) -> DaemonSettings:
@@ -37,8 +38,18 @@
         print(f"{self.file}: settings are valid")
 
 
+@command(name="reference", description="The output is the page docs/settings.md.")
+@dataclass
+class SettingsReference:
+    """Print all fields with types, defaults and meanings."""
+
+    def __call__(self) -> None:
+        """Print the page."""
+        print(render_reference(DaemonSettings), end="")
+
+
 @dataclass
 class Settings:
     """Work with settings files."""
 
-    command: Subcommands[SettingsCheck]
+    command: Subcommands[SettingsCheck | SettingsReference]
--- a/primroseturn/settings/load.py
+++ b/primroseturn/settings/load.py
@@ -42,9 +42,17 @@
     match = PATH_PATTERN.match(str(error))
     path = (match and match["path"]) or "$"
     expected = match["expected"] if match else str(error)
-    value = find_value(decode(content), path)
+    try:
+        value = find_value(decode(content), path)
+    except (DecodeError, UnicodeDecodeError, RecursionError):
+        # The typed decoder stops at the first wrong value, before it has seen
+        # whether the rest is valid JSON.
+        value = "<document>"
     if any(word in path for word in SECRET_FIELDS):
         value = "<hidden>"
+    elif isinstance(value, dict | list):
+        # A whole object or list may hold a secret.
+        value = f"<{'object' if isinstance(value, dict) else 'array'}>"
     return SettingsInvalid(path, value, expected)
 
 
--- a/primroseturn/settings/models.py
+++ b/primroseturn/settings/models.py
@@ -4,20 +4,43 @@
 
 from msgspec import field, Meta, Struct
 
+OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(ge=0)]
 Name = Annotated[str, Meta(min_length=1, max_length=120)]
+IpAddress = Annotated[str, Meta(pattern=rf"^{OCTET}(\.{OCTET}){{3}}$")]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+HttpUrl = Annotated[str, Meta(pattern=r"^https?://[^/\s]+/?$", max_length=300)]
 
 
 class Address(Struct, frozen=True, forbid_unknown_fields=True):
-    """An IP address and a port. Port 0 lets the system choose a free one."""
+    """An IP address and a port. Port 0 lets the system choose a free one.
+
+    Attributes
+    ----------
+    host
+        IPv4 address, not a name.
+    port
+        TCP port.
+    """
 
-    host: str = "127.0.0.1"
+    host: IpAddress = "127.0.0.1"
     port: Port = 0
 
 
 class Identity(Struct, frozen=True, forbid_unknown_fields=True):
-    """Who this VM is and where it stands."""
+    """Who this VM is and where it stands.
+
+    Attributes
+    ----------
+    vm
+        Name of the VM in the VM list. A restarted process keeps it.
+    data_center
+        Data centre of the VM.
+    region
+        Region of the VM.
+    """
 
     vm: Name
     data_center: Name = "dc1"
@@ -25,14 +48,37 @@
 
 
 class TlsSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Certificate files of a listener."""
+    """Certificate files of a listener.
+
+    Attributes
+    ----------
+    certificate_file
+        PEM file with the certificate and its chain.
+    key_file
+        PEM file with the private key.
+    """
 
     certificate_file: str
     key_file: str
 
 
 class CallerSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Listener towards callers."""
+    """Listener towards callers.
+
+    Attributes
+    ----------
+    address
+        Where callers connect.
+    tls
+        Certificate files; null serves plain HTTP.
+    header_limit_bytes
+        Largest request head.
+    drain_delay_s
+        Time between the loss of readiness and the refusal of new
+        connections.
+    drain_limit_s
+        Time that requests in flight get to finish.
+    """
 
     address: Address = field(default_factory=Address)
     tls: TlsSettings | None = None
@@ -42,7 +88,22 @@
 
 
 class UpstreamSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Connections towards upstreams."""
+    """Connections towards upstreams.
+
+    Attributes
+    ----------
+    idle_limit_s
+        Age at which an idle connection is closed.
+    old_connection_s
+        Idle time after which a connection counts as old.
+    old_first_byte_limit_s
+        Time limit of the first byte on an old connection.
+    progress_limit_s
+        Time without progress after which an exchange has stalled.
+    ca_file
+        PEM file of the authority that is trusted for https targets; null
+        trusts the system's.
+    """
 
     idle_limit_s: Seconds = 20.0
     old_connection_s: Seconds = 2.0
@@ -52,16 +113,38 @@
 
 
 class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """The platform's object API."""
-
-    url: str
+    """The platform's object API.
+
+    Attributes
+    ----------
+    url
+        Base URL.
+    call_limit_s
+        Time limit of a call.
+    fleet_writes_per_s
+        Budget of writes of the whole fleet.
+    fleet_reads_per_s
+        Budget of reads and waiting watches of the whole fleet.
+    """
+
+    url: HttpUrl
     call_limit_s: Seconds = 2.0
     fleet_writes_per_s: Annotated[float, Meta(gt=0)] = 300.0
     fleet_reads_per_s: Annotated[float, Meta(gt=0)] = 2000.0
 
 
 class PeerSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """A daemon that is contacted before the VM list is known."""
+    """A daemon that is contacted before the VM list is known.
+
+    Attributes
+    ----------
+    vm
+        Name of the VM.
+    address
+        Control address of the VM.
+    public_key
+        CURVE public key (Z85); null without CURVE.
+    """
 
     vm: Name
     address: Address
@@ -69,7 +152,25 @@
 
 
 class ControlSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Control messages between daemons."""
+    """Control messages between daemons.
+
+    Attributes
+    ----------
+    address
+        Where peers connect. A fixed port proves that a predecessor on this
+        VM has ended.
+    seeds
+        Peers that are asked when the store does not answer at the start.
+    heartbeat_interval_s
+        Time between heartbeats to a peer.
+    curve_secret_key
+        CURVE secret key (Z85) of this VM; null sends in the clear.
+    curve_public_key
+        CURVE public key (Z85) of this VM.
+    allowed_public_keys
+        CURVE public keys that may connect in addition to those of the VM
+        list.
+    """
 
     address: Address = field(default_factory=Address)
     seeds: tuple[PeerSettings, ...] = ()
@@ -80,29 +181,69 @@
 
 
 class AdminSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Administration API and its credentials (SHA-256 hex digests of tokens)."""
+    """Administration API and its credentials (SHA-256 hex digests of tokens).
+
+    Attributes
+    ----------
+    address
+        Where operators connect.
+    tls
+        Certificate files; null serves plain HTTP.
+    reader_digests
+        SHA-256 (lower-case hex) of each read-only token.
+    writer_digests
+        SHA-256 (lower-case hex) of each read-write token.
+    """
 
     address: Address = field(default_factory=Address)
     tls: TlsSettings | None = None
-    reader_digests: tuple[str, ...] = ()
-    writer_digests: tuple[str, ...] = ()
+    reader_digests: tuple[Digest, ...] = ()
+    writer_digests: tuple[Digest, ...] = ()
 
 
 class MetricsSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Metrics and health endpoints."""
+    """Metrics and health endpoints.
+
+    Attributes
+    ----------
+    address
+        Where /metrics, /live and /ready are served.
+    """
 
     address: Address = field(default_factory=Address)
 
 
 class KeySettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Caller keys and what an isolated VM does with them."""
+    """Caller keys and what an isolated VM does with them.
+
+    Attributes
+    ----------
+    isolation_limit_s
+        Time without news from the fleet after which keyed requests are
+        refused.
+    isolation_policy
+        strict refuses on the cut-off side; region also serves while most
+        VMs of the region are heard, at the price of late withdrawals.
+    """
 
     isolation_limit_s: Seconds = 4.0
     isolation_policy: Literal["strict", "region"] = "strict"
 
 
 class LimitSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Rate and burst over the fleet."""
+    """Rate and burst over the fleet.
+
+    Attributes
+    ----------
+    wait_limit_s
+        Longest wait for a token before a refusal.
+    loan_s
+        Life of a loan between VMs.
+    owner_lease_s
+        Lease of a VM's session as an owner of units.
+    owners_per_workspace
+        Number of VMs that own a workspace's units.
+    """
 
     wait_limit_s: Seconds = 0.2
     loan_s: Annotated[float, Meta(gt=0)] = 5.0
@@ -111,7 +252,17 @@
 
 
 class ClaimSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Claims of operations that must not repeat."""
+    """Claims of operations that must not repeat.
+
+    Attributes
+    ----------
+    slots
+        Number of claim slots at the start.
+    commit_interval_s
+        Time in which claims are collected for one commit.
+    retention_s
+        Time for which outcomes are kept.
+    """
 
     slots: Annotated[int, Meta(ge=1, le=65536)] = 16
     commit_interval_s: Seconds = 0.01
@@ -119,7 +270,15 @@
 
 
 class LogSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Event log and trace recording. Without a file, events go to standard error."""
+    """Event log and trace recording. Without a file, events go to standard error.
+
+    Attributes
+    ----------
+    events_file
+        File of events (JSON lines); null writes to standard error.
+    record_file
+        File of a trace for `primroseturn replay`; null records nothing.
+    """
 
     events_file: str | None = None
     record_file: str | None = None
