--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -20,8 +20,19 @@
     "primroseturn.claims.service",
     "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
+    "primroseturn.admin.service",
+    "primroseturn.observation.health",
+    "primroseturn.observation.clocks",
+)
+DAEMON_SERVICES = (
+    "callers",
+    "retries",
+    "hedging",
+    "digests",
+    "recorder",
+    "admin",
+    "metrics",
 )
-DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "recorder")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
