Add membership, configuration relay, listings relay and withdrawals

Cause: every daemon read the change log and the VM lists from the store itself, and copied all objects for each change.

Two watchers per region follow the store; the others get changes and lists through a relay tree and from peers by heartbeats. Heartbeats are dated by echoes, so that pauses and queues cannot make them look young. Services: bus, membership (live_daemons, peers_of_data_center, peers_of_other_regions), freshness, isolation, configuration, withdrawals. Features for each part follow.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -122,6 +122,10 @@
         settings = convert(document, DaemonSettings)
         kernel = await self.start(vm, run_services(settings))
         self.kernels_by_vm[vm] = kernel
+        listed = {item.vm: item for item in self.entry_vms}
+        listed[vm] = kernel.find("membership").this
+        self.entry_vms = list(listed.values())
+        self.list_entry_vms()
         return kernel.find("callers")
 
     async def request(
--- a/primroseturn/configuration/replica.py
+++ b/primroseturn/configuration/replica.py
@@ -1,5 +1,6 @@
 """This daemon's copy of the configuration; its version never goes back."""
 
+from collections import deque
 from collections.abc import Callable
 
 from expression import Error, Ok, Result
@@ -12,6 +13,9 @@
     EMPTY_STATE,
 )
 from primroseturn.failures import Failure
+from primroseturn.membership.rings import hash_name
+
+RECENT_CHANGES = 2_000
 
 
 class ChangeOutOfOrder(Failure):
@@ -26,12 +30,25 @@
 
 
 class Replica:
-    """Applies accepted changes strictly in order."""
+    """Applies accepted changes strictly in order.
+
+    Attributes
+    ----------
+    recent
+        The latest changes in order, for peers that are behind.
+    operations_by_withdrawn_id
+        Withdrawn keys and the operation that withdrew each; it only grows.
+    withdrawals_hash
+        Hash of the set of withdrawn keys; equal sets have equal hashes.
+    """
 
     def __init__(self) -> None:
         self.state: ConfigurationState = EMPTY_STATE
-        self.withdrawn_ids: set[str] = set()
+        self.recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
+        self.operations_by_withdrawn_id: dict[str, str] = {}
+        self.withdrawals_hash = 0
         self.callbacks: list[Callable[[ConfigurationState], None]] = []
+        self.withdrawal_callbacks: list[Callable[[str], None]] = []
 
     def apply(self, change: Change) -> Result[int, Failure]:
         """Apply the change that follows the version in force.
@@ -49,6 +66,7 @@
             # The log is the agreed order: an invalid entry is skipped by every
             # daemon alike, so that versions stay equal everywhere.
             self.state = self.state._replace(version=change.version)
+        self.recent.append(change)
         self.notify()
         return Ok(self.state.version)
 
@@ -57,17 +75,37 @@
         if state.version <= self.state.version:
             return False
         self.state = state
+        self.recent.clear()
         self.notify()
         return True
 
-    def withdraw(self, key_id: str) -> None:
-        """Stop a key at once. A withdrawal is never undone."""
-        self.withdrawn_ids.add(key_id)
+    def changes_after(self, version: int) -> list[Change] | None:
+        """Return the changes after a version, or None if some are kept no longer."""
+        missing = self.state.version - version
+        if missing > len(self.recent):
+            return None
+        return list(self.recent)[len(self.recent) - missing :] if missing > 0 else []
+
+    def withdraw(self, key_id: str, operation_id: str = "") -> bool:
+        """Stop a key at once. A withdrawal is never undone.
+
+        Returns
+        -------
+        bool
+            Whether the withdrawal was new here.
+        """
+        if key_id in self.operations_by_withdrawn_id:
+            return False
+        self.operations_by_withdrawn_id[key_id] = operation_id
+        self.withdrawals_hash ^= hash_name("withdrawal", key_id)
+        for callback in self.withdrawal_callbacks:
+            callback(key_id)
+        return True
 
     def is_withdrawn(self, key_id: str) -> bool:
         """Return whether a key was withdrawn or is unknown."""
         key = self.state.keys_by_id.get(key_id)
-        return key is None or key.withdrawn or key_id in self.withdrawn_ids
+        return key is None or key.withdrawn or key_id in self.operations_by_withdrawn_id
 
     def subscribe(self, callback: Callable[[ConfigurationState], None]) -> None:
         """Call `callback` with each new state."""
--- /dev/null
+++ b/primroseturn/configuration/start.py
@@ -0,0 +1,69 @@
+"""Fetches the configuration from peers when a daemon starts."""
+
+from anyio import create_task_group
+from msgspec import MsgspecError
+
+from primroseturn.configuration.events import CONFIGURATION_INSTALLED
+from primroseturn.configuration.listings import ListingRelay
+from primroseturn.configuration.messages import ConfigurationFetch, ConfigurationPart
+from primroseturn.configuration.relay import Relay
+from primroseturn.failures import StoreUnavailable
+from primroseturn.membership.listing import ENTRY_LIST, LIST_PREFIX
+from primroseturn.membership.rings import PEER_LIMIT
+from primroseturn.observation.events import EventLog
+from primroseturn.store.client import StoreClient
+
+ASK_LIMIT_S = 1.0
+
+
+async def ask_versions(relay: Relay, peers: list[str]) -> dict[str, int]:
+    """Return the version in force at each peer that answers."""
+    versions_by_vm: dict[str, int] = {}
+
+    async def ask(peer: str) -> None:
+        asked = ConfigurationFetch(relay.replica.state.version)
+        result = await relay.bus.request(peer, asked, ASK_LIMIT_S)
+        if result.is_ok() and isinstance(result.ok, ConfigurationPart):
+            versions_by_vm[peer] = result.ok.version
+
+    async with create_task_group() as tasks:
+        for peer in peers:
+            tasks.start_soon(ask, peer)
+    return versions_by_vm
+
+
+async def read_entry_list(store: StoreClient, listings: ListingRelay) -> None:
+    """Read the list of entry VMs, to know whom to ask."""
+    try:
+        found = await store.read(LIST_PREFIX + ENTRY_LIST)
+        if found is not None:
+            listings.listing.install(ENTRY_LIST, found.version, found.value)
+    except (StoreUnavailable, MsgspecError, UnicodeDecodeError):
+        return
+
+
+async def start_from_peers(
+    relay: Relay,
+    listings: ListingRelay,
+    store: StoreClient,
+    seeds: list[str],
+    events: EventLog,
+) -> None:
+    """Take over the newest configuration that any of several peers has."""
+    members = relay.members
+    for seed in seeds:
+        if not members.listing.daemons_by_id:
+            await listings.fetch(seed)
+    if not members.listing.daemons_by_id:
+        await read_entry_list(store, listings)
+    for peer, address in members.addresses().items():
+        relay.bus.learn_address(peer, address)
+    peers = list(dict.fromkeys([*members.peers(), *seeds]))[:PEER_LIMIT]
+    versions_by_vm = await ask_versions(relay, peers)
+    for peer in sorted(versions_by_vm, key=versions_by_vm.__getitem__, reverse=True):
+        if not versions_by_vm[peer]:
+            return
+        if (await relay.fetch(peer, versions_by_vm[peer])).is_ok():
+            version = relay.replica.state.version
+            events.emit(CONFIGURATION_INSTALLED, version=version, peer=peer)
+            return
--- a/primroseturn/configuration/state.py
+++ b/primroseturn/configuration/state.py
@@ -1,5 +1,6 @@
 """Immutable view of the configuration in force."""
 
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from msgspec import convert, Struct, ValidationError
@@ -13,6 +14,7 @@
     Service,
     Workspace,
 )
+from primroseturn.configuration.table import ObjectTable
 from primroseturn.failures import Failure
 
 DEFAULT_PRESET = Preset("ordinary")
@@ -29,24 +31,47 @@
         self.name = name
 
 
-class ConfigurationState(NamedTuple):
-    """The configuration after all changes up to `version`.
+class ObjectVersions(Mapping[tuple[str, str], int]):
+    """Versions of the changes that last touched each object, by kind and name."""
 
-    `versions_by_object` gives the version of the change that last touched an
-    object, keyed by kind and name.
-    """
+    def __init__(self, state: "ConfigurationState") -> None:
+        self.state = state
+
+    def __getitem__(self, key: tuple[str, str]) -> int:
+        """Return the version of an object."""
+        kind, name = key
+        if kind == "preset-in-force":
+            return self.state.preset_in_force_version
+        return getattr(self.state, FIELDS_BY_KIND[kind]).entry(name)[0]
+
+    def __iter__(self) -> Iterator[tuple[str, str]]:
+        """Return kinds and names of all objects."""
+        for kind, field in FIELDS_BY_KIND.items():
+            for name in getattr(self.state, field):
+                yield kind, name
+
+    def __len__(self) -> int:
+        """Return the number of objects."""
+        return sum(len(getattr(self.state, field)) for field in FIELDS_BY_KIND.values())
+
+
+class ConfigurationState(NamedTuple):
+    """The configuration after all changes up to `version`."""
 
     version: int
-    workspaces_by_name: dict[str, Workspace]
-    keys_by_id: dict[str, CallerKey]
-    routes_by_name: dict[str, Route]
-    services_by_name: dict[str, Service]
-    presets_by_name: dict[str, Preset]
+    workspaces_by_name: Mapping[str, Workspace]
+    keys_by_id: Mapping[str, CallerKey]
+    routes_by_name: Mapping[str, Route]
+    services_by_name: Mapping[str, Service]
+    presets_by_name: Mapping[str, Preset]
     preset_in_force: Preset
-    versions_by_object: dict[tuple[str, str], int]
+    preset_in_force_version: int = 0
 
+    @property
+    def versions_by_object(self) -> ObjectVersions:
+        """Versions of the changes that last touched each object."""
+        return ObjectVersions(self)
 
-EMPTY_STATE = ConfigurationState(0, {}, {}, {}, {}, {}, DEFAULT_PRESET, {})
 
 FIELDS_BY_KIND = {
     "workspace": "workspaces_by_name",
@@ -55,6 +80,7 @@
     "service": "services_by_name",
     "preset": "presets_by_name",
 }
+EMPTY_STATE = ConfigurationState(0, *map(ObjectTable, FIELDS_BY_KIND), DEFAULT_PRESET)
 
 
 def parse_body(change: Change) -> Struct | None:
@@ -81,21 +107,22 @@
     ChangeInvalid
         If the change does not fit the state.
     """
-    versions = dict(state.versions_by_object)
-    versions[(change.kind, change.name)] = change.version
-    state = state._replace(version=change.version, versions_by_object=versions)
+    state = state._replace(version=change.version)
     item = parse_body(change)
     if change.kind == "preset-in-force":
         if item is None or item.preset not in state.presets_by_name:
             raise ChangeInvalid(change.kind, change.name, "no such preset")
-        return state._replace(preset_in_force=state.presets_by_name[item.preset])
+        return state._replace(
+            preset_in_force=state.presets_by_name[item.preset],
+            preset_in_force_version=change.version,
+        )
     field = FIELDS_BY_KIND[change.kind]
-    items = dict(getattr(state, field))
+    table = getattr(state, field)
     if item is None:
-        items.pop(change.name, None)
+        table = table.without_item(change.name)
     else:
-        items[change.name] = item
-    state = state._replace(**{field: items})
+        table = table.with_item(change.name, change.version, item)
+    state = state._replace(**{field: table})
     if change.kind == "preset" and change.name == state.preset_in_force.name:
         if item is None:
             raise ChangeInvalid(change.kind, change.name, "the preset is in force")
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -18,7 +18,7 @@
     "primroseturn.claims.service",
     "primroseturn.requestpath.service",
 )
-DAEMON_SERVICES = ("callers",)
+DAEMON_SERVICES = ("configuration", "withdrawals", "isolation", "callers")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- /dev/null
+++ b/primroseturn/membership/heartbeats.py
@@ -0,0 +1,158 @@
+"""Exchanges heartbeats with a bounded set of peers and dates what they say.
+
+A heartbeat echoes the newest number received from its receiver and the time since.
+The receiver knows when it sent that number, so it knows a time after which the
+heartbeat was sent. Ages in a heartbeat count from that time. They are therefore never
+too young, also when either process was paused or the message waited in a queue.
+"""
+
+from collections.abc import Awaitable, Callable
+from math import ceil
+from random import Random
+
+from anyio import current_time, sleep
+
+from primroseturn.configuration.replica import Replica
+from primroseturn.control.bus import Bus, Sender
+from primroseturn.membership.events import LINK_ONE_WAY, LINK_RESTORED
+from primroseturn.membership.freshness import Freshness, Stamp
+from primroseturn.membership.members import Link, Members
+from primroseturn.membership.messages import Heartbeat, NO_STAMP
+from primroseturn.observation.events import EventLog
+
+ENTRY_LIMIT = 12
+ROUNDS_KEPT = 64
+# The interval varies by this share, so that daemons do not send in step.
+INTERVAL_JITTER = 0.1
+
+CatchUp = Callable[[str, Heartbeat], Awaitable[bool]]
+
+
+class Heartbeats:
+    """Sends heartbeats and takes over what arriving ones say.
+
+    Attributes
+    ----------
+    catch_up_by_name
+        Run before a heartbeat counts; each returns whether this VM now has all
+        withdrawals, changes or lists of the sender. Only then do two VMs that hear
+        the same VM know the same withdrawals.
+    """
+
+    def __init__(
+        self,
+        bus: Bus,
+        members: Members,
+        replica: Replica,
+        freshness: Freshness,
+        events: EventLog,
+        interval_s: float,
+        random: Random | None = None,
+    ) -> None:
+        self.bus = bus
+        self.members = members
+        self.replica = replica
+        self.freshness = freshness
+        self.events = events
+        self.interval_s = interval_s
+        self.random = random or Random()
+        # A random start, so that echoes to a former process are not mistaken for
+        # echoes to this one.
+        self.number = self.random.getrandbits(40) + 1
+        self.sent_at_by_number: dict[int, float] = {}
+        self.catch_up_by_name: dict[str, CatchUp] = {}
+        self.one_way: set[str] = set()
+
+    async def run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            now = current_time()
+            self.members.drop_guests(now)
+            self.learn_addresses()
+            self.number += 1
+            self.sent_at_by_number[self.number] = now
+            self.sent_at_by_number.pop(self.number - ROUNDS_KEPT, None)
+            for peer in self.members.peers():
+                await self.bus.send(peer, self.create(peer))
+            self.report_links()
+            jitter = self.random.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
+            await sleep(self.interval_s * jitter)
+
+    def learn_addresses(self) -> None:
+        """Tell the bus where the known VMs are."""
+        for vm, address in self.members.addresses().items():
+            self.bus.learn_address(vm, address)
+
+    def create(self, peer: str) -> Heartbeat:
+        """Return the heartbeat of this round for a peer."""
+        now = current_time()
+        link = self.members.links_by_vm.get(peer)
+        hold_s = now - link.received_at if link else 0.0
+        stamp = self.freshness.newest
+        age_ms = ceil((now - stamp.contact_at) * 1000) if stamp else NO_STAMP
+        entries = self.members.sample_entries(now, ENTRY_LIMIT)
+        return Heartbeat(
+            self.number,
+            link.received_number if link else 0,
+            int(hold_s * 1000),
+            self.replica.state.version,
+            self.replica.withdrawals_hash,
+            stamp.version if stamp else 0,
+            age_ms,
+            self.members.listing.versions_hash,
+            [(vm, ceil(age_s * 1000)) for vm, age_s in entries],
+            None if self.members.is_listed() else self.members.this,
+        )
+
+    async def accept(self, sender: Sender, heartbeat: Heartbeat) -> None:
+        """Take over what a heartbeat says."""
+        now = current_time()
+        link = self.members.links_by_vm.setdefault(sender.vm, Link())
+        if link.incarnation != sender.incarnation:
+            link.incarnation, link.received_number = sender.incarnation, 0
+        if heartbeat.number <= link.received_number:
+            return
+        link.received_number, link.received_at = heartbeat.number, now
+        if heartbeat.place is not None and heartbeat.place.vm == sender.vm:
+            self.members.add_guest(heartbeat.place)
+        sent_at = self.date_heartbeat(heartbeat, now)
+        if sent_at is not None:
+            link.confirmed_at = max(link.confirmed_at, sent_at)
+        for catch_up in list(self.catch_up_by_name.values()):
+            if not await catch_up(sender.vm, heartbeat):
+                return
+        if sent_at is not None:
+            self.take_over(sender.vm, heartbeat, sent_at)
+
+    def date_heartbeat(self, heartbeat: Heartbeat, now: float) -> float | None:
+        """Return a time after which a heartbeat was sent, if its echo tells one."""
+        echoed_at = self.sent_at_by_number.get(heartbeat.echo_number)
+        if echoed_at is None or heartbeat.echo_hold_ms < 0:
+            return None
+        sent_at = echoed_at + heartbeat.echo_hold_ms / 1000
+        return sent_at if sent_at <= now else None
+
+    def take_over(self, vm: str, heartbeat: Heartbeat, sent_at: float) -> None:
+        """Note who was alive and the freshness stamp."""
+        self.members.note_alive(vm, sent_at)
+        for name, age_ms in heartbeat.entries:
+            self.members.note_alive(name, sent_at - max(age_ms, 0) / 1000)
+        if heartbeat.stamp_age_ms != NO_STAMP:
+            contact_at = sent_at - max(heartbeat.stamp_age_ms, 0) / 1000
+            self.freshness.offer(
+                Stamp(heartbeat.stamp_version, contact_at), self.replica.state.version
+            )
+
+    def report_links(self) -> None:
+        """Emit an event for each peer whose link begins or ends to be one-way."""
+        now = current_time()
+        one_way = {
+            vm
+            for vm in self.members.links_by_vm
+            if self.members.link_state(vm, now) == (True, False)
+        }
+        for vm in one_way - self.one_way:
+            self.events.emit(LINK_ONE_WAY, peer=vm)
+        for vm in self.one_way - one_way:
+            self.events.emit(LINK_RESTORED, peer=vm)
+        self.one_way = one_way
--- /dev/null
+++ b/primroseturn/membership/isolation.py
@@ -0,0 +1,82 @@
+"""Decides whether this VM may trust its knowledge of withdrawn keys."""
+
+from expression import Error, Ok, Result
+
+from primroseturn.failures import Failure
+from primroseturn.membership.events import ISOLATED, REJOINED
+from primroseturn.membership.freshness import Freshness
+from primroseturn.membership.members import Members
+from primroseturn.observation.events import EventLog
+from primroseturn.settings.models import KeySettings
+
+MAJORITY = 0.5
+# Counting VMs costs time in proportion to the fleet, so a decision on the majority is
+# kept for this long.
+RECOUNT_INTERVAL_S = 0.05
+
+
+class Isolated(Failure):
+    """This VM hears neither the store nor most of the fleet."""
+
+    code = "isolated"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Isolation:
+    """Answers whether keyed requests may be served."""
+
+    def __init__(
+        self,
+        members: Members,
+        freshness: Freshness,
+        settings: KeySettings,
+        events: EventLog,
+    ) -> None:
+        self.members = members
+        self.freshness = freshness
+        self.limit_s = settings.isolation_limit_s
+        self.policy = settings.isolation_policy
+        self.events = events
+        self.counted_at = float("-inf")
+        self.counted = False
+        self.isolated = False
+
+    def check(self, now: float) -> Result[None, Failure]:
+        """Return Ok if keyed requests may be served at `now` (monotonic seconds)."""
+        if self.freshness.is_fresh(now, self.limit_s) or self.hears_majority(now):
+            failure = None
+        elif self.freshness.is_known(now, self.limit_s):
+            failure = Isolated("the configuration in force is behind the fleet's")
+        else:
+            failure = Isolated("neither the store nor most of the fleet is heard")
+        self.report(failure)
+        return Ok(None) if failure is None else Error(failure)
+
+    def hears_majority(self, now: float) -> bool:
+        """Return whether the majority rule lets this VM serve."""
+        if now - self.counted_at > RECOUNT_INTERVAL_S:
+            self.counted_at, self.counted = now, self.count_majority(now)
+        return self.counted
+
+    def count_majority(self, now: float) -> bool:
+        """Count the VMs heard, if no young stamp contradicts."""
+        if self.policy == "region":
+            region = self.members.this.region
+            if self.members.heard_share(now, self.limit_s, region) > MAJORITY:
+                return True
+        if self.freshness.is_known(now, self.limit_s):
+            return False
+        return self.members.heard_share(now, self.limit_s, None) > MAJORITY
+
+    def report(self, failure: Failure | None) -> None:
+        """Emit an event when the decision changes."""
+        if (failure is not None) == self.isolated:
+            return
+        self.isolated = failure is not None
+        if failure is None:
+            self.events.emit(REJOINED)
+        else:
+            self.events.emit(ISOLATED, reason=str(failure))
--- a/primroseturn/membership/listing.py
+++ b/primroseturn/membership/listing.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode
 
 from primroseturn.configuration.models import EntryVm, Target
+from primroseturn.membership.rings import hash_name
 
 LIST_PREFIX = "vmlist/"
 ENTRY_LIST = "entry"
@@ -24,12 +25,19 @@
 
 
 class Listing:
-    """The last known VM lists."""
+    """The last known VM lists.
+
+    Attributes
+    ----------
+    versions_hash
+        Hash of the versions of all lists; equal lists have equal hashes.
+    """
 
     def __init__(self) -> None:
         self.targets_by_service: dict[str, dict[str, Target]] = {}
         self.daemons_by_id: dict[str, EntryVm] = {}
         self.versions_by_list: dict[str, int] = {}
+        self.versions_hash = 0
         self.callbacks: list[Callable[[str], None]] = []
 
     def install(self, name: str, version: int, content: bytes) -> bool:
@@ -46,17 +54,34 @@
         """
         if version <= self.versions_by_list.get(name, 0):
             return False
+        kind = EntryList if name == ENTRY_LIST else TargetList
+        decoded = decode(content, type=kind)
+        items = decoded.vms if name == ENTRY_LIST else decoded.targets
+        return self.replace(name, version, items)
+
+    def replace(self, name: str, version: int, items: list[EntryVm | Target]) -> bool:
+        """Take over the members of a newer version of a list."""
+        known = self.versions_by_list.get(name, 0)
+        if version <= known:
+            return False
         if name == ENTRY_LIST:
-            vms = decode(content, type=EntryList).vms
-            self.daemons_by_id = {item.vm: item for item in vms}
+            self.daemons_by_id = {item.vm: item for item in items}
         else:
-            targets = decode(content, type=TargetList).targets
-            self.targets_by_service[name] = {item.name: item for item in targets}
+            self.targets_by_service[name] = {item.name: item for item in items}
+        if known:
+            self.versions_hash ^= hash_name(name, str(known))
+        self.versions_hash ^= hash_name(name, str(version))
         self.versions_by_list[name] = version
         for callback in self.callbacks:
             callback(name)
         return True
 
+    def members_of(self, name: str) -> dict[str, EntryVm] | dict[str, Target]:
+        """Return the members of a list by name."""
+        if name == ENTRY_LIST:
+            return self.daemons_by_id
+        return self.targets_by_service.get(name, {})
+
     def subscribe(self, callback: Callable[[str], None]) -> None:
         """Call `callback` with the name of each list that changed."""
         self.callbacks.append(callback)
--- /dev/null
+++ b/primroseturn/membership/members.py
@@ -0,0 +1,231 @@
+"""Which entry VMs are alive, and which of them this VM exchanges heartbeats with."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import NamedTuple
+
+from anyio import current_time
+from msgspec import Struct
+
+from primroseturn.configuration.models import EntryVm
+from primroseturn.control.zeromq import PeerAddress
+from primroseturn.membership.listing import ENTRY_LIST, Listing
+from primroseturn.membership.rings import PEER_LIMIT, rank_names, region_of, Rings
+
+SILENCE_LIMIT_S = 2.0
+# Above this size the ages of all VMs do not travel fast enough in heartbeats; a VM
+# then counts as live while it is listed, unless it is a silent neighbour.
+AGE_TABLE_LIMIT = 128
+WATCHERS_PER_REGION = 2
+DIGEST_PEER_LIMIT = 12
+PEERS_PER_OTHER_REGION = 2
+
+
+class Link(Struct, eq=False):
+    """What is known of the two directions between this VM and a peer.
+
+    Attributes
+    ----------
+    received_number, received_at
+        Newest heartbeat of the peer and when it arrived.
+    confirmed_at
+        Time after which the peer sent its newest heartbeat that answers one of ours.
+    """
+
+    incarnation: str = ""
+    received_number: int = 0
+    received_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
+
+
+class LinkState(NamedTuple):
+    """Whether a peer is heard, and whether it hears this VM."""
+
+    inbound: bool
+    outbound: bool
+
+
+class Members:
+    """The fleet as this VM sees it.
+
+    Attributes
+    ----------
+    heard_at_by_vm
+        Latest time, on this process's clock, at which a VM is known to have been
+        alive with no withdrawal and no version that this VM does not have.
+    """
+
+    def __init__(
+        self, this: EntryVm, listing: Listing, random: Random | None = None
+    ) -> None:
+        self.this = this
+        self.listing = listing
+        self.random = random or Random()
+        self.rings = Rings()
+        self.links_by_vm: dict[str, Link] = {}
+        self.heard_at_by_vm: dict[str, float] = {}
+        self.listed_at_by_vm: dict[str, float] = {}
+        self.guests_by_vm: dict[str, EntryVm] = {}
+        self.callbacks: list[Callable[[], None]] = []
+        listing.subscribe(self.follow_listing)
+        self.follow_listing(ENTRY_LIST)
+
+    def follow_listing(self, name: str) -> None:
+        """Take over the listed entry VMs."""
+        if name != ENTRY_LIST:
+            return
+        listed = self.listing.daemons_by_id
+        now = current_time()
+        self.rings.update(region_of([*listed.values(), self.this]))
+        known = self.listed_at_by_vm
+        self.listed_at_by_vm = {vm: known.get(vm, now) for vm in listed}
+        for vm in [vm for vm in self.heard_at_by_vm if vm not in listed]:
+            del self.heard_at_by_vm[vm]
+        for vm in [vm for vm in self.guests_by_vm if vm in listed]:
+            del self.guests_by_vm[vm]
+        for callback in self.callbacks:
+            callback()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` when the listed entry VMs change."""
+        self.callbacks.append(callback)
+
+    def addresses(self) -> dict[str, PeerAddress]:
+        """Return the control addresses of all other known VMs."""
+        known = {**self.guests_by_vm, **self.listing.daemons_by_id}
+        known.pop(self.this.vm, None)
+        return {
+            vm: PeerAddress(item.host, item.control_port, item.public_key)
+            for vm, item in known.items()
+        }
+
+    def is_listed(self) -> bool:
+        """Return whether the platform lists this VM."""
+        return self.this.vm in self.listing.daemons_by_id
+
+    def peers(self) -> list[str]:
+        """Return the at most `PEER_LIMIT` VMs that heartbeats go to."""
+        chosen = self.rings.neighbours(self.this.vm)
+        guests = [vm for vm in self.guests_by_vm if vm not in chosen]
+        return (chosen + guests)[:PEER_LIMIT]
+
+    def add_guest(self, place: EntryVm) -> None:
+        """Answer the heartbeats of a VM that the list does not have yet."""
+        room = PEER_LIMIT - len(self.rings.neighbours(self.this.vm))
+        if place.vm == self.this.vm or place.vm in self.listing.daemons_by_id:
+            return
+        if place.vm in self.guests_by_vm or len(self.guests_by_vm) < room:
+            self.guests_by_vm[place.vm] = place
+
+    def drop_guests(self, now: float) -> None:
+        """Forget unlisted VMs that have fallen silent."""
+        for vm in list(self.guests_by_vm):
+            link = self.links_by_vm.get(vm)
+            if link is None or now - link.received_at > SILENCE_LIMIT_S:
+                del self.guests_by_vm[vm]
+
+    def note_alive(self, vm: str, at: float) -> None:
+        """Note that a listed VM or a guest was alive at a time."""
+        if vm not in self.listed_at_by_vm and vm not in self.guests_by_vm:
+            return
+        if at > self.heard_at_by_vm.get(vm, float("-inf")):
+            self.heard_at_by_vm[vm] = at
+
+    def sample_entries(self, now: float, limit: int) -> list[tuple[str, float]]:
+        """Return up to `limit` VMs and the time since each was alive."""
+        young = [
+            (vm, now - at)
+            for vm, at in self.heard_at_by_vm.items()
+            if now - at <= 2 * SILENCE_LIMIT_S
+        ]
+        return young if len(young) <= limit else self.random.sample(young, limit)
+
+    def is_alive(self, vm: str, now: float) -> bool:
+        """Return whether a VM counts as live."""
+        if vm == self.this.vm:
+            return True
+        since = self.heard_at_by_vm.get(vm, float("-inf"))
+        since = max(since, self.listed_at_by_vm.get(vm, float("-inf")))
+        if len(self.listed_at_by_vm) > AGE_TABLE_LIMIT and vm not in self.links_by_vm:
+            return True
+        return now - since <= SILENCE_LIMIT_S
+
+    def live_daemons(self, now: float | None = None) -> dict[str, EntryVm]:
+        """Return the live entry VMs by name, this one included."""
+        now = current_time() if now is None else now
+        live = {
+            vm: item
+            for vm, item in self.listing.daemons_by_id.items()
+            if item.state == "live" and self.is_alive(vm, now)
+        }
+        live.setdefault(self.this.vm, self.this)
+        return live
+
+    def link_state(self, vm: str, now: float) -> LinkState:
+        """Return which directions of the link to a peer work."""
+        link = self.links_by_vm.get(vm)
+        if link is None:
+            return LinkState(False, False)
+        inbound = now - link.received_at <= SILENCE_LIMIT_S
+        return LinkState(inbound, now - link.confirmed_at <= SILENCE_LIMIT_S)
+
+    def peers_of_data_center(self) -> list[str]:
+        """Return live VMs of this data centre to exchange digests with."""
+        here = self.this.data_center
+        names = [
+            vm for vm, item in self.live_daemons().items() if item.data_center == here
+        ]
+        return self.choose_near(names, DIGEST_PEER_LIMIT)
+
+    def peers_of_other_regions(self) -> list[str]:
+        """Return a few live VMs of each other region."""
+        names_by_region: dict[str, list[str]] = {}
+        for vm, item in self.live_daemons().items():
+            names_by_region.setdefault(item.region, []).append(vm)
+        names_by_region.pop(self.this.region, None)
+        chosen: list[str] = []
+        for region in sorted(names_by_region):
+            ranked = rank_names(f"digest/{self.this.vm}", names_by_region[region])
+            chosen += ranked[:PEERS_PER_OTHER_REGION]
+        return chosen
+
+    def choose_near(self, names: Iterable[str], limit: int) -> list[str]:
+        """Return the VMs that follow this one in a common order, without it."""
+        ranked = rank_names("near", names)
+        place = ranked.index(self.this.vm)
+        return (ranked[place + 1 :] + ranked[:place])[:limit]
+
+    def watchers(self, region: str | None = None) -> list[str]:
+        """Return the VMs of a region that watch the store, in order of rank."""
+        region = region or self.this.region
+        live = self.live_daemons()
+        names = [vm for vm, item in live.items() if item.region == region]
+        return rank_names(f"watch/{region}", names)[:WATCHERS_PER_REGION]
+
+    def watcher_rank(self) -> int | None:
+        """Return the place of this VM among all watchers, or None if it is none."""
+        if not self.is_watcher():
+            return None
+        regions = {item.region for item in self.live_daemons().values()}
+        watchers = [vm for region in regions for vm in self.watchers(region)]
+        return rank_names("writer", watchers).index(self.this.vm)
+
+    def is_watcher(self) -> bool:
+        """Return whether this VM watches the store for its region."""
+        return self.this.vm in self.watchers()
+
+    def heard_share(self, now: float, limit_s: float, region: str | None) -> float:
+        """Return the share of listed VMs heard within a limit, this one included."""
+        listed = [
+            vm
+            for vm, item in self.listing.daemons_by_id.items()
+            if region in (None, item.region)
+        ]
+        if not listed:
+            return 0.0
+        oldest = now - limit_s
+        heard = sum(
+            vm == self.this.vm or self.heard_at_by_vm.get(vm, oldest - 1) >= oldest
+            for vm in listed
+        )
+        return heard / len(listed)
--- a/primroseturn/membership/service.py
+++ b/primroseturn/membership/service.py
@@ -1,38 +1,85 @@
-"""Kernel services for the VM lists."""
+"""Kernel services for the VM lists, membership, freshness and isolation."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group
 
-from primroseturn.failures import StoreUnavailable
+from primroseturn.configuration.models import EntryVm
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
-from primroseturn.membership.listing import LIST_PREFIX, Listing
-from primroseturn.store.client import StoreClient
+from primroseturn.membership.freshness import Freshness
+from primroseturn.membership.heartbeats import Heartbeats
+from primroseturn.membership.isolation import Isolation
+from primroseturn.membership.listing import Listing
+from primroseturn.membership.members import Members
+from primroseturn.membership.messages import Heartbeat
 
-RETRY_DELAY_S = 0.5
 
+@service("listing")
+@asynccontextmanager
+async def provide_listing(kernel: Kernel) -> AsyncIterator[Listing]:
+    """Provide the VM lists; the configuration service keeps them up to date."""
+    yield Listing()
 
-async def follow_lists(store: StoreClient, listing: Listing) -> None:
-    """Take over the VM lists from the store for ever."""
-    revision = 0
-    while True:
-        try:
-            for item in await store.list_objects(LIST_PREFIX):
-                name = item.key.removeprefix(LIST_PREFIX)
-                listing.install(name, item.version, item.value)
-            revision, _ = await store.watch(LIST_PREFIX, revision)
-        except StoreUnavailable:
-            await sleep(RETRY_DELAY_S)
+
+@service("freshness")
+@asynccontextmanager
+async def provide_freshness(kernel: Kernel) -> AsyncIterator[Freshness]:
+    """Provide the freshness stamps."""
+    yield Freshness()
 
 
-@service("listing", needs=("store",))
+def describe_vm(kernel: Kernel) -> EntryVm:
+    """Return how this VM is listed."""
+    settings = kernel.find("settings")
+    identity, control = settings.identity, settings.control
+    return EntryVm(
+        identity.vm,
+        control.address.host,
+        kernel.find("bus").port,
+        identity.data_center,
+        identity.region,
+        public_key=control.curve_public_key,
+    )
+
+
+@service("membership", needs=("settings", "bus", "listing"))
 @asynccontextmanager
-async def provide_listing(kernel: Kernel) -> AsyncIterator[Listing]:
-    """Provide the VM lists and keep them up to date."""
-    listing = Listing()
+async def provide_membership(kernel: Kernel) -> AsyncIterator[Members]:
+    """Provide the fleet as this VM sees it."""
+    yield Members(describe_vm(kernel), kernel.find("listing"))
+
+
+@service(
+    "heartbeats",
+    needs=("settings", "events", "bus", "membership", "replica", "freshness"),
+)
+@asynccontextmanager
+async def provide_heartbeats(kernel: Kernel) -> AsyncIterator[Heartbeats]:
+    """Exchange heartbeats with peers."""
+    heartbeats = Heartbeats(
+        kernel.find("bus"),
+        kernel.find("membership"),
+        kernel.find("replica"),
+        kernel.find("freshness"),
+        kernel.find("events"),
+        kernel.find("settings").control.heartbeat_interval_s,
+    )
+    kernel.find("bus").handle(Heartbeat, heartbeats.accept)
     async with create_task_group() as tasks:
-        tasks.start_soon(follow_lists, kernel.find("store"), listing)
-        yield listing
+        tasks.start_soon(heartbeats.run)
+        yield heartbeats
         tasks.cancel_scope.cancel()
+
+
+@service("isolation", needs=("settings", "events", "membership", "freshness"))
+@asynccontextmanager
+async def provide_isolation(kernel: Kernel) -> AsyncIterator[Isolation]:
+    """Provide the decision whether keyed requests may be served."""
+    yield Isolation(
+        kernel.find("membership"),
+        kernel.find("freshness"),
+        kernel.find("settings").keys,
+        kernel.find("events"),
+    )
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -78,16 +78,28 @@
 
     async def list_objects(self, prefix: str, after: str = "") -> list[StoredObject]:
         """Return all objects below a prefix whose key sorts after `after`."""
+        return (await self.list_at(prefix, after))[1]
+
+    async def list_at(
+        self, prefix: str, after: str = ""
+    ) -> tuple[int, list[StoredObject]]:
+        """Return the objects below a prefix and the revision to watch from.
+
+        The revision is that of the first page, so that a watch shows all that
+        changed while later pages were read.
+        """
         found: list[StoredObject] = []
+        revision = None
         while True:
             query = {"prefix": prefix, "after": after}
             response = await self.call("GET", "/list", params=query)
             page = response.json()
+            revision = page["revision"] if revision is None else revision
             for item in page["objects"]:
                 value = item["value"].encode("latin-1")
                 found.append(StoredObject(item["key"], item["version"], value))
             if not page["more"]:
-                return found
+                return revision, found
             after = found[-1].key
 
     async def watch(
