--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,62 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: A change reaches all VMs over TCP
+    Given a control fleet of 12 VMs in 2 regions over TCP
+    When 3 workspaces are created in the log
+    Then the newest change is in force everywhere within 2 s
+    And no configuration version went backwards
+
+  Scenario: Changes survive loss, duplication and reordering
+    Given a control fleet of 16 VMs in 2 regions
+    And the network loses 20% and duplicates 20% of the messages
+    When 40 workspaces are created one by one
+    Then the newest change is in force everywhere within 18 s
+    And no configuration version went backwards
+
+  Scenario: A region without the store gets changes from the other region
+    Given a control fleet of 12 VMs in 2 regions
+    When region 2 is cut from the store
+    And 3 workspaces are created in the log
+    Then the newest change is in force everywhere within 18 s
+
+  Scenario: A region that was cut off closes the gap
+    Given a control fleet of 12 VMs in 2 regions
+    When region 2 is cut from the store
+    And region 2 is cut from the other regions
+    And 30 workspaces are created in the log
+    And 1 s pass
+    Then the newest change is not in force at VM 2
+    When all cuts are healed
+    Then the newest change is in force everywhere within 18 s
+    And no configuration version went backwards
+
+  Scenario: A VM starts during a store outage and takes the newest state of its peers
+    Given a control fleet of 8 VMs in 2 regions
+    When messages between VM 2 and VM 1 are lost
+    And the store becomes unavailable
+    And VM 9 starts knowing VMs 1 and 2
+    Then VM 9 has the newest version within 5 s
+    And VM 9 serves the key within 5 s
+    When the store answers again
+    And 2 workspaces are created in the log
+    Then the newest change is in force everywhere within 5 s
+    And no configuration version went backwards
+
+  Scenario: A VM restarts again and again while changes are accepted
+    Given a control fleet of 6 VMs in 2 regions
+    When VM 3 crashes
+    And 5 workspaces are created in the log
+    And VM 3 starts knowing VM 1
+    And VM 3 crashes
+    And 5 workspaces are created in the log
+    And VM 3 starts knowing VM 2
+    Then VM 3 has the newest version within 5 s
+    And the newest change is in force everywhere within 5 s
+    And no configuration version went backwards
+
+  Scenario: Two operators race while the store loses answers
+    Given a control fleet of 6 VMs in 2 regions
+    And the store loses 40% of its answers to writes
+    When two operators each propose 15 changes at the same time
+    Then each proposed change is in the log exactly once and the log has no gap
+    And the newest change is in force everywhere within 5 s
--- /dev/null
+++ b/features/steps/control_plane.py
@@ -0,0 +1,380 @@
+"""Steps for fleets of control planes with faults."""
+
+from anyio import create_task_group, current_time, sleep
+from behave import given, then, when
+from msgspec.json import decode
+
+from features.control_checks import (
+    add_key,
+    add_workspace,
+    serving_vms,
+    VersionChecker,
+    wait_until,
+    wait_version,
+)
+from primroseturn.configuration.log import LOG_PREFIX, propose_change
+from primroseturn.configuration.models import Change
+from primroseturn.standins.fleet import ControlFleet, Place, run_control_fleet
+from primroseturn.standins.store import StoreFaults
+
+SETTLE_LIMIT_S = 10.0
+FAST_HEARTBEAT = {"control": {"heartbeat_interval_s": 0.2}}
+
+
+async def fill(context, count: int, regions: int) -> None:
+    """Start VMs, one configured key, and wait until all are in force."""
+    fleet: ControlFleet = context.control
+    context.key_id = add_key(fleet, "shop")
+    context.checker = VersionChecker()
+    await fleet.add_many(count, regions=regions)
+    for vm, kernel in fleet.kernels_by_vm.items():
+        context.checker.observe(vm, kernel)
+    await wait_version(fleet, fleet.version, SETTLE_LIMIT_S)
+    await wait_until(
+        lambda: len(serving_vms(fleet, context.key_id)) == count, SETTLE_LIMIT_S
+    )
+
+
+def open_fleet(context, count: int, regions: int, memory: bool) -> None:
+    """Run a fleet for the scenario."""
+    manager = context.portal.wrap_async_context_manager(run_control_fleet(7, memory))
+    context.control = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    context.portal.call(fill, context, count, regions)
+
+
+def vm_name(number: int) -> str:
+    """Return the name of the n-th VM of a fleet."""
+    return f"vm{number:03d}"
+
+
+def region_vms(context, number: int) -> list[str]:
+    """Return the running VMs of a region."""
+    listed = context.control.entry_vms_by_name
+    return [
+        vm
+        for vm in context.control.kernels_by_vm
+        if listed[vm].region == f"region{number}"
+    ]
+
+
+def cut_pairs(context, senders, receivers) -> None:
+    """Lose all messages from some VMs to others."""
+    cuts = context.control.network.faults.cuts
+    cuts.update((one, other) for one in senders for other in receivers if one != other)
+
+
+@given("a control fleet of {count:d} VMs in {regions:d} regions")
+def step_fleet(context, count, regions):
+    open_fleet(context, count, regions, memory=True)
+
+
+@given("a control fleet of {count:d} VMs in {regions:d} regions over TCP")
+def step_tcp_fleet(context, count, regions):
+    open_fleet(context, count, regions, memory=False)
+
+
+@given("the network loses {loss:d}% and duplicates {copies:d}% of the messages")
+def step_loss(context, loss, copies):
+    faults = context.control.network.faults
+    faults.loss_share, faults.duplicate_share = loss / 100, copies / 100
+    faults.jitter_s = 0.05
+
+
+@given("the store is unavailable")
+@when("the store becomes unavailable")
+def step_outage(context):
+    context.portal.call(context.control.store.set_faults, StoreFaults(outage=True))
+
+
+@when("the store answers again")
+def step_store_back(context):
+    context.portal.call(context.control.store.set_faults, StoreFaults())
+
+
+@given("the store loses {share:d}% of its answers to writes")
+def step_lost_answers(context, share):
+    faults = StoreFaults(lost_answer_share=share / 100, seed=3)
+    context.portal.call(context.control.store.set_faults, faults)
+
+
+@when("region {number:d} is cut from the other regions")
+def step_region_cut(context, number):
+    inside = region_vms(context, number)
+    outside = [vm for vm in context.control.kernels_by_vm if vm not in inside]
+    cut_pairs(context, inside, outside)
+    cut_pairs(context, outside, inside)
+
+
+@when("region {number:d} is cut from the store")
+def step_region_store_cut(context, number):
+    for vm in region_vms(context, number):
+        context.control.store_links_by_vm[vm].cut = True
+
+
+@when("VM {number:d} is cut from the store")
+def step_store_cut(context, number):
+    context.control.store_links_by_vm[vm_name(number)].cut = True
+
+
+@when("all messages to VM {number:d} are lost")
+def step_inbound_cut(context, number):
+    cut_pairs(context, context.control.kernels_by_vm, [vm_name(number)])
+
+
+@when("all messages from VM {number:d} are lost")
+def step_outbound_cut(context, number):
+    cut_pairs(context, [vm_name(number)], context.control.kernels_by_vm)
+
+
+@when("messages from VM {one:d} to VM {other:d} are lost")
+def step_one_way_cut(context, one, other):
+    cut_pairs(context, [vm_name(one)], [vm_name(other)])
+
+
+@when("messages between VM {one:d} and VM {other:d} are lost")
+def step_two_way_cut(context, one, other):
+    cut_pairs(context, [vm_name(one)], [vm_name(other)])
+    cut_pairs(context, [vm_name(other)], [vm_name(one)])
+
+
+@when("all cuts are healed")
+def step_heal(context):
+    context.control.network.faults.cuts.clear()
+    for link in context.control.store_links_by_vm.values():
+        link.cut = False
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.portal.call(sleep, seconds)
+
+
+@when("{count:d} workspaces are created in the log")
+def step_create_workspaces(context, count):
+    async def create():
+        for number in range(count):
+            add_workspace(context.control, f"w{context.control.version}-{number}")
+
+    context.portal.call(create)
+
+
+@when("{count:d} workspaces are created one by one")
+def step_create_slowly(context, count):
+    async def create():
+        for number in range(count):
+            add_workspace(context.control, f"w{context.control.version}-{number}")
+            await sleep(0.02)
+
+    context.portal.call(create)
+
+
+@then("the newest change is in force everywhere within {limit:g} s")
+def step_in_force(context, limit):
+    fleet = context.control
+    context.portal.call(wait_version, fleet, fleet.version, limit)
+
+
+@then("no configuration version went backwards")
+def step_never_back(context):
+    assert context.checker.changes, "no change was observed"
+    assert not context.checker.faults, context.checker.faults
+
+
+@then("the newest change is not in force at VM {number:d}")
+def step_not_in_force(context, number):
+    versions = context.control.versions()
+    assert versions[vm_name(number)] < context.control.version, versions
+
+
+@when("VM {number:d} crashes")
+def step_crash(context, number):
+    context.portal.call(context.control.remove, vm_name(number))
+
+
+@when("VM {number:d} starts knowing VM {seed:d}")
+def step_start(context, number, seed):
+    start_vm(context, number, [seed])
+
+
+@when("VM {number:d} starts knowing VMs {one:d} and {other:d}")
+def step_start_two(context, number, one, other):
+    start_vm(context, number, [one, other])
+
+
+def start_vm(context, number: int, seeds: list[int]) -> None:
+    """Start a VM that knows others from its settings only."""
+    fleet = context.control
+    known = []
+    for seed in seeds:
+        listed = fleet.entry_vms_by_name[vm_name(seed)]
+        address = {"host": listed.host, "port": listed.control_port}
+        known.append({"vm": listed.vm, "address": address})
+
+    async def start():
+        place = Place(number - 1, 2, 2)
+        kernel = await fleet.add(vm_name(number), place, control={"seeds": known})
+        context.checker.observe(vm_name(number), kernel)
+
+    context.portal.call(start)
+
+
+@then("VM {number:d} serves the key within {limit:g} s")
+def step_serves(context, number, limit):
+    fleet, name = context.control, vm_name(number)
+    context.portal.call(
+        wait_until, lambda: name in serving_vms(fleet, context.key_id), limit
+    )
+
+
+@then("VM {number:d} has the newest version within {limit:g} s")
+def step_has_newest(context, number, limit):
+    fleet, name = context.control, vm_name(number)
+    context.portal.call(
+        wait_until, lambda: fleet.versions()[name] >= fleet.version, limit
+    )
+
+
+@then("VM {number:d} refuses the key within {limit:g} s")
+def step_refuses(context, number, limit):
+    fleet, name = context.control, vm_name(number)
+    context.portal.call(
+        wait_until, lambda: name not in serving_vms(fleet, context.key_id), limit
+    )
+
+
+@then("all VMs of region {number:d} refuse the key within {limit:g} s")
+def step_region_refuses(context, number, limit):
+    fleet, names = context.control, set(region_vms(context, number))
+    context.portal.call(
+        wait_until,
+        lambda: not names & set(serving_vms(fleet, context.key_id)),
+        limit,
+    )
+
+
+@then("all VMs serve the key for {seconds:g} s")
+def step_all_serve(context, seconds):
+    fleet = context.control
+
+    async def watch():
+        end = current_time() + seconds
+        while current_time() < end:
+            missing = set(fleet.kernels_by_vm) - set(serving_vms(fleet, context.key_id))
+            assert not missing, sorted(missing)
+            await sleep(0.05)
+
+    context.portal.call(watch)
+
+
+@then("all VMs of region {number:d} serve the key")
+def step_region_serves(context, number):
+    serving = context.portal.call(serving_vms, context.control, context.key_id)
+    assert set(region_vms(context, number)) <= set(serving), serving
+
+
+@when("the key is withdrawn through VM {number:d}")
+def step_withdraw(context, number):
+    kernel = context.control.kernels_by_vm[vm_name(number)]
+
+    async def withdraw():
+        context.withdrawn_at = current_time()
+        result = await kernel.find("withdrawals").withdraw(
+            context.key_id, "operation-1"
+        )
+        context.withdrawal = result.ok
+
+    context.portal.call(withdraw)
+
+
+@then('the withdrawal is "{state}" and in force at {count:d} VMs')
+def step_withdrawal(context, state, count):
+    found = context.withdrawal
+    assert (found.state, found.in_force) == (state, count), found
+
+
+@then("the withdrawal names {count:d} VMs that were not heard")
+def step_unheard(context, count):
+    assert len(context.withdrawal.unheard) == count, context.withdrawal
+
+
+@then("no VM serves the key later than 5 s after its withdrawal")
+def step_withdrawn(context):
+    fleet = context.control
+
+    async def watch():
+        await sleep(max(0.0, context.withdrawn_at + 5.0 - current_time()))
+        for _ in range(20):
+            serving = serving_vms(fleet, context.key_id)
+            assert not serving, serving
+            await sleep(0.05)
+
+    context.portal.call(watch)
+
+
+@then("the log records the withdrawal once within {limit:g} s")
+def step_recorded(context, limit):
+    fleet = context.control
+
+    def records():
+        changes = [
+            decode(entry.value, type=Change)
+            for key, entry in fleet.store.entries_by_key.items()
+            if key.startswith(LOG_PREFIX)
+        ]
+        return [
+            item
+            for item in changes
+            if item.name == context.key_id and item.body.get("withdrawn")
+        ]
+
+    context.portal.call(wait_until, records, limit)
+    context.portal.call(sleep, 1.0)
+    assert len(records()) == 1, records()
+
+
+@when("two operators each propose {count:d} changes at the same time")
+def step_race(context, count):
+    fleet = context.control
+    context.proposed = []
+
+    async def operate(number: int):
+        kernel = fleet.kernels_by_vm[vm_name(number)]
+        replica = kernel.find("replica")
+        for item in range(count):
+            name = f"race-{number}-{item}"
+            body = {"name": name, "rate": 1, "burst": 1}
+            change = Change(
+                replica.state.version, name, "test", "workspace", name, body
+            )
+            for _ in range(20):
+                result = await propose_change(
+                    kernel.find("store"), change, list(replica.recent)
+                )
+                if result.is_ok():
+                    break
+            context.proposed.append((name, result))
+
+    async def race():
+        async with create_task_group() as tasks:
+            tasks.start_soon(operate, 1)
+            tasks.start_soon(operate, 2)
+        fleet.version += 2 * count
+
+    context.portal.call(race)
+
+
+@then("each proposed change is in the log exactly once and the log has no gap")
+def step_log_exact(context):
+    entries = context.control.store.entries_by_key
+    changes = [
+        decode(entries[key].value, type=Change)
+        for key in sorted(entries)
+        if key.startswith(LOG_PREFIX)
+    ]
+    versions = [change.version for change in changes]
+    assert versions == list(range(1, len(versions) + 1)), versions
+    operations = [change.operation_id for change in changes]
+    for name, result in context.proposed:
+        assert result.is_ok(), (name, result)
+        assert operations.count(name) == 1, (name, operations)
--- /dev/null
+++ b/features/withdrawal.feature
@@ -0,0 +1,51 @@
+Feature: A withdrawn key stops working within seconds
+
+  Scenario: A withdrawal is recorded and in force at all VMs
+    Given a control fleet of 8 VMs in 2 regions over TCP
+    When the key is withdrawn through VM 1
+    Then the withdrawal is "recorded" and in force at 8 VMs
+    And no VM serves the key later than 5 s after its withdrawal
+
+  Scenario: A withdrawal does not wait for the store and is recorded later
+    Given a control fleet of 8 VMs in 2 regions
+    When the store becomes unavailable
+    And the key is withdrawn through VM 1
+    Then the withdrawal is "acknowledged" and in force at 8 VMs
+    When VM 1 crashes
+    And the store answers again
+    Then the log records the withdrawal once within 15 s
+
+  Scenario: A VM that cannot be reached directly is reached through others
+    Given a control fleet of 8 VMs in 2 regions
+    When messages from VM 1 to VM 5 are lost
+    And the key is withdrawn through VM 1
+    Then the withdrawal is "recorded" and in force at 8 VMs
+
+  Scenario: A cut-off region refuses keys while the store is unavailable
+    Given a control fleet of 9 VMs in 2 regions
+    When region 2 is cut from the other regions
+    And the store becomes unavailable
+    And the key is withdrawn through VM 1
+    Then the withdrawal is "acknowledged" and in force at 5 VMs
+    And the withdrawal names 4 VMs that were not heard
+    And no VM serves the key later than 5 s after its withdrawal
+
+  Scenario: A VM that hears nothing refuses keys although it can still send
+    Given a control fleet of 8 VMs in 2 regions
+    When all messages to VM 3 are lost
+    And VM 3 is cut from the store
+    And the key is withdrawn through VM 1
+    Then no VM serves the key later than 5 s after its withdrawal
+
+  Scenario: A VM that nobody hears refuses keys although it can still receive
+    Given a control fleet of 8 VMs in 2 regions
+    When all messages from VM 3 are lost
+    And VM 3 is cut from the store
+    Then VM 3 refuses the key within 5 s
+
+  Scenario: A lost withdrawal message is made up for by heartbeats
+    Given a control fleet of 10 VMs in 2 regions
+    And the network loses 30% and duplicates 20% of the messages
+    When the store becomes unavailable
+    And the key is withdrawn through VM 4
+    Then no VM serves the key later than 5 s after its withdrawal
--- a/primroseturn/membership/heartbeats.py
+++ b/primroseturn/membership/heartbeats.py
@@ -16,11 +16,11 @@
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.membership.events import LINK_ONE_WAY, LINK_RESTORED
 from primroseturn.membership.freshness import Freshness, Stamp
+from primroseturn.membership.listing import ENTRY_LIST
 from primroseturn.membership.members import Link, Members
 from primroseturn.membership.messages import Heartbeat, NO_STAMP
 from primroseturn.observation.events import EventLog
 
-ENTRY_LIMIT = 12
 ROUNDS_KEPT = 64
 # The interval varies by this share, so that daemons do not send in step.
 INTERVAL_JITTER = 0.1
@@ -72,8 +72,9 @@
             self.number += 1
             self.sent_at_by_number[self.number] = now
             self.sent_at_by_number.pop(self.number - ROUNDS_KEPT, None)
+            ages = self.members.encode_ages(now)
             for peer in self.members.peers():
-                await self.bus.send(peer, self.create(peer))
+                await self.bus.send(peer, self.create(peer, now, ages))
             self.report_links()
             jitter = self.random.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
             await sleep(self.interval_s * jitter)
@@ -83,14 +84,12 @@
         for vm, address in self.members.addresses().items():
             self.bus.learn_address(vm, address)
 
-    def create(self, peer: str) -> Heartbeat:
+    def create(self, peer: str, now: float, ages: tuple[int, bytes]) -> Heartbeat:
         """Return the heartbeat of this round for a peer."""
-        now = current_time()
         link = self.members.links_by_vm.get(peer)
         hold_s = now - link.received_at if link else 0.0
         stamp = self.freshness.newest
         age_ms = ceil((now - stamp.contact_at) * 1000) if stamp else NO_STAMP
-        entries = self.members.sample_entries(now, ENTRY_LIMIT)
         return Heartbeat(
             self.number,
             link.received_number if link else 0,
@@ -100,7 +99,8 @@
             stamp.version if stamp else 0,
             age_ms,
             self.members.listing.versions_hash,
-            [(vm, ceil(age_s * 1000)) for vm, age_s in entries],
+            self.entry_version(),
+            *ages,
             None if self.members.is_listed() else self.members.this,
         )
 
@@ -135,14 +135,18 @@
     def take_over(self, vm: str, heartbeat: Heartbeat, sent_at: float) -> None:
         """Note who was alive and the freshness stamp."""
         self.members.note_alive(vm, sent_at)
-        for name, age_ms in heartbeat.entries:
-            self.members.note_alive(name, sent_at - max(age_ms, 0) / 1000)
+        if heartbeat.entry_version == self.entry_version():
+            self.members.take_ages(heartbeat.ages_start, heartbeat.ages, sent_at)
         if heartbeat.stamp_age_ms != NO_STAMP:
             contact_at = sent_at - max(heartbeat.stamp_age_ms, 0) / 1000
             self.freshness.offer(
                 Stamp(heartbeat.stamp_version, contact_at), self.replica.state.version
             )
 
+    def entry_version(self) -> int:
+        """Return the version of the list of entry VMs."""
+        return self.members.listing.versions_by_list.get(ENTRY_LIST, 0)
+
     def report_links(self) -> None:
         """Emit an event for each peer whose link begins or ends to be one-way."""
         now = current_time()
--- a/primroseturn/membership/members.py
+++ b/primroseturn/membership/members.py
@@ -1,6 +1,7 @@
 """Which entry VMs are alive, and which of them this VM exchanges heartbeats with."""
 
 from collections.abc import Callable, Iterable
+from math import ceil
 from random import Random
 from typing import NamedTuple
 
@@ -10,12 +11,14 @@
 from primroseturn.configuration.models import EntryVm
 from primroseturn.control.zeromq import PeerAddress
 from primroseturn.membership.listing import ENTRY_LIST, Listing
+from primroseturn.membership.messages import AGE_UNIT_S, AGE_UNKNOWN
 from primroseturn.membership.rings import PEER_LIMIT, rank_names, region_of, Rings
 
 SILENCE_LIMIT_S = 2.0
 # Above this size the ages of all VMs do not travel fast enough in heartbeats; a VM
 # then counts as live while it is listed, unless it is a silent neighbour.
-AGE_TABLE_LIMIT = 128
+AGE_TABLE_LIMIT = 256
+AGES_SENT = 256
 WATCHERS_PER_REGION = 2
 DIGEST_PEER_LIMIT = 12
 PEERS_PER_OTHER_REGION = 2
@@ -50,6 +53,8 @@
 
     Attributes
     ----------
+    order
+        Names of the listed entry VMs in the order in which heartbeats state ages.
     heard_at_by_vm
         Latest time, on this process's clock, at which a VM is known to have been
         alive with no withdrawal and no version that this VM does not have.
@@ -62,6 +67,7 @@
         self.listing = listing
         self.random = random or Random()
         self.rings = Rings()
+        self.order: list[str] = []
         self.links_by_vm: dict[str, Link] = {}
         self.heard_at_by_vm: dict[str, float] = {}
         self.listed_at_by_vm: dict[str, float] = {}
@@ -77,6 +83,7 @@
         listed = self.listing.daemons_by_id
         now = current_time()
         self.rings.update(region_of([*listed.values(), self.this]))
+        self.order = sorted(listed)
         known = self.listed_at_by_vm
         self.listed_at_by_vm = {vm: known.get(vm, now) for vm in listed}
         for vm in [vm for vm in self.heard_at_by_vm if vm not in listed]:
@@ -131,14 +138,25 @@
         if at > self.heard_at_by_vm.get(vm, float("-inf")):
             self.heard_at_by_vm[vm] = at
 
-    def sample_entries(self, now: float, limit: int) -> list[tuple[str, float]]:
-        """Return up to `limit` VMs and the time since each was alive."""
-        young = [
-            (vm, now - at)
-            for vm, at in self.heard_at_by_vm.items()
-            if now - at <= 2 * SILENCE_LIMIT_S
-        ]
-        return young if len(young) <= limit else self.random.sample(young, limit)
+    def encode_ages(self, now: float) -> tuple[int, bytes]:
+        """Return a position in the order of names, and the ages from there on."""
+        start = 0
+        if len(self.order) > AGES_SENT:
+            start = self.random.randrange(len(self.order))
+        ages = bytearray()
+        for vm in self.order[start : start + AGES_SENT]:
+            age_s = now - self.heard_at_by_vm.get(vm, float("-inf"))
+            if vm == self.this.vm:
+                age_s = 0.0
+            units = min(age_s / AGE_UNIT_S, AGE_UNKNOWN)
+            ages.append(min(ceil(units), AGE_UNKNOWN))
+        return start, bytes(ages)
+
+    def take_ages(self, start: int, ages: bytes, at: float) -> None:
+        """Take over ages that were true at a time on this process's clock."""
+        for vm, age in zip(self.order[max(start, 0) :], ages, strict=False):
+            if age != AGE_UNKNOWN:
+                self.note_alive(vm, at - age * AGE_UNIT_S)
 
     def is_alive(self, vm: str, now: float) -> bool:
         """Return whether a VM counts as live."""
--- a/primroseturn/membership/messages.py
+++ b/primroseturn/membership/messages.py
@@ -4,6 +4,8 @@
 from primroseturn.control.messages import Message, message
 
 NO_STAMP = -1
+AGE_UNIT_S = 0.02
+AGE_UNKNOWN = 255
 
 
 @message("heartbeat")
@@ -25,8 +27,12 @@
         Newest freshness stamp; `NO_STAMP` as age for none. Ages are rounded up.
     listing_hash
         Hash of the versions of the sender's VM lists.
-    entries
-        Names of VMs and the time in ms since they are known to have been alive.
+    entry_version
+        Version of the sender's list of entry VMs.
+    ages_start, ages
+        One byte per VM, in the order of their names in that list from a position
+        on: the time since the VM is known to have been alive, in units of
+        `AGE_UNIT_S`, rounded up, or `AGE_UNKNOWN`.
     place
         Where the sender is, stated while its VM list does not contain it.
     """
@@ -39,5 +45,7 @@
     stamp_version: int
     stamp_age_ms: int
     listing_hash: int
-    entries: list[tuple[str, int]]
+    entry_version: int
+    ages_start: int
+    ages: bytes
     place: EntryVm | None = None
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -8,11 +8,13 @@
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
+from anyio import fail_after
 from httpx import AsyncClient, HTTPError, Limits, Response
 
 from primroseturn.failures import StoreUnavailable, VersionConflict
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
+from primroseturn.settings.models import StoreSettings
 
 WATCH_LIMIT_S = 30.0
 
@@ -141,8 +143,12 @@
         operation = f"{method} {path}"
         timeout = limit_s or self.call_limit_s
         try:
-            response = await self.http.request(method, path, timeout=timeout, **options)
-        except HTTPError as error:
+            # httpx limits the time between bytes only, hence the limit on the whole.
+            with fail_after(timeout):
+                response = await self.http.request(
+                    method, path, timeout=timeout, **options
+                )
+        except (HTTPError, TimeoutError) as error:
             detail = type(error).__name__
             raise StoreUnavailable(operation, detail, write) from error
         if response.status_code >= 500 or response.status_code == 429:
@@ -152,6 +158,11 @@
         return response
 
 
+def create_client(http: AsyncClient, settings: StoreSettings) -> StoreClient:
+    """Return a client that calls the store through `http`."""
+    return StoreClient(http, settings.call_limit_s)
+
+
 @service("store", needs=("settings",))
 @asynccontextmanager
 async def provide_store(kernel: Kernel) -> AsyncIterator[StoreClient]:
@@ -159,4 +170,4 @@
     settings = kernel.find("settings").store
     limits = Limits(max_connections=64, max_keepalive_connections=16)
     async with AsyncClient(base_url=settings.url, limits=limits) as http:
-        yield StoreClient(http, settings.call_limit_s)
+        yield create_client(http, settings)
