--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -25,6 +25,9 @@
     "primroseturn.observation.clocks",
 )
 DAEMON_SERVICES = (
+    "configuration",
+    "withdrawals",
+    "isolation",
     "callers",
     "retries",
     "hedging",
