Merge step names that two concerns defined

Cause: two step modules defined the same wording. Change: one module for waiting steps, another wording for repeated requests.

--- a/features/ejection.feature
+++ b/features/ejection.feature
@@ -50,6 +50,6 @@
   Scenario: An ejected target takes no requests in a running daemon
     Given a fleet with 3 targets and 1 daemons
     When the target "target1" answers errors only
-    And the workspace "shop" sends 300 times GET "/find/cartridge" through "vm1"
+    And the workspace "shop" repeats 300 times GET "/find/cartridge" through "vm1"
     Then the daemon "vm1" has ejected "target1"
     And at least 28 of the last 30 requests were answered by other targets than "target1"
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -39,5 +39,5 @@
 
   Scenario: A daemon writes a trace that replay accepts
     Given a fleet whose daemon records a trace
-    When the workspace "shop" sends 30 times GET "/find/cartridge" through "vm1"
+    When the workspace "shop" repeats 30 times GET "/find/cartridge" through "vm1"
     Then the recorded trace replays with 30 requests
--- a/features/steps/control_plane.py
+++ b/features/steps/control_plane.py
@@ -155,11 +155,6 @@
         link.cut = False
 
 
-@when("{seconds:g} s pass")
-def step_pass(context, seconds):
-    context.portal.call(sleep, seconds)
-
-
 @when("{count:d} workspaces are created in the log")
 def step_create_workspaces(context, count):
     async def create():
--- a/features/steps/ejection.py
+++ b/features/steps/ejection.py
@@ -186,7 +186,8 @@
 
 
 @when(
-    'the workspace "{workspace}" sends {count:d} times {method} "{path}" through "{vm}"'
+    'the workspace "{workspace}" repeats {count:d} times {method} "{path}" '
+    'through "{vm}"'
 )
 def step_send_many(context, workspace, count, method, path, vm):
     fleet = context.fleet
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -128,11 +128,6 @@
     context.answers.clear()
 
 
-@when("{seconds:g} s pass")
-def step_pass(context, seconds):
-    context.portal.call(sleep, seconds)
-
-
 @when('target "{name}" sends a stray answer after the next one')
 def step_stray(context, name):
     body = b'{"path": "/find/stray"}'
