--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -7,13 +7,16 @@
 from cappa import command, invoke, Subcommands
 
 from primroseturn import __version__
+from primroseturn.cli.admin.main import Admin
 from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
+from primroseturn.cli.events import Events
+from primroseturn.cli.replay import Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Standin, Settings, Bench)
+COMMANDS = (Daemon, Admin, Events, Standin, Settings, Bench, Replay, Traces)
 
 
 def build_root() -> type:
@@ -35,6 +38,6 @@
     return Primroseturn
 
 
-def main() -> None:
-    """Run the command line."""
-    invoke(build_root(), version=__version__)
+def main(argv: list[str] | None = None) -> None:
+    """Run the command line, with the process's arguments by default."""
+    invoke(build_root(), argv=argv, version=__version__)
--- a/primroseturn/requestpath/services.py
+++ b/primroseturn/requestpath/services.py
@@ -5,7 +5,7 @@
 
 from expression import Ok, Result
 
-from primroseturn.claims.direct import DirectClaims
+from primroseturn.claims.claims import Claims
 from primroseturn.configuration.replica import Replica
 from primroseturn.failures import Failure
 from primroseturn.kernel.kernel import Kernel
@@ -62,7 +62,7 @@
     router: Router
     admission: Admission
     dispatcher: Dispatcher
-    claims: DirectClaims
+    claims: Claims
     events: EventLog
     pools: Pools
     readiness: Readiness
