Use the claim service's own failures and release only granted claims

The claim service gives up an attempt by itself when it grants nothing, and names outcomes that it did not keep.

--- a/primroseturn/requestpath/once.py
+++ b/primroseturn/requestpath/once.py
@@ -8,6 +8,7 @@
 from primroseturn.claims.models import (
     Operation,
     OUTCOME_BODY_LIMIT_BYTES,
+    OutcomeNotKept,
     RecordedOutcome,
 )
 from primroseturn.failures import Failure, Refusal
@@ -34,18 +35,6 @@
 KEY_LIMIT_BYTES = 256
 
 
-class OutcomeNotKept(Failure):
-    """The operation ran, but its answer was too long to record."""
-
-    code = "outcome-not-kept"
-
-    def __init__(self, status: int) -> None:
-        super().__init__(
-            f"an earlier request with this Idempotency-Key ran and was answered "
-            f"with status {status}; the body was not kept"
-        )
-
-
 def operation_of(passage: Passage, headers: HeaderList) -> Operation:
     """Return the operation that a request names.
 
@@ -81,22 +70,14 @@
         """
         claims = self.services.claims
         operation = operation_of(passage, headers)
-        claimed = False
+        claim = unwrap(await claims.claim(operation))
+        if isinstance(claim, RecordedOutcome):
+            await send_outcome(passage, claim)
+            return
         try:
-            # A cancelled claim may have been recorded, so it is released as well.
-            claimed = True
-            claim = unwrap(await claims.claim(operation))
-            if isinstance(claim, RecordedOutcome):
-                claimed = False
-                await send_outcome(passage, claim)
-                return
             await self.run(passage, operation)
-        except RequestRefused as refused:
-            if refused.refusal.kind in KINDS_WITHOUT_CLAIM:
-                claimed = False
-            raise
         finally:
-            if claimed and not passage.sent:
+            if not passage.sent:
                 await self.release(operation)
 
     async def run(self, passage: Passage, operation: Operation) -> None:
@@ -212,12 +193,6 @@
                 pass
 
 
-# Refusals by the claim service itself: there is no claim of this attempt.
-KINDS_WITHOUT_CLAIM = frozenset(
-    ("claim-unavailable", "operation-in-doubt", "idempotency-key-reused")
-)
-
-
 def outcome_of(exchange: Exchange, body: bytes | None) -> RecordedOutcome:
     """Return what is recorded of an answer; None stands for a body not kept."""
     types = values_of(exchange.headers, b"content-type")
