Give each operators' command its module and test TLS of both listeners

Before: 0 scenarios over TLS. After: 1, with and without the trusted authority. Conclusion: both listeners serve TLS, and a client without the authority exits with code 4.

--- a/features/admin.feature
+++ b/features/admin.feature
@@ -114,3 +114,11 @@
   Scenario: An address without a daemon exits with code 4
     When the operator runs "status --url http://127.0.0.1:9"
     Then the command exits with code 4
+
+  Scenario: The administration API and the callers' listener serve TLS
+    Given a daemon "tls1" with a certificate for its address
+    When the operator runs "status" on "tls1" with the certificate's authority
+    Then the command exits with code 0
+    When the operator runs "status" on "tls1" without the certificate's authority
+    Then the command exits with code 4
+    And a caller who trusts the authority gets status 200 from "tls1" over TLS
--- a/features/steps/admin.py
+++ b/features/steps/admin.py
@@ -3,6 +3,7 @@
 import json
 from hashlib import sha256
 from pathlib import Path
+from ssl import create_default_context
 from tempfile import mkdtemp
 from time import monotonic, sleep
 
@@ -10,6 +11,7 @@
 from behave import given, then, when
 from httpx import AsyncClient
 
+from features.certificates import write_certificate
 from features.fleet import run_fleet
 from features.steps.product_commands import call_command
 from features.steps.request_path import fill_fleet
@@ -44,10 +46,11 @@
     context.cleanups.append(lambda: manager.__exit__(None, None, None))
     add_daemon = fleet.add_daemon
 
-    async def add_daemon_for_operators(vm, **sections):
+    async def add_daemon_for_operators(vm, admin_tls=None, **sections):
         sections["admin"] = {
             "reader_digests": [digest(TOKENS["reader"])],
             "writer_digests": [digest(TOKENS["writer"])],
+            "tls": admin_tls,
         }
         sections["logs"] = {"events_file": str(context.events_file)}
         return await add_daemon(vm, **sections)
@@ -317,3 +320,39 @@
     entry = next(item for item in entries if item["operation_id"] == operation_id)
     assert entry["author"] == digest(TOKENS["writer"])[:8], entry
     assert entry["at_unix_s"] > 0 and entry["kind"] == "workspace", entry
+
+
+@given('a daemon "{vm}" with a certificate for its address')
+def step_tls_daemon(context, vm):
+    files = write_certificate(context.token_file.parent)
+    context.ca_file = files[0]
+    tls = {"certificate_file": str(files[0]), "key_file": str(files[1])}
+    fleet = context.fleet
+
+    async def start():
+        await fleet.add_daemon(vm, callers={"tls": tls}, admin_tls=tls)
+        await fleet.wait_ready()
+
+    context.portal.call(start)
+
+
+@when('the operator runs "{command}" on "{vm}" {kind} the certificate\'s authority')
+def step_tls_operator(context, command, vm, kind):
+    url = admin_url(context, vm).replace("http:", "https:")
+    option = f" --ca-file {context.ca_file}" if kind == "with" else ""
+    run_admin(context, f"{command} --url {url}{option}")
+
+
+@then('a caller who trusts the authority gets status {status:d} from "{vm}" over TLS')
+def step_tls_caller(context, status, vm):
+    key = context.fleet.secrets_by_workspace["shop"]
+    port = context.fleet.kernels_by_vm[vm].find("callers")
+    verify = create_default_context(cafile=context.ca_file)
+
+    async def work():
+        async with AsyncClient(verify=verify, trust_env=False) as http:
+            url = f"https://127.0.0.1:{port}/find/x"
+            return await http.get(url, headers={"x-api-key": key})
+
+    answer = context.portal.call(work)
+    assert answer.status_code == status, answer.text
--- a/primroseturn/admin/client.py
+++ b/primroseturn/admin/client.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from ssl import create_default_context
 from typing import Any
+from urllib.parse import quote
 from uuid import uuid4
 
 from httpx import AsyncClient, HTTPError, InvalidURL
@@ -61,7 +62,7 @@
         query = {name: value for name, value in query.items() if value is not None}
         try:
             response = await self.http.request(
-                method, f"/v1/{path}", json=body, params=query
+                method, f"/v1/{quote(path)}", json=body, params=query
             )
             value = response.json()
         except (HTTPError, ValueError, InvalidURL) as error:
--- a/primroseturn/cli/admin/connection.py
+++ b/primroseturn/cli/admin/connection.py
@@ -17,6 +17,7 @@
     create_operation_id,
     open_client,
 )
+from primroseturn.cli.admin.output import print_table
 from primroseturn.cli.exits import ExitCode, fail
 
 Task = Callable[[AdminClient], Awaitable[dict[str, Any]]]
@@ -30,18 +31,6 @@
 }
 
 
-def print_table(rows: list[dict[str, Any]]) -> None:
-    """Print rows with the columns of the first row."""
-    if not rows:
-        return
-    columns = list(rows[0])
-    cells = [[str(row.get(column, "")) for column in columns] for row in rows]
-    widths = [max(map(len, items)) for items in zip(columns, *cells, strict=True)]
-    for line in (columns, *cells):
-        padded = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
-        print("  ".join(padded).rstrip())
-
-
 @dataclass(kw_only=True)
 class Connection:
     """Where the administration API is and how the answer is printed."""
--- /dev/null
+++ b/primroseturn/cli/admin/key.py
@@ -0,0 +1,21 @@
+"""Options of commands that give or withdraw a key."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from primroseturn.cli.admin.connection import ChangeOptions
+from primroseturn.cli.admin.output import flatten
+
+
+@dataclass(kw_only=True)
+class KeyChange(ChangeOptions):
+    """Options of commands that give or withdraw a key."""
+
+    def post_and_show(self, path: str) -> None:
+        """Send the call and print the answer."""
+        body: dict[str, Any] = {
+            "operation_id": self.operation_id,
+            "dry_run": self.dry_run,
+        }
+        answer = self.run_change(lambda client: client.call("POST", path, body))
+        self.show(answer, flatten(answer))
--- a/primroseturn/cli/admin/main.py
+++ b/primroseturn/cli/admin/main.py
@@ -4,9 +4,16 @@
 
 from cappa import command, Subcommands
 
-from primroseturn.cli.admin.change import Delete, Set, UsePreset
-from primroseturn.cli.admin.keys import GiveKey, WithdrawKey
-from primroseturn.cli.admin.read import Audit, List, Show, Status, Targets
+from primroseturn.cli.admin.audit import Audit
+from primroseturn.cli.admin.delete import Delete
+from primroseturn.cli.admin.give import GiveKey
+from primroseturn.cli.admin.list import List
+from primroseturn.cli.admin.preset import UsePreset
+from primroseturn.cli.admin.set import Set
+from primroseturn.cli.admin.show import Show
+from primroseturn.cli.admin.status import Status
+from primroseturn.cli.admin.targets import Targets
+from primroseturn.cli.admin.withdraw import WithdrawKey
 
 
 @command(
