--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -8,13 +8,15 @@
 
 from primroseturn import __version__
 from primroseturn.cli.admin.main import Admin
+from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.events import Events
+from primroseturn.cli.replay import Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Admin, Events, Standin, Settings)
+COMMANDS = (Daemon, Admin, Events, Standin, Settings, Bench, Replay, Traces)
 
 
 def build_root() -> type:
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -14,6 +14,7 @@
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
     "primroseturn.detection.service",
+    "primroseturn.replay.recorder",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
@@ -23,7 +24,18 @@
     "primroseturn.observation.health",
     "primroseturn.observation.clocks",
 )
-DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "admin", "metrics")
+DAEMON_SERVICES = (
+    "configuration",
+    "withdrawals",
+    "isolation",
+    "callers",
+    "retries",
+    "hedging",
+    "digests",
+    "recorder",
+    "admin",
+    "metrics",
+)
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -25,15 +25,15 @@
 SETTLE_LIMIT_S = 1.0
 # A VM suspects its own network path when more than this share of the targets that
 # it observes look bad.
-PATH_SHARE = 0.5
+PATH_SHARE = 0.66
 PATH_TARGETS = 3
 PATH_BAD_SHARE = 0.5
 PATH_WEIGHT = 1.5
 PATH_REFRESH_S = 0.05
 # Another class shows health when it has this weight of evidence and less than this
-# part of the suspect scope's bad share.
-CLASS_WEIGHT = 3.0
-CLASS_PART = 0.5
+# part of the bad share of the worst class.
+CLASS_WEIGHT = 4.0
+CLASS_PART = 0.25
 
 Suspect = Callable[[Key, float, float], None]
 
@@ -73,6 +73,7 @@
         self.flights: dict[int, Flight] = {}
         self.aged_ends_by_key: dict[Key, deque[float]] = {}
         self.classes_by_service: dict[str, set[str]] = {}
+        self.wholes_by_key: dict[Key, Key] = {}
         self.path_checked_at = float("-inf")
         self.path_bad = False
         self.use_profile(profile)
@@ -143,24 +144,44 @@
     def add_own(self, key: Key, counts: Counts, now: float) -> None:
         """Add this VM's own evidence."""
         self.classes_by_service.setdefault(key.service, set()).add(key.route_class)
-        whole = key._replace(route_class=ALL_CLASSES)
-        self.own_shares.add(whole, counts, now)
+        self.own_shares.add(self.whole_of(key), counts, now)
         if self.path_suspected(now):
             return
         self.writer.add(key, counts)
         self.pool(key, self.vm, counts, now)
 
+    def whole_of(self, key: Key) -> Key:
+        """Return the key of all classes of a target."""
+        whole = self.wholes_by_key.get(key)
+        if whole is None:
+            whole = self.wholes_by_key[key] = key._replace(route_class=ALL_CLASSES)
+        return whole
+
     def pool(self, key: Key, source: str, counts: Counts, now: float) -> None:
         """Add evidence of any VM to the detector, for the class and the target."""
-        for scope in (key, key._replace(route_class=ALL_CLASSES)):
-            self.shares.add(scope, counts, now)
-            self.detector.add(scope, source, counts, now)
-        if counts.is_bad():
-            self.check(key, now)
+        self.pool_all([(key, counts)], source, now)
+
+    def pool_all(
+        self, batch: list[tuple[Key, Counts]], source: str, now: float
+    ) -> None:
+        """Add evidence on several targets.
+
+        All shares are updated first, so that the peers' share is as new as the
+        evidence that is compared with it.
+        """
+        for key, counts in batch:
+            self.shares.add(key, counts, now)
+            self.shares.add(self.whole_of(key), counts, now)
+        for key, counts in batch:
+            self.detector.add(key, source, counts, now)
+            self.detector.add(self.whole_of(key), source, counts, now)
+        for key, counts in batch:
+            if counts.is_bad():
+                self.check(key, now)
 
     def check(self, key: Key, now: float) -> None:
         """Report the target, or some of its classes, if the suspicion suffices."""
-        whole = key._replace(route_class=ALL_CLASSES)
+        whole = self.whole_of(key)
         suspicion = max(
             self.detector.suspicion(key, now), self.detector.suspicion(whole, now)
         )
@@ -178,23 +199,24 @@
 
     def healthy_classes(self, whole: Key, now: float) -> set[str]:
         """Return the route classes for which a target shows health."""
-        shares = self.shares.own(whole, now)
-        limit = CLASS_PART * max(shares.failed, shares.late)
-        healthy = set()
-        for name in self.classes_by_service.get(whole.service, ()):
-            part = self.shares.own(whole._replace(route_class=name), now)
-            if part.weight >= CLASS_WEIGHT and max(part.failed, part.late) < limit:
-                healthy.add(name)
-        return healthy
+        shares_by_class = {
+            name: self.shares.own(whole._replace(route_class=name), now)
+            for name in self.classes_by_service.get(whole.service, ())
+        }
+        worst = max(max(item.failed, item.late) for item in shares_by_class.values())
+        return {
+            name
+            for name, item in shares_by_class.items()
+            if item.weight >= CLASS_WEIGHT
+            and max(item.failed, item.late) < CLASS_PART * worst
+        }
 
     def path_suspected(self, now: float) -> bool:
         """Return whether most targets look bad, so this VM's path may be at fault."""
         if now - self.path_checked_at >= PATH_REFRESH_S:
             self.path_checked_at = now
             observed, bad = 0, 0
-            for key in list(self.own_shares.spans_by_key):
-                if not key.target:
-                    continue
+            for key in self.own_shares.counts_by_key:
                 shares = self.own_shares.own(key, now)
                 if shares.weight >= PATH_WEIGHT:
                     observed += 1
@@ -215,8 +237,7 @@
         """Pool the evidence of a peer."""
         if not self.detector.pools:
             return
-        for key, counts in self.reader.read(vm, incarnation, digest, now):
-            self.pool(key, vm, counts, now)
+        self.pool_all(list(self.reader.read(vm, incarnation, digest, now)), vm, now)
 
     def restart(self, key: Key) -> None:
         """Forget the evidence against a target that returns into rotation."""
@@ -233,6 +254,7 @@
         for target in targets:
             for name in names:
                 key = Key(service, target, name)
+                self.wholes_by_key.pop(key, None)
                 self.detector.forget(key)
                 self.shares.forget(key)
                 self.own_shares.forget(key)
