--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -60,3 +60,17 @@
     When two operators each propose 15 changes at the same time
     Then each proposed change is in the log exactly once and the log has no gap
     And the newest change is in force everywhere within 5 s
+
+  Scenario: A quiet fleet asks the store through its watchers only
+    Given a control fleet of 16 VMs in 2 regions
+    When 3 s pass
+    Then the store gets at most 6 calls per second over 3 s
+
+  Scenario: A capped store is not overrun after an outage
+    Given a control fleet of 16 VMs in 2 regions
+    When the store becomes unavailable
+    And 3 s pass
+    And the store answers again with a cap of 60 calls per second
+    And 5 workspaces are created in the log
+    Then the newest change is in force everywhere within 5 s
+    And the store refused at most 0 calls
--- /dev/null
+++ b/features/control.feature
@@ -0,0 +1,20 @@
+Feature: Control messages are authenticated, and bad ones end nothing
+
+  Scenario: Malformed and oversized frames are counted and dropped
+    Given two buses over TCP
+    When 5 malformed and 2 oversized frames are sent to the second bus
+    Then the second bus has dropped 5 malformed and 2 oversized frames
+    And the second bus answers the first
+
+  Scenario: A peer without an allowed CURVE key gets no answer
+    Given two buses over TCP with CURVE keys
+    Then the second bus answers the first
+    And a stranger gets no answer from the second bus
+
+  Scenario: A peer that speaks for another one is refused
+    Given two buses over TCP with CURVE keys
+    Then a message in the name of the first bus under another allowed key is dropped
+
+  Scenario: A slow handler delays no other message
+    Given two buses over TCP
+    Then a request is answered while another one waits for 1 s
--- /dev/null
+++ b/features/steps/control_bus.py
@@ -0,0 +1,152 @@
+"""Steps for the bus over TCP."""
+
+import zmq
+from anyio import create_task_group, current_time, sleep
+from behave import given, then, when
+
+from features.control_checks import wait_until
+from primroseturn.control.messages import Message, message, MESSAGE_LIMIT_BYTES
+from primroseturn.control.zeromq import CurveKeys, PeerAddress, run_bus
+
+SEED_BYTES = b"\xc1junk"
+
+
+@message("test-echo")
+class Echo(Message, frozen=True, array_like=True):
+    """Comes back after `wait_s`."""
+
+    text: str
+    wait_s: float = 0.0
+
+
+async def answer_echo(sender, body):
+    """Return the message after the time that it states."""
+    await sleep(body.wait_s)
+    return body
+
+
+def create_keys() -> CurveKeys:
+    """Return a new CURVE key pair."""
+    return CurveKeys(*(part.decode() for part in zmq.curve_keypair()))
+
+
+def open_bus(context, name, keys=None, allowed=()):
+    """Run a bus for the scenario."""
+    manager = context.portal.wrap_async_context_manager(
+        run_bus(name, "1", keys=keys, allowed_keys=allowed)
+    )
+    bus = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    return bus
+
+
+def ask(context, bus, text="hello", timeout_s=2.0):
+    """Return the result of a request to the second bus."""
+    return context.portal.call(bus.request, "second", Echo(text), timeout_s)
+
+
+@given("two buses over TCP")
+def step_buses(context):
+    open_pair(context, None, None, ())
+
+
+@given("two buses over TCP with CURVE keys")
+def step_secure_buses(context):
+    context.keys = [create_keys(), create_keys(), create_keys()]
+    allowed = (context.keys[0].public_key, context.keys[2].public_key)
+    open_pair(context, context.keys[0], context.keys[1], allowed)
+
+
+def open_pair(context, first_keys, second_keys, allowed):
+    """Run two buses of which the first knows the second."""
+    context.second = open_bus(context, "second", second_keys, allowed)
+    context.first = open_bus(context, "first", first_keys)
+    public_key = second_keys.public_key if second_keys else None
+    context.address = PeerAddress("127.0.0.1", context.second.port, public_key)
+
+    async def connect():
+        context.second.handle(Echo, answer_echo)
+        context.first.learn_address("second", context.address)
+
+    context.portal.call(connect)
+
+
+@when(
+    "{malformed:d} malformed and {oversized:d} oversized frames are sent to the "
+    "second bus"
+)
+def step_bad_frames(context, malformed, oversized):
+    async def send():
+        with zmq.Context() as sockets, sockets.socket(zmq.DEALER) as socket:
+            socket.connect(f"tcp://127.0.0.1:{context.second.port}")
+            for _ in range(malformed):
+                socket.send(SEED_BYTES)
+            for _ in range(oversized):
+                socket.send(bytes(MESSAGE_LIMIT_BYTES + 1))
+            await wait_until(
+                lambda: (
+                    context.second.counts["frames_received"] >= malformed + oversized
+                ),
+                5.0,
+            )
+
+    context.portal.call(send)
+
+
+@then(
+    "the second bus has dropped {malformed:d} malformed and {oversized:d} oversized "
+    "frames"
+)
+def step_dropped(context, malformed, oversized):
+    counts = context.second.counts
+    found = (counts["dropped_malformed"], counts["dropped_oversized"])
+    assert found == (malformed, oversized), counts
+
+
+@then("the second bus answers the first")
+def step_answers(context):
+    result = ask(context, context.first)
+    assert result.is_ok() and result.ok.text == "hello", result
+
+
+@then("a stranger gets no answer from the second bus")
+def step_stranger(context):
+    stranger = open_bus(context, "stranger", create_keys())
+
+    async def connect():
+        stranger.learn_address("second", context.address)
+
+    context.portal.call(connect)
+    assert ask(context, stranger, timeout_s=0.5).is_error()
+    assert context.second.counts["frames_received"] == 1, context.second.counts
+
+
+@then("a message in the name of the first bus under another allowed key is dropped")
+def step_forged(context):
+    forger = open_bus(context, "first", context.keys[2])
+
+    async def connect():
+        place = PeerAddress("127.0.0.1", 1, context.keys[0].public_key)
+        context.second.learn_address("first", place)
+        forger.learn_address("second", context.address)
+
+    context.portal.call(connect)
+    assert ask(context, forger, timeout_s=0.5).is_error()
+    assert context.second.counts["dropped_forged"] == 1, context.second.counts
+
+
+@then("a request is answered while another one waits for {seconds:g} s")
+def step_slow_handler(context, seconds):
+    async def run():
+        async with create_task_group() as tasks:
+            tasks.start_soon(
+                context.first.request, "second", Echo("slow", seconds), 2 * seconds
+            )
+            await sleep(0.05)
+            started = current_time()
+            result = await context.first.request("second", Echo("quick"), seconds)
+            assert result.is_ok()
+            assert current_time() - started < seconds / 2
+            tasks.cancel_scope.cancel()
+
+    context.portal.call(run)
--- a/features/steps/control_plane.py
+++ b/features/steps/control_plane.py
@@ -470,3 +470,28 @@
             await sleep(0.02)
 
     context.portal.call(watch)
+
+
+@then("the store gets at most {limit:g} calls per second over {seconds:g} s")
+def step_call_rate(context, limit, seconds):
+    store = context.control.store
+
+    async def count():
+        before = sum(store.calls_by_kind.values())
+        await sleep(seconds)
+        return sum(store.calls_by_kind.values()) - before
+
+    calls = context.portal.call(count)
+    assert calls <= limit * seconds, (calls, store.calls_by_kind)
+    assert calls > 0
+
+
+@when("the store answers again with a cap of {cap:g} calls per second")
+def step_capped_store(context, cap):
+    context.portal.call(context.control.store.set_faults, StoreFaults(calls_per_s=cap))
+
+
+@then("the store refused at most {limit:d} calls")
+def step_refused(context, limit):
+    refused = context.control.store.calls_by_kind.get("refused", 0)
+    assert refused <= limit, refused
--- a/primroseturn/configuration/replica.py
+++ b/primroseturn/configuration/replica.py
@@ -2,9 +2,15 @@
 
 from collections import deque
 from collections.abc import Callable
+from time import time
 
 from expression import Error, Ok, Result
 
+from primroseturn.configuration.metrics import (
+    CONVERGENCE_SECONDS,
+    VERSION,
+    WITHDRAWALS,
+)
 from primroseturn.configuration.models import Change
 from primroseturn.configuration.state import (
     apply_change,
@@ -67,6 +73,8 @@
             # daemon alike, so that versions stay equal everywhere.
             self.state = self.state._replace(version=change.version)
         self.recent.append(change)
+        if change.at_unix_s:
+            CONVERGENCE_SECONDS.observe(max(0.0, time() - change.at_unix_s))
         self.notify()
         return Ok(self.state.version)
 
@@ -98,6 +106,7 @@
             return False
         self.operations_by_withdrawn_id[key_id] = operation_id
         self.withdrawals_hash ^= hash_name("withdrawal", key_id)
+        WITHDRAWALS.set(len(self.operations_by_withdrawn_id))
         for callback in self.withdrawal_callbacks:
             callback(key_id)
         return True
@@ -113,5 +122,6 @@
 
     def notify(self) -> None:
         """Pass the state to all subscribers."""
+        VERSION.set(self.state.version)
         for callback in self.callbacks:
             callback(self.state)
--- a/primroseturn/control/endpoint.py
+++ b/primroseturn/control/endpoint.py
@@ -14,6 +14,13 @@
     Message,
     MESSAGE_LIMIT_BYTES,
 )
+from primroseturn.control.metrics import (
+    BYTES_RECEIVED,
+    BYTES_SENT,
+    DROPPED,
+    FRAMES_RECEIVED,
+    FRAMES_SENT,
+)
 
 Reply = Callable[[bytes], None]
 Verify = Callable[[Envelope], bool]
@@ -75,21 +82,30 @@
         )
         self.counts["frames_sent"] += 1
         self.counts["bytes_sent"] += len(frame)
+        FRAMES_SENT.inc()
+        BYTES_SENT.inc(len(frame))
         return frame
 
+    def drop(self, reason: str) -> None:
+        """Count a dropped frame."""
+        self.counts[f"dropped_{reason}"] += 1
+        DROPPED.labels(reason).inc()
+
     def open_frame(self, frame: bytes, verify: Verify | None) -> Envelope | None:
         """Return the envelope of a frame, or count why it is dropped."""
         self.counts["frames_received"] += 1
         self.counts["bytes_received"] += len(frame)
+        FRAMES_RECEIVED.inc()
+        BYTES_RECEIVED.inc(len(frame))
         if len(frame) > MESSAGE_LIMIT_BYTES:
-            self.counts["dropped_oversized"] += 1
+            self.drop("oversized")
             return None
         decoded = decode_message(frame)
         if decoded.is_error():
-            self.counts["dropped_malformed"] += 1
+            self.drop("malformed")
             return None
         if verify is not None and not verify(decoded.ok):
-            self.counts["dropped_forged"] += 1
+            self.drop("forged")
             return None
         return decoded.ok
 
@@ -105,7 +121,7 @@
             return
         handler = self.handlers_by_kind.get(type(envelope.body))
         if handler is None:
-            self.counts["dropped_unhandled"] += 1
+            self.drop("unhandled")
             return
         sender = Sender(envelope.sender, envelope.incarnation)
         answer = await handler(sender, envelope.body)
--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -147,12 +147,12 @@
         """Queue a frame for a peer; drops it when the peer is unknown or too slow."""
         connection = self.connections_by_vm.get(peer) or self.connect(peer)
         if connection is None:
-            self.counts["dropped_unknown_peer"] += 1
+            self.drop("unknown_peer")
             return
         connection.used_at = current_time()
         sending = connection.socket.send(frame, zmq.NOBLOCK)
         if sending.done() and sending.exception() is not None:
-            self.counts["dropped_queue_full"] += 1
+            self.drop("queue_full")
 
     def connect(self, peer: str) -> Connection | None:
         """Open the socket to a peer and start its task."""
@@ -199,9 +199,9 @@
         while True:
             frames = await router.recv_multipart(copy=False)
             if len(frames) != 2:
-                self.counts["dropped_malformed"] += 1
+                self.drop("malformed")
             elif self.running >= RUNNING_LIMIT:
-                self.counts["dropped_busy"] += 1
+                self.drop("busy")
             else:
                 self.running += 1
                 self.tasks.start_soon(self.run_handler, router, *frames)
@@ -223,7 +223,7 @@
         def reply(frame: bytes) -> None:
             sending = router.send_multipart([identity.bytes, frame], zmq.NOBLOCK)
             if sending.done() and sending.exception() is not None:
-                self.counts["dropped_queue_full"] += 1
+                self.drop("queue_full")
 
         return reply
 
--- a/primroseturn/membership/heartbeats.py
+++ b/primroseturn/membership/heartbeats.py
@@ -19,6 +19,11 @@
 from primroseturn.membership.listing import ENTRY_LIST
 from primroseturn.membership.members import Link, Members
 from primroseturn.membership.messages import Heartbeat, NO_STAMP
+from primroseturn.membership.metrics import (
+    LIVE_DAEMONS,
+    ONE_WAY_LINKS,
+    STAMP_AGE_SECONDS,
+)
 from primroseturn.observation.events import EventLog
 
 ROUNDS_KEPT = 64
@@ -161,3 +166,7 @@
         for vm in self.one_way - one_way:
             self.events.emit(LINK_RESTORED, peer=vm)
         self.one_way = one_way
+        ONE_WAY_LINKS.set(len(one_way))
+        LIVE_DAEMONS.set(len(self.members.live_daemons(now)))
+        stamp = self.freshness.applied
+        STAMP_AGE_SECONDS.set(now - stamp.contact_at if stamp else float("inf"))
--- a/primroseturn/membership/isolation.py
+++ b/primroseturn/membership/isolation.py
@@ -3,6 +3,7 @@
 from expression import Error, Ok, Result
 
 from primroseturn.failures import Failure
+from primroseturn.membership import metrics
 from primroseturn.membership.events import ISOLATED, REJOINED
 from primroseturn.membership.freshness import Freshness
 from primroseturn.membership.members import Members
@@ -76,6 +77,7 @@
         if (failure is not None) == self.isolated:
             return
         self.isolated = failure is not None
+        metrics.ISOLATED.set(self.isolated)
         if failure is None:
             self.events.emit(REJOINED)
         else:
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import Any
 
-from anyio import Event, move_on_after, sleep, sleep_forever
+from anyio import current_time, Event, move_on_after, sleep, sleep_forever
 from msgspec import Struct
 from msgspec.json import decode
 
@@ -34,7 +34,8 @@
     lost_answer_share
         Share of writes that take effect but whose connection then breaks.
     calls_per_s
-        Cap on the rate of calls; 0 is no cap.
+        Cap on the rate of calls, above which they get 429; 0 is no cap. A waiting
+        watch counts as one call.
     """
 
     outage: bool = False
@@ -61,6 +62,8 @@
         self.revision = 0
         self.faults = StoreFaults()
         self.random = Random(1)
+        self.tokens = 0.0
+        self.filled_at = 0.0
         self.changed = Event()
         self.calls_by_kind: dict[str, int] = {}
 
@@ -77,6 +80,10 @@
         if self.faults.outage:
             await answer(send, 503)
             return
+        if not self.take_token():
+            self.count("refused")
+            await answer(send, 429)
+            return
         if path.startswith("/objects/"):
             await self.answer_object(scope, receive, send)
         elif path == "/list":
@@ -95,6 +102,7 @@
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults in force and restart their random sequence."""
         self.faults = faults
+        self.tokens, self.filled_at = faults.calls_per_s, current_time()
         self.random = Random(faults.seed)
         self.wake_watches()
 
@@ -110,8 +118,25 @@
         kind = path.split("/")[1]
         if kind == "objects":
             kind = "read" if method == "GET" else "write"
+        self.count(kind)
+
+    def count(self, kind: str) -> None:
+        """Add one to a counter."""
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
 
+    def take_token(self) -> bool:
+        """Return whether the cap on the rate admits a call now."""
+        rate = self.faults.calls_per_s
+        if not rate:
+            return True
+        now = current_time()
+        self.tokens = min(rate, self.tokens + (now - self.filled_at) * rate)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
     async def answer_object(self, scope: Any, receive: Any, send: Any) -> None:
         """Read, write or delete one object."""
         key = scope["path"].removeprefix("/objects/")
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from time import perf_counter
 from typing import Any, NamedTuple
 
 from anyio import fail_after
@@ -15,8 +16,11 @@
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.settings.models import StoreSettings
+from primroseturn.store.budget import CallBudget
+from primroseturn.store.metrics import STORE_CALLS, STORE_SECONDS
 
 WATCH_LIMIT_S = 30.0
+UNLIMITED_CALLS_PER_S = 1e9
 
 
 class StoredObject(NamedTuple):
@@ -39,9 +43,22 @@
 class StoreClient:
     """Calls the object API over HTTP."""
 
-    def __init__(self, http: AsyncClient, call_limit_s: float) -> None:
+    def __init__(
+        self,
+        http: AsyncClient,
+        call_limit_s: float,
+        reads: CallBudget | None = None,
+        writes: CallBudget | None = None,
+    ) -> None:
         self.http = http
         self.call_limit_s = call_limit_s
+        self.reads = reads or CallBudget(UNLIMITED_CALLS_PER_S)
+        self.writes = writes or CallBudget(UNLIMITED_CALLS_PER_S)
+
+    def set_fleet_size(self, daemons: int) -> None:
+        """Share the fleet's budget of calls among so many daemons."""
+        self.reads.set_fleet_size(daemons)
+        self.writes.set_fleet_size(daemons)
 
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
@@ -141,7 +158,12 @@
         """Send one call and return its answer if that is not a server error."""
         write = method in ("PUT", "DELETE")
         operation = f"{method} {path}"
+        budget = self.writes if write else self.reads
+        if not await budget.acquire(self.call_limit_s):
+            STORE_CALLS.labels(method, "over-budget").inc()
+            raise StoreUnavailable(operation, "over the budget of calls", False)
         timeout = limit_s or self.call_limit_s
+        started = perf_counter()
         try:
             # httpx limits the time between bytes only, hence the limit on the whole.
             with fail_after(timeout):
@@ -149,10 +171,16 @@
                     method, path, timeout=timeout, **options
                 )
         except (HTTPError, TimeoutError) as error:
+            STORE_CALLS.labels(method, "lost").inc()
             detail = type(error).__name__
             raise StoreUnavailable(operation, detail, write) from error
-        if response.status_code >= 500 or response.status_code == 429:
-            refused = response.status_code == 429
+        if limit_s is None:
+            STORE_SECONDS.observe(perf_counter() - started)
+        refused = response.status_code == 429
+        budget.note_answer(refused)
+        failed = refused or response.status_code >= 500
+        STORE_CALLS.labels(method, "failed" if failed else "answered").inc()
+        if failed:
             detail = f"status {response.status_code}"
             raise StoreUnavailable(operation, detail, write and not refused)
         return response
@@ -160,7 +188,12 @@
 
 def create_client(http: AsyncClient, settings: StoreSettings) -> StoreClient:
     """Return a client that calls the store through `http`."""
-    return StoreClient(http, settings.call_limit_s)
+    return StoreClient(
+        http,
+        settings.call_limit_s,
+        CallBudget(settings.fleet_reads_per_s),
+        CallBudget(settings.fleet_writes_per_s),
+    )
 
 
 @service("store", needs=("settings",))
