Make the features of answers fail without each mechanism

Trials with one mechanism disabled at a time showed that six features of the request path passed without it: faults sat on one target, which the balancer avoided, or a second mechanism covered the first. Faults of the stand-in can now strike a number of requests on every target, documents can differ between targets, lengths can be left out and If-Range ignored. A request now waits up to 1 s for a connection of this VM's share; before, it was refused at once.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -2,13 +2,14 @@
 
   Scenario: Downloads cut in the middle are continued on another target
     Given 2 targets behind relays and 1 daemon
-    And target "target1" has the faults {"cut_share": 1.0}
-    When 8 callers fetch "/doc/sheet?size=900000"
+    And each target has the faults {"cut_share": 1.0, "strikes": 3}
+    When 4 callers fetch "/doc/sheet?size=900000"
     Then all answers are whole documents of 900000 bytes
+    And an upstream saw the header "if-range"
 
   Scenario: Downloads that stall in the middle are continued on another target
     Given 2 targets behind relays and 1 daemon
-    And target "target1" has the faults {"stall_share": 1.0}
+    And each target has the faults {"stall_share": 1.0, "strikes": 2}
     When 6 callers fetch "/doc/sheet?size=900000" at once
     Then all answers are whole documents of 900000 bytes
 
@@ -25,6 +26,19 @@
     When 2 callers fetch "/doc/sheet?size=300000"
     Then no caller takes its answer for a whole one
 
+  Scenario: A target that ignores If-Range does not mix two documents
+    Given 2 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0, "strikes": 1, "heeds_if_range": false}
+    And target "target2" has the faults {"cut_share": 1.0, "strikes": 1, "tag": "\"v2\"", "shift": 7, "heeds_if_range": false}
+    When 1 callers fetch "/doc/sheet?size=300000"
+    Then the answer is one version of the document of 300000 bytes, the other shifted by 7
+
+  Scenario: A cut answer without a stated length is broken visibly
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"cut_share": 1.0}
+    When 2 callers fetch "/docs-page?size=300000&chunked=1"
+    Then no caller takes its answer for a whole one
+
   Scenario: A cut download without a strong tag is broken visibly
     Given 1 targets behind relays and 1 daemon
     And target "target1" has the faults {"cut_share": 1.0, "tag": "W/\"v1\""}
@@ -39,9 +53,9 @@
 
   Scenario: A short answer that is cut is fetched again before the caller sees it
     Given 2 targets behind relays and 1 daemon
-    And 10 requests have opened connections
-    And target "target1" has the faults {"cut_share": 1.0}
-    When 8 callers fetch "/docs-page?size=3000"
+    And 20 requests have opened connections
+    And each target has the faults {"cut_share": 1.0, "strikes": 1}
+    When 3 callers fetch "/docs-page?size=3000"
     Then all answers are whole documents of 3000 bytes
 
   Scenario: A long answer that is cut is broken visibly where it cannot be resumed
@@ -52,9 +66,9 @@
 
   Scenario: An upstream's answer to another request reaches no caller
     Given 2 targets behind relays and 1 daemon
-    And 4 requests have opened connections
-    And target "target1" has the faults {"crossed_share": 1.0}
-    When 10 callers fetch "/find/mine"
+    And 20 requests have opened connections
+    And each target has the faults {"crossed_share": 1.0, "strikes": 1}
+    When 3 callers fetch "/find/mine"
     Then all answers name the path "/find/mine" and come within 1 s
 
   Scenario: Bytes that a target sends after its answer reach no other caller
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -38,17 +38,17 @@
 
   Scenario: An idempotent request moves on from a target that fails
     Given 2 targets behind relays and 1 daemon
-    And 10 requests have opened connections
-    And target "target1" has the faults {"error_share": 1.0}
-    When 10 callers fetch "/find/item"
+    And 20 requests have opened connections
+    And each target has the faults {"error_share": 1.0, "strikes": 1}
+    When 3 callers fetch "/find/item"
     Then all answers name the path "/find/item" and come within 1 s
 
   Scenario: An idempotent request moves on from a target that never answers
     Given 2 targets behind relays and 1 daemon
-    And 10 requests have opened connections
-    And target "target1" has the faults {"silent_share": 1.0}
-    When 6 callers fetch "/find/item" at once
-    Then all answers name the path "/find/item" and come within 2 s
+    And 20 requests have opened connections
+    And each target has the faults {"silent_share": 1.0, "strikes": 1}
+    When 3 callers fetch "/find/item" at once
+    Then all answers name the path "/find/item" and come within 2.5 s
 
   Scenario: Callers that reconnect for each request leave no connections behind
     Given 1 targets behind relays and 1 daemon
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -39,9 +39,12 @@
     """Run a fleet whose targets are behind relays."""
     async with run_fleet() as fleet:
         fleet.relays = {}
-        fleet.configure(
-            "service", "search", {"name": "search", "connections_per_target": 8}
-        )
+        service = {
+            "name": "search",
+            "slots_per_target": 50,
+            "connections_per_target": 8,
+        }
+        fleet.configure("service", "search", service)
         for name, options in ROUTES.items():
             body = {"name": name, "path_prefix": f"/{name}", "service": "search"}
             fleet.configure("route", name, {**body, **options})
@@ -91,6 +94,12 @@
     start_passages(context, targets, 1, delay_s)
 
 
+@given("each target has the faults {faults}")
+def step_all_faults(context, faults):
+    for name in context.fleet.upstreams_by_name:
+        step_faults(context, name, faults)
+
+
 @given('target "{name}" has the faults {faults}')
 @when('target "{name}" has the faults {faults}')
 def step_faults(context, name, faults):
@@ -387,3 +396,20 @@
     seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
     names = {first.encode(), second.encode()}
     assert seen and not any(names & item.keys() for item in seen), seen
+
+
+@then('an upstream saw the header "{name}"')
+def step_header_seen(context, name):
+    upstreams = context.fleet.upstreams_by_name.values()
+    seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
+    assert any(name.encode() in item for item in seen)
+
+
+@then(
+    "the answer is one version of the document of {size:d} bytes, "
+    "the other shifted by {shift:d}"
+)
+def step_one_version(context, size, shift):
+    versions = (document_part(0, size), document_part(shift, size + shift))
+    assert not isinstance(context.answer, Exception), context.answer
+    assert context.answer.content in versions
--- a/primroseturn/requestpath/pool.py
+++ b/primroseturn/requestpath/pool.py
@@ -5,7 +5,7 @@
 from math import ceil
 from ssl import create_default_context, SSLContext
 
-from anyio import create_task_group, current_time, sleep
+from anyio import create_task_group, current_time, Event, move_on_after, sleep
 from httpx import URL
 
 from primroseturn.configuration.models import Target
@@ -49,6 +49,7 @@
         self.ssl_context = ssl_context
         self.idle: list[Connection] = []
         self.opened = 0
+        self.freed = Event()
 
     async def take(self, name: str, limit: int, proven: bool, new: bool) -> Connection:
         """Return an idle connection or open one.
@@ -62,33 +63,66 @@
             within `old_connection_s`.
         new
             Whether the connection must be new.
+
+        Raises
+        ------
+        ConnectionsExhausted
+            If all connections stay in use for `CONNECT_LIMIT_S`.
         """
+        give_up_at = current_time() + CONNECT_LIMIT_S
+        while True:
+            connection = None if new else self.take_idle(proven)
+            if connection is not None:
+                return connection
+            if self.opened < limit:
+                return await self.open()
+            if self.idle:
+                self.discard(self.idle.pop(0))
+            elif not await self.wait_freed(give_up_at):
+                raise ConnectionsExhausted(name)
+
+    def take_idle(self, proven: bool) -> Connection | None:
+        """Return an idle connection that suits, the newest first."""
         now = current_time()
-        while self.idle and not new:
-            # The newest one; if that is too old for the request, all are.
+        while self.idle:
             connection = self.idle.pop()
             if not connection.is_usable() or self.is_expired(connection, now):
                 self.discard(connection)
             elif proven and self.is_old(connection, now):
+                # The newest one is too old, so all are.
                 self.idle.append(connection)
-                break
+                return None
             else:
                 return connection
-        if self.opened >= limit:
-            if not self.idle:
-                raise ConnectionsExhausted(name)
-            self.discard(self.idle.pop(0))
+        return None
+
+    async def open(self) -> Connection:
+        """Open a connection."""
         self.opened += 1
         try:
             return await open_connection(self.url, self.ssl_context, CONNECT_LIMIT_S)
         except BaseException:
             self.opened -= 1
+            self.announce_freed()
             raise
 
+    async def wait_freed(self, give_up_at: float) -> bool:
+        """Wait until a connection is given back or closed."""
+        with move_on_after(give_up_at - current_time()):
+            await self.freed.wait()
+            return True
+        return False
+
+    def announce_freed(self) -> None:
+        """Wake requests that wait for a connection."""
+        self.freed.set()
+        self.freed = Event()
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose exchange ended cleanly, close any other."""
         if connection.finish():
             self.idle.append(connection)
+            self.announce_freed()
         else:
             self.discard(connection)
 
@@ -96,6 +130,7 @@
         """Close a connection."""
         self.opened -= 1
         connection.abort()
+        self.announce_freed()
 
     def is_old(self, connection: Connection, now: float) -> bool:
         """Return whether a connection's last proof of life is too long ago."""
--- a/primroseturn/standins/documents.py
+++ b/primroseturn/standins/documents.py
@@ -17,11 +17,15 @@
     return (PATTERN * repeats)[first : first + end - start]
 
 
-def parse_range(scope: Any, size: int, tag: str) -> tuple[int, int, int]:
-    """Return the first and last byte to send and the status."""
+def parse_range(scope: Any, size: int, tag: str | None) -> tuple[int, int, int]:
+    """Return the first and last byte to send and the status.
+
+    `tag` is compared with If-Range; None heeds no condition.
+    """
     match = RANGE.fullmatch(header_of(scope, b"range") or "")
     condition = header_of(scope, b"if-range")
-    if match is None or condition not in (None, tag) or int(match[1]) >= size:
+    changed = tag is not None and condition not in (None, tag)
+    if match is None or changed or int(match[1]) >= size:
         return 0, size - 1, 200
     last = min(int(match[2]), size - 1) if match[2] else size - 1
     return int(match[1]), last, 206
--- a/primroseturn/standins/upstream.py
+++ b/primroseturn/standins/upstream.py
@@ -42,6 +42,10 @@
         with the answer of the request before.
     cut_share, stall_share
         Shares of documents that end or stop in the middle of the body.
+    strikes
+        Number of requests that the shares hit; -1 for no limit.
+    heeds_if_range
+        Whether a range is sent only while the entity tag is that of If-Range.
     draining
         Refuse all work with 503 and state that it did not run.
     queue_limit
@@ -53,8 +57,9 @@
         What the health and load endpoints say, instead of the truth.
     heeds_deadline
         Whether work is given up when the caller's deadline passes.
-    tag
-        Entity tag of the documents.
+    tag, shift
+        Entity tag of the documents and first byte of their content, so that two
+        versions of a document can differ.
     seed
         Seed of the shares.
     """
@@ -66,6 +71,8 @@
     crossed_share: float = 0.0
     cut_share: float = 0.0
     stall_share: float = 0.0
+    strikes: int = -1
+    heeds_if_range: bool = True
     draining: bool = False
     queue_limit: int = 1_000
     cold_s: float = 0.0
@@ -74,15 +81,16 @@
     busy_reported: int | None = None
     heeds_deadline: bool = True
     tag: str = '"v1"'
+    shift: int = 0
     seed: int = 1
 
 
 class Upstream:
     """ASGI application of one target.
 
-    ``/doc?size=N`` answers a document of N bytes and serves ranges of it; every
-    other path answers a small JSON value. Executions are counted by
-    Idempotency-Key.
+    ``/doc?size=N`` answers a document of N bytes and serves ranges of it, without a
+    length if the query has ``chunked``; every other path answers a small JSON value.
+    Executions are counted by Idempotency-Key.
     """
 
     def __init__(self, name: str, slots: int = 6, service_time_s: float = 0.005):
@@ -91,6 +99,7 @@
         self.service_time_s = service_time_s
         self.faults = UpstreamFaults()
         self.random = Random(1)
+        self.strikes_left = -1
         self.started_at: float | None = None
         self.executions_by_key: dict[str, int] = {}
         self.seen_headers: deque[list[tuple[bytes, bytes]]] = deque(
@@ -128,6 +137,7 @@
         """Put other faults in force."""
         self.faults = faults
         self.random = Random(faults.seed)
+        self.strikes_left = faults.strikes
 
     def silence_connections(self) -> None:
         """Never answer again on the connections that were used so far."""
@@ -199,15 +209,22 @@
         key = header_of(scope, b"idempotency-key")
         if key is not None:
             self.executions_by_key[key] = self.executions_by_key.get(key, 0) + 1
-        if self.random.random() < self.faults.silent_share:
+        if self.strikes(self.faults.silent_share):
             await sleep_forever()
-        if self.random.random() < self.faults.error_share:
+        if self.strikes(self.faults.error_share):
             await answer(send, 500, b"error")
         elif scope["path"].startswith("/doc"):
             await self.send_document(scope, send)
         else:
             await self.send_value(scope, body, send)
 
+    def strikes(self, share: float) -> bool:
+        """Return whether a fault of this share hits the present request."""
+        if self.strikes_left == 0 or self.random.random() >= share:
+            return False
+        self.strikes_left -= 1
+        return True
+
     def duration_s(self) -> float:
         """Return how long the work takes now."""
         if self.started_at is None:
@@ -230,33 +247,35 @@
             "body_length": len(body),
         }
         current = (request_id.encode(), encode(value))
-        crossed = self.random.random() < self.faults.crossed_share
-        sent = self.last_answer if crossed and self.last_answer else current
+        previous = self.last_answer
+        crossed = previous is not None and self.strikes(self.faults.crossed_share)
+        sent = previous if crossed and previous else current
         self.last_answer = current
         await answer(send, 200, sent[1], [JSON, (b"x-request-id", sent[0])])
 
     async def send_document(self, scope: Any, send: Any) -> None:
         """Send a document or a range of it part by part, cut or stalled."""
-        size = int(query_of(scope).get("size", "1000000"))
+        query = query_of(scope)
+        size = int(query.get("size", "1000000"))
         tag = self.faults.tag
-        first, last, status = parse_range(scope, size, tag)
+        heeded = tag if self.faults.heeds_if_range else None
+        first, last, status = parse_range(scope, size, heeded)
         length = last - first + 1
-        headers = [
-            (b"content-length", str(length).encode()),
-            (b"etag", tag.encode()),
-            (b"accept-ranges", b"bytes"),
-        ]
+        headers = [(b"etag", tag.encode()), (b"accept-ranges", b"bytes")]
+        if "chunked" not in query:
+            headers.append((b"content-length", str(length).encode()))
         if status == 206:
             covered = f"bytes {first}-{last}/{size}"
             headers.append((b"content-range", covered.encode()))
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await send(start)
-        cut = self.random.random() < self.faults.cut_share
-        stalled = self.random.random() < self.faults.stall_share
+        cut = self.strikes(self.faults.cut_share)
+        stalled = self.strikes(self.faults.stall_share)
         end = first + length // 2 if cut or stalled else last + 1
         for offset in range(first, end, PART_BYTES):
             await sleep(self.faults.part_delay_s)
-            part = document_part(offset, min(end, offset + PART_BYTES))
+            stop = min(end, offset + PART_BYTES)
+            part = document_part(offset + self.faults.shift, stop + self.faults.shift)
             event = {"type": "http.response.body", "body": part, "more_body": True}
             await send(event)
         if stalled:
