Keep short deadlines of callers from counting against targets

A deadline that the caller set short was reported as a timeout of a healthy target, which could eject it. An upload that cannot be sent again used old connections and the short limit for the first byte.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -55,3 +55,33 @@
     When 20 callers close their connections after a request
     And 0.3 s pass
     Then "vm1" has no connection that only its caller closed
+
+  Scenario: An upload that cannot be sent again avoids old connections
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    And target "target1" has the faults {"extra_delay_s": 0.4}
+    When 0.4 s pass
+    And a caller uploads 500000 bytes
+    Then the upload arrived whole
+
+  Scenario: A caller's short deadline is no evidence against a target
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"extra_delay_s": 0.3}
+    And the observations of the daemon are recorded
+    When a caller fetches "/find/item" with the header "x-request-deadline-ms: 100"
+    Then all answers are the refusal "deadline-exceeded" with status 504 and ran "unknown"
+    And the daemon observed nothing
+
+  Scenario: A target that lets the route's deadline pass is observed
+    Given 1 targets behind relays and 1 daemon
+    And target "target1" has the faults {"extra_delay_s": 0.7}
+    And the observations of the daemon are recorded
+    When 1 callers fetch "/brief/item"
+    Then all answers are the refusal "deadline-exceeded" with status 504 and ran "unknown"
+    And the daemon observed "timeout"
+
+  Scenario: An internal fault is not reported as "not run"
+    Given 1 targets behind relays and 1 daemon
+    And the dispatcher of the daemon is broken
+    When 1 callers fetch "/find/item"
+    Then all answers are the refusal "internal-error" with status 500 and ran "unknown"
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -20,6 +20,7 @@
 ROUTES = {
     "find": {"deadline_s": 5.0},
     "quick": {"hedge": True},
+    "brief": {"deadline_s": 0.3},
     "open": {"open": True},
     "doc": {"download": True, "deadline_s": 1.0},
     "docs-page": {},
@@ -413,3 +414,28 @@
     versions = (document_part(0, size), document_part(shift, size + shift))
     assert not isinstance(context.answer, Exception), context.answer
     assert context.answer.content in versions
+
+
+@given("the observations of the daemon are recorded")
+def step_record(context):
+    dispatcher = context.fleet.kernels_by_vm["vm1"].find("dispatcher")
+    context.observed = []
+    dispatcher.observe = lambda item: context.observed.append(item.outcome.value)
+
+
+@given("the dispatcher of the daemon is broken")
+def step_break_dispatcher(context):
+    def acquire(demand):
+        raise RuntimeError("broken by the test")
+
+    context.fleet.kernels_by_vm["vm1"].find("dispatcher").acquire = acquire
+
+
+@then("the daemon observed nothing")
+def step_observed_nothing(context):
+    assert not context.observed, context.observed
+
+
+@then('the daemon observed "{outcome}"')
+def step_observed(context, outcome):
+    assert context.observed == [outcome], context.observed
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -1,10 +1,12 @@
 """The ASGI application that carries a request from a caller to an upstream."""
 
+from contextlib import suppress
 from itertools import count
 from math import inf
 from typing import Any
 
 from anyio import CancelScope, current_time
+from hypercorn.utils import UnexpectedMessageError
 
 from primroseturn.failures import Refusal
 from primroseturn.requestpath.body import CallerGone, RequestBody
@@ -12,6 +14,7 @@
 from primroseturn.requestpath.events import (
     CALLER_GONE,
     REQUEST_BROKEN,
+    REQUEST_FAILED,
     REQUEST_FINISHED,
     REQUEST_REFUSED,
 )
@@ -67,6 +70,12 @@
             events.emit(REQUEST_BROKEN, request=request_id, reason=str(failure))
         except CallerGone:
             events.emit(CALLER_GONE, request=request_id)
+        except Exception as error:
+            # The fault of one request must not look like "not run" to its caller.
+            events.emit(REQUEST_FAILED, request=request_id, error=type(error).__name__)
+            refusal = Refusal("internal-error", 500, "internal error", "unknown")
+            with suppress(UnexpectedMessageError):
+                await send_refusal(sender, refusal)
 
     def closing_sender(self, send: Any) -> Any:
         """Return `send`, asking callers to reconnect elsewhere during a drain."""
--- a/primroseturn/requestpath/events.py
+++ b/primroseturn/requestpath/events.py
@@ -20,3 +20,6 @@
 OUTCOME_NOT_RECORDED = define_event(
     207, "outcome-not-recorded", "The outcome of an operation was not stored."
 )
+REQUEST_FAILED = define_event(
+    208, "request-failed", "An internal error ended a request."
+)
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -34,6 +34,7 @@
 
 SHED_STATUSES = (429, 503)
 BODILESS_STATUSES = (204, 304)
+FAIR_DEADLINE_SHARE = 0.5
 
 
 class AttemptFailed(Failure):
@@ -101,7 +102,9 @@
 
     async def connect(self, pool: TargetPool, new: bool) -> None:
         """Take a connection that suits the request."""
-        proven = not self.passage.route.repeatable
+        passage = self.passage
+        # A request that cannot be sent again must not meet a silent connection.
+        proven = not (passage.route.repeatable and passage.body.is_whole())
         self.connection = await self.services.pools.take(self.target, proven, new)
         # Nothing of this request has been sent, whatever the last one sent.
         self.connection.sent = False
@@ -114,7 +117,7 @@
         passage = self.passage
         upstreams = self.services.settings.upstreams
         first_byte_s = upstreams.progress_limit_s
-        if self.old and passage.body.repeatable:
+        if self.old:
             first_byte_s = min(first_byte_s, upstreams.old_first_byte_limit_s)
         limits = ExchangeLimits(first_byte_s, upstreams.progress_limit_s)
         headers = passage.attempt_headers(pool.host)
@@ -239,6 +242,15 @@
             )
         )
 
+    def had_time(self) -> bool:
+        """Return whether the target had a fair part of the route's deadline.
+
+        Otherwise a caller with short deadlines, or a queue, would make healthy
+        targets look bad.
+        """
+        took_s = current_time() - self.started_at
+        return took_s >= FAIR_DEADLINE_SHARE * self.passage.route.deadline_s
+
     def conclude(self) -> None:
         """Note that the answer arrived whole."""
         self.passage.upstream_s += current_time() - self.started_at
@@ -284,7 +296,7 @@
         )
         raise
     except get_cancelled_exc_class():
-        if passage.expired():
+        if passage.expired() and exchange.had_time():
             exchange.outcome = Outcome.TIMEOUT
         elif passage.outrun:
             # A lower bound of the latency, so that hedging hides no slow target.
