--- a/primroseturn/replay/driver.py
+++ b/primroseturn/replay/driver.py
@@ -395,7 +395,8 @@
             if seen.outcome is Outcome.OK:
                 dispatcher.budget.note_success(route.service, current_time())
                 if measured:
-                    self.tally.note_served(workspace, current_time() - started)
+                    latency_s = current_time() - started
+                    self.tally.note_served(workspace, latency_s, route.download)
                 return
             excluded |= {target.name}
         self.tally.refusals["failed"] += measured
--- a/primroseturn/replay/generator.py
+++ b/primroseturn/replay/generator.py
@@ -287,7 +287,12 @@
     ]
 
 
-DURATIONS_BY_NAME = {"flapping": 14.0, "cold-start": 9.0}
+DURATIONS_BY_NAME = {
+    "flapping": 14.0,
+    "cold-start": 9.0,
+    "noisy-workspace": 12.0,
+    "slow-and-noisy": 12.0,
+}
 
 
 def trace_lines(name: str, size: Size, seed: int, **fleet: Any) -> list[Line]:
--- a/primroseturn/replay/results.py
+++ b/primroseturn/replay/results.py
@@ -46,9 +46,11 @@
         self.sheds = 0
         self.busiest_share = 0.0
 
-    def note_served(self, workspace: str, latency_s: float) -> None:
-        """Count a request that got its answer."""
+    def note_served(self, workspace: str, latency_s: float, download: bool) -> None:
+        """Count a request that got its answer; downloads have no latency target."""
         self.served += 1
+        if download:
+            return
         self.latencies_by_workspace.setdefault(workspace, []).append(latency_s)
 
 
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -247,16 +247,20 @@
         others = REPORT_WEIGHT * max(0.0, busy - self.in_flight_of(target))
         self.reports_by_target[target] = Report(others, at)
 
-    def observe(self, observation: Observation) -> None:
-        """Take note of what an exchange showed."""
+    def observe(self, observation: Observation, late: bool = False) -> None:
+        """Take note of what an exchange showed.
+
+        A late answer reduces this VM's part of the slots like a shed one, so that
+        an overload waits in the fair queue and not in the target.
+        """
         target = observation.target
         share = self.shares_by_target.get(target)
+        if share is not None and (late or observation.outcome is Outcome.SHED):
+            share.note_overload(observation.at)
         if observation.outcome is Outcome.SHED:
-            if share is not None:
-                share.note_shed(observation.at)
             return
         good = observation.outcome is Outcome.OK
-        if good and share is not None:
+        if good and not late and share is not None:
             share.note_good(self.in_flight_of(target))
         view = self.views_by_target.get(target)
         if view is None:
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -222,8 +222,9 @@
         """Take note of what an exchange with a target showed."""
         if self.recorder is not None:
             self.recorder.note_observation(observation)
-        self.balancer.observe(observation)
         bad = self.monitor.observe(observation)
+        late = bad and observation.outcome is Outcome.OK
+        self.balancer.observe(observation, late)
         self.ejector.note_outcome(
             observation.service,
             observation.target,
--- a/primroseturn/routing/slots.py
+++ b/primroseturn/routing/slots.py
@@ -2,8 +2,8 @@
 
 A strict assignment would give each VM a fixed part of the slots (about 4 of one
 service) and leave them idle when demand is skewed. Instead each VM starts with a
-part of a target's slots, takes more while answers are good and halves its part
-when the target sheds.
+part of a target's slots, takes more while answers are in time and halves its part
+when the target sheds or answers late.
 
 Source: additive increase, multiplicative decrease (Chiu and Jain, 1989).
 """
@@ -36,8 +36,8 @@
         if in_flight + 1 >= self.limit:
             self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
-    def note_shed(self, now: float) -> None:
-        """Give up half of the part, once per burst of sheds."""
+    def note_overload(self, now: float) -> None:
+        """Give up half of the part, once per burst."""
         if now - self.decreased_at >= DECREASE_GAP_S:
             self.limit = max(1.0, self.limit * DECREASE)
             self.decreased_at = now
