--- a/features/steps/detection.py
+++ b/features/steps/detection.py
@@ -49,7 +49,7 @@
         digests = []
         for amount in amounts:
             writer.add(KEY, Counts(amount + 1, amount, 0))
-            digests.append(writer.take(urgent=False))
+            digests.append(writer.pack(writer.take(urgent=False)))
         indexes = st.lists(st.integers(0, len(digests) - 1), max_size=30)
         arrivals = data.draw(indexes)
         read = [
@@ -72,7 +72,7 @@
     context.digests = []
     for _ in range(3):
         writer.add(KEY, Counts(count, count, 0))
-        context.digests.append(writer.take(urgent=True))
+        context.digests.append(writer.pack(writer.take(urgent=True)))
 
 
 @when("the second of 3 digests is lost")
--- a/primroseturn/detection/cusum.py
+++ b/primroseturn/detection/cusum.py
@@ -24,7 +24,7 @@
 # From this multiple of the threshold on, a VM's own evidence is enough for itself.
 OWN_FACTOR = 1.5
 SOURCE_LIFE_S = 2.0
-# The odds of a suspect's recent exchanges to be bad must be this many times those
+# The odds of a suspect's exchanges since its change to be bad must be this many times those
 # of its peers. In an overload all targets are late, some a little more than others.
 CONTRAST = 6.0
 
@@ -49,13 +49,21 @@
 
     def __init__(self) -> None:
         self.value = 0.0
+        self.bad = 0
+        self.total = 0
         self.parts_by_source: dict[str, float] = {}
 
     def clear(self) -> None:
         """Start anew."""
         self.value = 0.0
+        self.bad = 0
+        self.total = 0
         self.parts_by_source.clear()
 
+    def bad_share(self) -> float:
+        """Return the bad share since the sum left zero, where the fault may start."""
+        return self.bad / self.total if self.total else 0.0
+
     def add_counts(
         self, source: str, bad: int, total: int, baseline: float, alternative: float
     ) -> None:
@@ -67,13 +75,15 @@
         if baseline >= alternative:
             self.clear()
         else:
+            self.bad += bad
+            self.total += total
             self.add(source, gain(bad, total, baseline, alternative))
 
     def add(self, source: str, amount: float) -> None:
         """Add a log-likelihood ratio; the sum never goes below zero."""
         self.value = max(0.0, self.value + amount)
         if self.value == 0.0:
-            self.parts_by_source.clear()
+            self.clear()
             return
         part = self.parts_by_source.get(source, 0.0) + amount
         self.parts_by_source[source] = max(0.0, part)
@@ -126,11 +136,11 @@
         sums = self.sums_by_key.get(key)
         if sums is None:
             return 0.0
-        own, peers = self.shares.own(key, now), self.shares.recent_peers(key, now)
+        peers = self.shares.recent_peers(key, now)
         suspicion = 0.0
-        if stands_out(own.failed, peers.failed):
+        if stands_out(sums.failed.bad_share(), peers.failed):
             suspicion = self.channel_suspicion(sums, sums.failed, now)
-        if stands_out(own.late, peers.late):
+        if stands_out(sums.late.bad_share(), peers.late):
             late = self.channel_suspicion(sums, sums.late, now)
             suspicion = max(suspicion, late)
         return suspicion
--- a/primroseturn/detection/digests.py
+++ b/primroseturn/detection/digests.py
@@ -53,8 +53,8 @@
         self.sums_by_key[key] = self.sums_by_key.get(key, NO_COUNTS).plus(counts)
         self.changed[key] = self.changed.get(key, False) or counts.is_bad()
 
-    def take(self, urgent: bool) -> EvidenceDigest | None:
-        """Return a digest of the changed keys, or None without any.
+    def take(self, urgent: bool) -> list[Key]:
+        """Return the changed keys that are due, the bad ones first.
 
         Parameters
         ----------
@@ -65,11 +65,13 @@
         # Bad evidence first, in case the digest is full.
         due.sort(key=lambda key: not self.changed[key])
         due = due[:ENTRIES_LIMIT]
-        if not due:
-            return None
         for key in due:
             del self.changed[key]
-        return self.pack(due)
+        return due
+
+    def mark(self, keys: list[Key]) -> None:
+        """Let keys be due in the next round."""
+        self.changed.update(dict.fromkeys(keys, True))
 
     def pack(self, keys: list[Key]) -> EvidenceDigest:
         """Return a digest of the sums of some keys."""
--- a/primroseturn/detection/exchange.py
+++ b/primroseturn/detection/exchange.py
@@ -62,19 +62,25 @@
     async def send_round(self) -> None:
         """Send one digest to the peers that are due."""
         self.rounds += 1
-        digest = self.monitor.writer.take(urgent=self.rounds % FULL_EVERY != 0)
-        if digest is None:
-            return
+        writer = self.monitor.writer
         near, far = self.find_peers()
-        await self.send_to(near, "near", digest)
+        keys = writer.take(urgent=self.rounds % FULL_EVERY != 0)
+        if keys and not await self.send_to(near, "near", writer.pack(keys)):
+            # Evidence may run dry once peers eject, so what was not sent to all is
+            # sent again.
+            writer.mark(keys)
         if self.rounds % FAR_EVERY == 0:
-            await self.send_to(far, "far", digest)
+            bad = self.monitor.unhealthy_keys(current_time())
+            if bad:
+                await self.send_to(far, "far", writer.pack(bad))
 
-    async def send_to(self, peers: list[str], kind: str, digest: EvidenceDigest):
+    async def send_to(
+        self, peers: list[str], kind: str, digest: EvidenceDigest
+    ) -> bool:
         """Send a digest to peers while the budget lasts.
 
         The next round starts with the first peer that was left out, so that all
-        are served in turn.
+        are served in turn. Returns whether all were served.
         """
         size = ENVELOPE_BYTES + len(digest.entries)
         start = self.starts_by_kind.get(kind, 0)
@@ -82,9 +88,10 @@
             if not self.budget.take(size, current_time()):
                 self.unsent += len(peers) - index
                 self.starts_by_kind[kind] = (start + index) % len(peers)
-                return
+                return False
             self.sent_bytes += size
             await self.bus.send(peer, digest)
+        return True
 
 
 def rotate(peers: list[str], start: int) -> list[str]:
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -7,6 +7,7 @@
 from primroseturn.detection.digests import (
     DigestReader,
     DigestWriter,
+    ENTRIES_LIMIT,
     EvidenceDigest,
     hash_key,
 )
@@ -29,6 +30,8 @@
 PATH_TARGETS = 3
 PATH_BAD_SHARE = 0.5
 PATH_WEIGHT = 1.5
+# From this bad share on, evidence also goes to other data centres.
+UNHEALTHY_SHARE = 0.2
 PATH_REFRESH_S = 0.05
 # Another class shows health when it has this weight of evidence and less than this
 # part of the bad share of the worst class.
@@ -211,6 +214,20 @@
             and max(item.failed, item.late) < CLASS_PART * worst
         }
 
+    def unhealthy_keys(self, now: float) -> list[Key]:
+        """Return the keys of targets that look unhealthy on this VM's evidence."""
+        return [
+            key
+            for key in self.writer.sums_by_key
+            if self.looks_unhealthy(self.whole_of(key), now)
+        ][:ENTRIES_LIMIT]
+
+    def looks_unhealthy(self, whole: Key, now: float) -> bool:
+        """Return whether this VM's recent exchanges with a target went badly."""
+        shares = self.own_shares.own(whole, now)
+        bad = shares.failed + shares.late
+        return shares.weight * bad >= 1.0 and bad >= UNHEALTHY_SHARE
+
     def path_suspected(self, now: float) -> bool:
         """Return whether most targets look bad, so this VM's path may be at fault."""
         if now - self.path_checked_at >= PATH_REFRESH_S:
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -18,7 +18,7 @@
 from primroseturn.failures import Failure
 from primroseturn.membership.listing import Listing
 from primroseturn.routing.link import MeteredLink
-from primroseturn.routing.slots import SlotShare
+from primroseturn.routing.slots import assign_slots, BorrowLimit
 from primroseturn.routing.subset import choose_subset, Place, Tiers
 
 DEFAULT_SLOTS = 6
@@ -101,7 +101,8 @@
         self.random = random
         self.slots_by_service: dict[str, int] = {}
         self.in_flight_by_target: dict[str, int] = {}
-        self.shares_by_target: dict[str, SlotShare] = {}
+        self.assigned_by_service: dict[str, dict[str, int]] = {}
+        self.borrow_by_service: dict[str, BorrowLimit] = {}
         self.views_by_target: dict[str, LocalView] = {}
         self.reports_by_target: dict[str, Report] = {}
         self.tiers_by_service: dict[str, Tiers] = {}
@@ -110,7 +111,35 @@
         """Recompute the subset of a service after a change of its list."""
         listed = self.listing.targets_by_service.get(service, {})
         live = [item for item in listed.values() if item.state == "live"]
-        self.tiers_by_service[service] = choose_subset(self.place, live)
+        center = self.place.data_center
+        local = [item.name for item in live if item.data_center == center]
+        vms = {
+            item.vm
+            for item in self.listing.daemons_by_id.values()
+            if item.state == "live" and item.data_center == center
+        } | {self.place.vm}
+        slots = self.slots_of(service)
+        assigned = assign_slots(self.place.vm, vms, local, slots)
+        self.assigned_by_service[service] = assigned
+        total = slots * max(1, len(live))
+        most = max(2.0, total / max(1, len(vms)))
+        if service not in self.borrow_by_service:
+            self.borrow_by_service[service] = BorrowLimit(most)
+        self.borrow_by_service[service].most = most
+        near = set(assigned)
+        self.tiers_by_service[service] = choose_subset(self.place, live, near)
+
+    def slots_of(self, service: str) -> int:
+        """Return the slots of each target of a service."""
+        return self.slots_by_service.get(service, DEFAULT_SLOTS)
+
+    def set_slots(self, slots_by_service: dict[str, int]) -> None:
+        """Take over the configured slots."""
+        if slots_by_service == self.slots_by_service:
+            return
+        self.slots_by_service = slots_by_service
+        for service in self.tiers_by_service:
+            self.set_targets(service)
 
     def choose(
         self,
@@ -130,8 +159,14 @@
             if trial is not None:
                 return Ok(trial)
         out = self.ejector.ejections_of(service, route_class)
+        barred = out.keys() | set(excluded)
+        own = self.draw_pair(tiers.local, now, barred, borrow=False)
+        if own:
+            return Ok(Choice(min(own, key=lambda item: self.cost(item, now))))
+        if self.borrowed(service, tiers) >= self.borrow_by_service[service].limit:
+            return Error(NoCapacity(service))
         for tier in tiers:
-            pair = self.draw_pair(tier, now, out, excluded)
+            pair = self.draw_pair(tier, now, barred, borrow=True)
             if not pair:
                 continue
             if tier is tiers.metered and not self.link.take(download, now):
@@ -143,17 +178,13 @@
         self,
         tier: tuple[Target, ...],
         now: float,
-        out: Collection[str],
-        excluded: Collection[str],
+        barred: Collection[str],
+        borrow: bool,
     ) -> list[Target]:
         """Return up to two random targets of a tier that may take a request."""
         pair: list[Target] = []
         for item in self.random.sample(tier, len(tier)):
-            if (
-                item.name not in out
-                and item.name not in excluded
-                and self.has_free_slot(item, now)
-            ):
+            if item.name not in barred and self.has_free_slot(item, borrow):
                 pair.append(item)
                 if len(pair) == 2:
                     break
@@ -185,29 +216,28 @@
     def has_free_slots(self, service: str) -> bool:
         """Return whether this VM has slots to spare near it, as hedges need."""
         tiers = self.tiers_by_service.get(service, Tiers((), (), ()))
-        near = tiers.local or tiers.region
-        used = sum(self.in_flight_of(item.name) for item in near)
-        room = sum(self.share_of(item).limit for item in near)
-        return used < 0.7 * room
+        near = {item.name for item in tiers.local}
+        assigned = self.assigned_by_service.get(service, {})
+        used = sum(self.in_flight_of(name) for name in near)
+        return used < sum(assigned.values())
 
-    def has_free_slot(self, target: Target, now: float) -> bool:
+    def has_free_slot(self, target: Target, borrow: bool) -> bool:
         """Return whether this VM may run one more request at a target."""
-        ramp = self.ejector.ramp(target.service, target.name, now)
-        share = self.share_of(target)
-        return share.allows(self.in_flight_of(target.name), ramp)
-
-    def share_of(self, target: Target) -> SlotShare:
-        """Return this VM's part of a target's slots."""
-        slots = self.slots_by_service.get(target.service, DEFAULT_SLOTS)
-        share = self.shares_by_target.get(target.name)
-        if share is None:
-            share = self.shares_by_target[target.name] = SlotShare(slots)
-        share.resize(slots)
-        return share
+        assigned = self.assigned_by_service[target.service].get(target.name, 0)
+        return self.in_flight_of(target.name) < assigned + borrow
+
+    def borrowed(self, service: str, tiers: Tiers) -> int:
+        """Return the slots in use beyond this VM's own."""
+        assigned = self.assigned_by_service[service]
+        return sum(
+            max(0, self.in_flight_of(item.name) - assigned.get(item.name, 0))
+            for tier in tiers
+            for item in tier
+        )
 
     def cost(self, target: Target, now: float) -> float:
         """Return the expected time in the target, by load, latency and failures."""
-        slots = self.slots_by_service.get(target.service, DEFAULT_SLOTS)
+        slots = self.slots_of(target.service)
         view = self.views_by_target.get(target.name)
         load = self.in_flight_of(target.name) + 1.0
         report = self.reports_by_target.get(target.name)
@@ -250,18 +280,19 @@
     def observe(self, observation: Observation, late: bool = False) -> None:
         """Take note of what an exchange showed.
 
-        A late answer reduces this VM's part of the slots like a shed one, so that
-        an overload waits in the fair queue and not in the target.
+        A late or shed answer reduces borrowing, so that an overload waits in the
+        fair queue and not in the targets.
         """
         target = observation.target
-        share = self.shares_by_target.get(target)
-        if share is not None and (late or observation.outcome is Outcome.SHED):
-            share.note_overload(observation.at)
+        limit = self.borrow_by_service.get(observation.service)
+        overloaded = late or observation.outcome is Outcome.SHED
+        if limit is not None and overloaded:
+            limit.note_overload(observation.at)
         if observation.outcome is Outcome.SHED:
             return
         good = observation.outcome is Outcome.OK
-        if good and not late and share is not None:
-            share.note_good(self.in_flight_of(target))
+        if good and not late and limit is not None:
+            limit.note_good()
         view = self.views_by_target.get(target)
         if view is None:
             view = self.views_by_target[target] = LocalView()
@@ -270,6 +301,5 @@
     def forget(self, targets: set[str]) -> None:
         """Drop targets that are no longer listed."""
         for target in targets:
-            self.shares_by_target.pop(target, None)
             self.views_by_target.pop(target, None)
             self.reports_by_target.pop(target, None)
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -246,6 +246,10 @@
     def use_list(self, listing: Listing, service: str, now: float) -> None:
         """Take over a changed list of targets."""
         if service == ENTRY_LIST:
+            # The assignment of slots follows the VMs.
+            for name in self.targets_by_service:
+                self.balancer.set_targets(name)
+                self.pump(name)
             return
         listed = listing.targets_by_service.get(service, {})
         live = {item.name for item in listed.values() if item.state == "live"}
@@ -273,9 +277,9 @@
         for queue in self.queues_by_service.values():
             queue.limit = preset.queue_limit
         self.shares_by_workspace = dict(preset.shares_by_workspace)
-        self.balancer.slots_by_service = {
-            item.name: item.slots_per_target for item in state.services_by_name.values()
-        }
+        self.balancer.set_slots(
+            {n: item.slots_per_target for n, item in state.services_by_name.items()}
+        )
         self.learn_classes(state)
 
     def learn_classes(self, state: ConfigurationState) -> None:
--- a/primroseturn/routing/slots.py
+++ b/primroseturn/routing/slots.py
@@ -1,43 +1,66 @@
-"""This VM's use of a target's slots: optimistic sharing with shedding feedback.
+"""Slots of targets: assigned to VMs, and borrowed with feedback.
 
-A strict assignment would give each VM a fixed part of the slots (about 4 of one
-service) and leave them idle when demand is skewed. Instead each VM starts with a
-part of a target's slots, takes more while answers are in time and halves its part
-when the target sheds or answers late.
+Each slot of a target belongs to one VM of its data centre, so that the fleet uses
+at most a target's slots. A VM whose own slots are all busy borrows a slot of another
+target. It does not know whether that slot is free, so late or shed answers halve the
+number of slots that it borrows.
 
-Source: additive increase, multiplicative decrease (Chiu and Jain, 1989).
+Sources: rendezvous hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam,
+2018); additive increase, multiplicative decrease (Chiu and Jain, 1989).
 """
 
+from collections.abc import Collection
+from math import ceil
+
+from primroseturn.routing.subset import rendezvous_weight
+
 DECREASE = 0.5
 DECREASE_GAP_S = 0.1
-START_SHARE = 0.5
+LEAST_BORROWED = 1.0
 
 
-class SlotShare:
-    """How many requests this VM may run at one target."""
+def assign_slots(
+    vm: str, vms: Collection[str], targets: Collection[str], slots: int
+) -> dict[str, int]:
+    """Return how many slots of each target belong to a VM.
 
-    def __init__(self, slots: int) -> None:
-        self.slots = slots
-        self.limit = max(1.0, START_SHARE * slots)
-        self.decreased_at = float("-inf")
+    Every VM computes the same assignment. It moves few slots when VMs or targets
+    come and go, and no VM gets more than its rounded-up fair part.
+    """
+    if not targets:
+        return {}
+    most = ceil(slots * len(targets) / len(vms))
+    left_by_vm = dict.fromkeys(vms, most)
+    assigned: dict[str, int] = {}
+    ranks = {
+        name: sorted(vms, key=lambda item: rendezvous_weight(item, name), reverse=True)
+        for name in sorted(targets)
+    }
+    for number in range(slots):
+        for name, ranked in ranks.items():
+            # Each target goes round its own order of VMs.
+            turn = ranked[number % len(ranked) :] + ranked[: number % len(ranked)]
+            owner = next(item for item in turn if left_by_vm[item] > 0)
+            left_by_vm[owner] -= 1
+            if owner == vm:
+                assigned[name] = assigned.get(name, 0) + 1
+    return assigned
 
-    def resize(self, slots: int) -> None:
-        """Take over a change of the target's slots."""
-        if slots != self.slots:
-            self.slots = slots
-            self.limit = min(max(1.0, self.limit), slots)
 
-    def allows(self, in_flight: int, ramp: float) -> bool:
-        """Return whether one more request may run."""
-        return in_flight < max(1.0, self.limit * ramp)
+class BorrowLimit:
+    """How many slots beyond its own this VM may use at a service."""
+
+    def __init__(self, most: float) -> None:
+        self.most = most
+        self.limit = max(LEAST_BORROWED, most / 2)
+        self.decreased_at = float("-inf")
 
-    def note_good(self, in_flight: int) -> None:
-        """Take more if the present part is in use."""
-        if in_flight + 1 >= self.limit:
-            self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
+    def note_good(self) -> None:
+        """Borrow more after a good answer."""
+        self.limit = min(self.most, self.limit + 1.0 / self.limit)
 
     def note_overload(self, now: float) -> None:
-        """Give up half of the part, once per burst."""
+        """Borrow half as much, once per burst."""
         if now - self.decreased_at >= DECREASE_GAP_S:
-            self.limit = max(1.0, self.limit * DECREASE)
+            self.limit = max(LEAST_BORROWED, self.limit * DECREASE)
             self.decreased_at = now
--- a/primroseturn/routing/subset.py
+++ b/primroseturn/routing/subset.py
@@ -3,7 +3,7 @@
 Source: Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -37,8 +37,10 @@
     return int.from_bytes(digest, "big")
 
 
-def choose_subset(place: Place, targets: Iterable[Target]) -> Tiers:
-    """Return the targets that a VM uses."""
+def choose_subset(
+    place: Place, targets: Iterable[Target], assigned: Collection[str] = ()
+) -> Tiers:
+    """Return the targets that a VM uses, with all whose slots are its own."""
     ranked = sorted(
         targets, key=lambda item: rendezvous_weight(place.vm, item.name), reverse=True
     )
@@ -49,7 +51,8 @@
         if item.region == place.region and item.data_center != place.data_center
     ]
     metered = [item for item in ranked if item.region != place.region]
-    local = local[:LOCAL_TARGETS]
+    local.sort(key=lambda item: item.name not in assigned)
+    local = local[: max(LOCAL_TARGETS, len(assigned))]
     region = region[: max(0, SUBSET_TARGETS - len(local))]
     # Some targets beyond the metered link always stay usable as a last resort.
     room = max(2, SUBSET_TARGETS - len(local) - len(region))
