--- a/features/retries.feature
+++ b/features/retries.feature
@@ -1,18 +1,35 @@
-Feature: Retries and hedges stay within a share of recent successes
+Feature: Retries and hedges stay within their budget and hide single failures
 
-  Scenario: No sequence of successes and failures exceeds the retry budget
-    Then in any sequence retries stay within a tenth of the successes and one second
+  Scenario: Without a budget an upstream's error is passed on
+    Given 1 targets behind relays and 1 daemon
+    And the preset "no-retries" is in force
+    And 5 requests have opened connections
+    And target "target1" has the faults {"error_share": 1.0}
+    When 1 callers fetch "/find/item"
+    Then the answer has status 500
+    And the upstreams got 6 requests
 
-  Scenario: Unused retries expire without successes
-    Given a retry budget that earned 3 retries
-    When 11 seconds pass without a success
-    Then no retry is granted
+  Scenario: With a budget the same error is retried
+    Given 1 targets behind relays and 1 daemon
+    And 5 requests have opened connections
+    And target "target1" has the faults {"error_share": 1.0}
+    When 1 callers fetch "/find/item"
+    Then the answer has status 500
+    And the upstreams got 8 requests
 
-  Scenario: A hedge starts after the measured quantile
-    Given latencies of 1 to 100 ms
-    Then the hedge delay is between 90 and 100 ms
+  Scenario: A late answer is hedged on another target and the loser is cancelled
+    Given 2 targets behind relays and 1 daemon
+    And 120 requests to "/quick/warm" have opened connections
+    And target "target1" has the faults {"extra_delay_s": 3.0}
+    When 4 callers fetch "/quick/item" at once
+    Then all answers name the path "/quick/item" and come within 1.5 s
+    And target "target1" lost a race
 
-  Scenario: No hedge starts without free slots
-    Given latencies of 1 to 100 ms
-    When no slot is free
-    Then there is no hedge delay
+  Scenario: An order is never hedged or retried after it was sent
+    Given 2 targets behind relays and 1 daemon
+    And 20 requests have opened connections
+    And target "target1" has the faults {"silent_share": 1.0}
+    And target "target2" has the faults {"silent_share": 1.0}
+    When a caller orders with operation "o1" through "vm1"
+    Then all answers are the refusal "upstream-failed" with status 504 and ran "unknown"
+    And the operation "o1" ran 1 time
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -10,6 +10,7 @@
 SERVICE_MODULES = (
     "primroseturn.observation.service",
     "primroseturn.store.client",
+    "primroseturn.control.service",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
     "primroseturn.detection.service",
@@ -17,9 +18,24 @@
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
+    "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
+    "primroseturn.admin.service",
+    "primroseturn.observation.health",
+    "primroseturn.observation.clocks",
+)
+DAEMON_SERVICES = (
+    "configuration",
+    "withdrawals",
+    "isolation",
+    "callers",
+    "retries",
+    "hedging",
+    "digests",
+    "recorder",
+    "admin",
+    "metrics",
 )
-DAEMON_SERVICES = ("callers", "retries", "hedging", "digests", "recorder")
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
