--- a/features/exploration/claims.py
+++ b/features/exploration/claims.py
@@ -18,9 +18,8 @@
 )
 from primroseturn.claims.claims import Claims, ClaimSurroundings, run_claims
 from primroseturn.claims.commit import SlotCommitter
-from primroseturn.claims.messages import ClaimReply
 from primroseturn.claims.models import ClaimGranted, Operation, RecordedOutcome
-from primroseturn.claims.slots import encode_slot, Slot
+from primroseturn.claims.slots import bits_of, encode_slot, Slot
 from primroseturn.configuration.models import EntryVm
 from primroseturn.failures import StoreUnavailable
 from primroseturn.standins.network import run_network
@@ -28,18 +27,18 @@
 
 VMS = ("a", "b", "c")
 OPERATIONS = tuple(f"key{number}" for number in range(5))
-SPLIT_BYTES = 250
+SPLIT_BYTES = 150
 RUN_S = 0.05
 SETTLE_S = 25.0
 
 
-async def commit_on_trust(committer, prefix, changes):
+async def put_on_trust(committer, prefix, value, version):
     """Broken: takes a write without an answer for a write that took effect."""
     try:
-        return await COMMIT(committer, prefix, changes)
+        return await PUT(committer, prefix, value, version)
     except StoreUnavailable as failure:
         if failure.maybe_applied:
-            return [ClaimReply(item.attempt, "granted") for item in changes]
+            return version + 1
         raise
 
 
@@ -55,9 +54,10 @@
         entries = {
             key: entry
             for key, entry in held.slot.entries_by_id.items()
-            if f"{int(key, 16):0128b}".startswith(prefix + bit)
+            if bits_of(key).startswith(prefix + bit)
         }
-        await PUT(committer, prefix + bit, encode_slot(Slot("open", entries)), 0)
+        value = encode_slot(Slot("open", entries))
+        await PUT(committer, prefix + bit, value, 0)
     stored = await committer.store.read(f"claims/{prefix}")
     await PUT(committer, prefix, encode_slot(Slot("split")), stored.version)
     committer.held_by_prefix.pop(prefix, None)
@@ -68,10 +68,9 @@
     await claims.release(operation)
 
 
-COMMIT = SlotCommitter.commit
 PUT = SlotCommitter.put
 BROKEN = {
-    "writes-are-trusted": (SlotCommitter, "commit", commit_on_trust),
+    "writes-are-trusted": (SlotCommitter, "put", put_on_trust),
     "slots-are-overwritten": (SlotCommitter, "put", put_blindly),
     "splits-do-not-freeze": (SlotCommitter, "begin_split", split_without_freezing),
     "runs-are-released": (Claims, "record", release_when_unanswered),
--- a/features/exploration/limits.py
+++ b/features/exploration/limits.py
@@ -1,6 +1,7 @@
 """Explores the token protocol: admissions must stay within rate and burst."""
 
 from contextlib import asynccontextmanager
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -25,7 +26,7 @@
 from primroseturn.limits.borrowing import Borrower
 from primroseturn.limits.ledger import LedgerView
 from primroseturn.limits.sessions import OwnerSession
-from primroseturn.limits.share import Loan, Share
+from primroseturn.limits.share import Loan, Share, UNITS
 from primroseturn.settings.models import LimitSettings
 from primroseturn.standins.network import run_network
 from primroseturn.standins.objects import MemoryObjects
@@ -48,7 +49,7 @@
 
 
 def accept_late(borrower, share, peer, request, grant, sent_at):
-    """Broken: counts a loan's life anew at each extension or use of the share."""
+    """Broken: keeps loans longer than their owner counts them as lent."""
     ends_at = borrower.clock.now() + 2 * borrower.loan_s
     if grant.loan_id:
         loan = Loan(peer, grant.rate, grant.burst, ends_at)
@@ -64,9 +65,10 @@
 
 def adopt_at_once(share, version, ledger, now):
     """Broken: earns tokens from units backwards in time."""
-    share.view.adopt(version, ledger)
+    fresh = share.view.adopt(version, ledger)
     share.recompute(share.updated_at)
     share.refill(now)
+    share.tokens += fresh * share.effective_limits().burst / UNITS
 
 
 async def open_at_once(session):
@@ -127,7 +129,7 @@
             bus,
             VmClock(gate, self.drift[vm], 100.0 * ord(vm)),
             Random(f"{self.seed}/{incarnation}"),
-            lambda: self.entries,
+            partial(self.live_daemons, vm),
             lambda name: self.workspace(vm),
             lambda event, **fields: None,
         )
@@ -142,6 +144,11 @@
                 await stop[0].wait()
             stop[1].set()
 
+    def live_daemons(self, vm):
+        """Return the VMs that are up; a paused one counts."""
+        up = {*self.admissions, vm}
+        return {name: entry for name, entry in self.entries.items() if name in up}
+
     def workspace(self, vm):
         """Return the workspace with the limits that a VM has applied."""
         rate, burst = self.versions[self.applied[vm]]
@@ -161,6 +168,23 @@
         rate = max(self.versions[version][0] for version in used)
         burst = max(self.versions[version][1] for version in used)
         self.trace.append(Admitted(now, rate, burst, count))
+        self.check_capacity(rate, burst)
+
+    def check_capacity(self, rate, burst):
+        """Check that the buckets of all VMs add up to at most one whole bucket."""
+        shares = []
+        for admission in self.admissions.values():
+            share = admission.shares_by_workspace.get(WORKSPACE)
+            if share is not None:
+                share.refill(admission.clock.now())
+                shares.append(share)
+        sums = [
+            (sum(share.rate for share in shares), rate, "rates"),
+            (sum(share.burst for share in shares), burst, "bursts"),
+            (sum(share.tokens for share in shares), burst, "tokens"),
+        ]
+        for held, allowed, name in sums:
+            assert held <= allowed + 1e-6, f"{name} add up to {held}, not {allowed}"
 
     async def request(self, vm):
         """Ask a VM for one admission and record it."""
@@ -235,6 +259,7 @@
     async with run_world(seed) as world:
         for name, *arguments in schedule:
             await ACTIONS[name](world, *arguments)
+            world.note_limits()
         await world.heal()
         for vm in VMS:
             await act_burst(world, vm, 8)
--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,183 @@
+"""Steps for rate and burst. Schedules run on virtual time in the Then steps."""
+
+from behave import given, then, when
+from expression import Ok
+from msgspec.json import decode
+
+from features.exploration.limits import ACTIONS, run_world, VMS, World
+from features.exploration.run import explore
+from features.exploration.vms import run_on_virtual_time
+from primroseturn.clock import MonotonicClock
+from primroseturn.limits.borrowing import Borrower
+from primroseturn.limits.ledger import Ledger
+from primroseturn.limits.messages import LoanGrant
+from primroseturn.limits.sessions import owner_of, OwnerSession
+from primroseturn.limits.share import Limits, Share
+
+
+@when("{count:d} schedules of the {protocol} protocol are explored with seed {seed:d}")
+def step_explore(context, count, protocol, seed):
+    context.totals = explore(protocol, count, seed)
+    context.wanted = count
+
+
+@when(
+    "{count:d} schedules of the {protocol} protocol are explored with seed {seed:d} "
+    'and "{variant}"'
+)
+def step_explore_broken(context, count, protocol, seed, variant):
+    context.failure = None
+    try:
+        explore(protocol, count, seed, broken=variant)
+    except (AssertionError, BaseExceptionGroup) as failure:
+        context.failure = failure
+
+
+@then("every schedule held")
+def step_held(context):
+    assert context.totals["schedules"] >= context.wanted, context.totals
+    # A protocol that refuses everything would hold too.
+    done = context.totals.get("admitted", 0) + context.totals.get("granted", 0)
+    assert done >= context.wanted, context.totals
+
+
+@then("a schedule failed")
+def step_failed(context):
+    assert has_assertion(context.failure), f"not caught: {context.failure!r}"
+
+
+def has_assertion(failure):
+    """Return whether a failure is or contains a failed check."""
+    if isinstance(failure, BaseExceptionGroup):
+        return any(has_assertion(item) for item in failure.exceptions)
+    return isinstance(failure, AssertionError)
+
+
+@given("4 VMs that share a workspace of rate 8 and burst 12")
+def step_world(context):
+    context.schedule = []
+
+
+@when('VM "{vm}" is asked for {count:d} admissions')
+def step_burst(context, vm, count):
+    context.schedule.append(("burst", vm, count))
+
+
+@when("every VM is asked for {count:d} admissions")
+def step_burst_everywhere(context, count):
+    context.schedule += [("burst", vm, count) for vm in VMS]
+
+
+@when("{seconds:f} s pass")
+def step_pass(context, seconds):
+    context.schedule.append(("advance", seconds))
+
+
+@when("the store is unavailable")
+def step_outage(context):
+    context.schedule.append(("store", True, 0.0, 0.0, 0.0))
+
+
+@when("the owner of most units {how}")
+def step_owner_goes(context, how):
+    action = {"crashes": "crash", "stops as planned": "leave"}[how]
+    context.schedule.append(("go", action))
+
+
+@when("the limits change to rate 20 and burst 16")
+def step_configure(context):
+    context.schedule.append(("configure", 2))
+
+
+@when('VM "{vm}" applies the limits')
+def step_apply(context, vm):
+    context.schedule.append(("apply", vm))
+
+
+def units_by_vm(world: World):
+    """Return the units that the ledger records for each VM."""
+    stored = world.objects.objects_by_key["limits/w"]
+    shares = decode(stored.value, type=Ledger).shares
+    return {owner_of(name)[0]: entry.units for name, entry in shares.items()}
+
+
+async def play(schedule):
+    """Run a schedule and return the world and the VM that went."""
+    gone = None
+    async with run_world(1) as world:
+        for name, *arguments in schedule:
+            if name == "go":
+                units = units_by_vm(world)
+                gone = max(units, key=units.get)
+                await ACTIONS[arguments[0]](world, gone)
+            else:
+                await ACTIONS[name](world, *arguments)
+                world.note_limits()
+        units = units_by_vm(world)
+        rates = sum(
+            share.rate
+            for admission in world.admissions.values()
+            for share in admission.shares_by_workspace.values()
+        )
+        admitted = sum(item.count for item in world.trace)
+        return units, gone, rates, admitted
+
+
+def run_schedule(context):
+    """Run the schedule so far from its start."""
+    return run_on_virtual_time(play, context.schedule)
+
+
+@then("at least {least:d} and at most {most:d} requests were admitted")
+def step_admitted(context, least, most):
+    *_, admitted = run_schedule(context)
+    assert least <= admitted <= most, admitted
+
+
+@then("{some} units belong to the VM that went")
+def step_units_of_gone(context, some):
+    units, gone, *_ = run_schedule(context)
+    assert (units.get(gone, 0) > 0) == (some == "some"), (gone, units)
+
+
+@then("the rates of all VMs add up to at most {rate:d}")
+def step_rate_at_most(context, rate):
+    _, _, rates, _ = run_schedule(context)
+    assert 0 < rates <= rate + 1e-6, rates
+
+
+@then("the rates of all VMs add up to {rate:d}")
+def step_rate(context, rate):
+    _, _, rates, _ = run_schedule(context)
+    assert rate * 0.9 <= rates <= rate + 1e-6, rates
+
+
+class AnsweringBus:
+    """Bus whose every request gets a grant for another request."""
+
+    vm, incarnation = "a", "new"
+
+    async def request(self, peer, message, timeout_s):
+        return Ok(LoanGrant("a/old/1", "loan", 1.0, 1.0, 1.0))
+
+
+async def borrow_late():
+    """Return the share of a borrower that got a grant for its predecessor."""
+    clock = MonotonicClock()
+    session = OwnerSession(None, clock, "a@h:1", "new", 10.0, 1.0)
+    share = Share("w", Limits(8.0, 12.0), session, clock.now())
+    share.waiting = 1
+    borrower = Borrower(clock, AnsweringBus(), 1.0, lambda share: ["b"])
+    await borrower.run_round(share)
+    return share
+
+
+@when("a restarted VM gets a loan that its predecessor asked for")
+def step_old_grant(context):
+    context.share = run_on_virtual_time(borrow_late)
+
+
+@then("it holds no loan")
+def step_no_loan(context):
+    assert not context.share.borrowed_by_id
+    assert context.share.tokens == 0
--- a/primroseturn/claims/commit.py
+++ b/primroseturn/claims/commit.py
@@ -4,6 +4,7 @@
 from math import ceil, log2
 from typing import NamedTuple
 
+from anyio import Lock
 from msgspec.json import decode, encode
 
 from primroseturn.claims.messages import ClaimReply, ClaimRequest
@@ -59,6 +60,7 @@
         self.unix_time = unix_time
         self.depth_wanted = max(0, ceil(log2(slots)))
         self.depth: int | None = None
+        self.depth_lock = Lock()
         self.retention_s = retention_s
         self.split_bytes = split_bytes
         self.held_by_prefix: dict[str, Held] = {}
@@ -67,7 +69,10 @@
     async def locate(self, operation_id: str) -> str:
         """Return the prefix of the slot that holds an operation, as far as known."""
         if self.depth is None:
-            self.depth = await self.read_depth()
+            async with self.depth_lock:
+                # Whoever waited for the lock finds the depth set.
+                if self.depth is None:
+                    self.depth = await self.read_depth()
         bits, depth = bits_of(operation_id), self.depth
         while bits[:depth] in self.split_prefixes:
             depth += 1
