--- a/features/fleet.py
+++ b/features/fleet.py
@@ -117,11 +117,16 @@
             "identity": {"vm": vm, "data_center": "dc1", "region": "region1"},
             "store": {"url": f"http://127.0.0.1:{self.store_port}"},
             "logs": {"events_file": "/dev/null"},
+            "callers": {"drain_delay_s": 0.0, "drain_limit_s": 1.0},
             **sections,
         }
         settings = convert(document, DaemonSettings)
         kernel = await self.start(vm, run_services(settings))
         self.kernels_by_vm[vm] = kernel
+        listed = {item.vm: item for item in self.entry_vms}
+        listed[vm] = kernel.find("membership").this
+        self.entry_vms = list(listed.values())
+        self.list_entry_vms()
         return kernel.find("callers")
 
     async def request(
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -10,14 +10,32 @@
 SERVICE_MODULES = (
     "primroseturn.observation.service",
     "primroseturn.store.client",
+    "primroseturn.control.service",
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
+    "primroseturn.detection.service",
+    "primroseturn.replay.recorder",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
+    "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
+    "primroseturn.admin.service",
+    "primroseturn.observation.health",
+    "primroseturn.observation.clocks",
+)
+DAEMON_SERVICES = (
+    "configuration",
+    "withdrawals",
+    "isolation",
+    "callers",
+    "retries",
+    "hedging",
+    "digests",
+    "recorder",
+    "admin",
+    "metrics",
 )
-DAEMON_SERVICES = ("callers",)
 
 
 def run_services(settings: DaemonSettings) -> AbstractAsyncContextManager[Kernel]:
