Follow the renamed set of withdrawals and list the demo's daemons

Cause: the merged replica keeps withdrawals under another name, which broke the status and /metrics; the demo's daemons were in no VM list, so that most of their requests were refused as limits-unavailable. Conclusion: list every daemon, and read the new field.

--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from ast import Load, Name, parse, walk
 from pathlib import Path
 
 from anyio import sleep
@@ -106,13 +107,14 @@
     files = [path.read_text() for path in Path("primroseturn").rglob("*.py")]
     names = [name for text in files for name in DEFINITION.findall(text)]
     assert len(names) == len(events_by_number), names
-    source = "\n".join(files)
-    unused = []
-    for name in names:
-        imported = len(re.findall(rf"^from .*\b{name}$|^    {name},$", source, re.M))
-        uses = len(re.findall(rf"\b{name}\b", source)) - 1 - imported
-        if uses < 1:
-            unused.append(name)
+    # Imports and definitions are no uses; both are not names in load context.
+    used = {
+        node.id
+        for text in files
+        for node in walk(parse(text))
+        if isinstance(node, Name) and isinstance(node.ctx, Load)
+    }
+    unused = [name for name in names if name not in used]
     assert not unused, unused
 
 
--- a/features/steps/product_commands.py
+++ b/features/steps/product_commands.py
@@ -49,6 +49,11 @@
     run_command(context, command, limit_s)
 
 
+@when('the command "{command}" is called')
+def step_call(context, command):
+    call_command(context, command)
+
+
 @then("the command exits with code {code:d}")
 def step_exit_code(context, code):
     assert context.exit_code == code, (context.exit_code, context.output)
--- a/features/timeline.feature
+++ b/features/timeline.feature
@@ -39,5 +39,5 @@
     When the command "timeline" runs on the event files
     Then the command exits with code 0
     And its output contains "1 lines are no events"
-    When the command "timeline /nonexistent/events.jsonl" runs for at most 20 s
+    When the command "timeline /nonexistent/events.jsonl" is called
     Then the command exits with code 2
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -35,6 +35,7 @@
     "recorder",
     "admin",
     "metrics",
+    "clock-probes",
 )
 
 
--- a/primroseturn/observation/metrics.py
+++ b/primroseturn/observation/metrics.py
@@ -71,7 +71,7 @@
         yield GaugeMetricFamily(
             "primroseturn_withdrawn_keys",
             "Withdrawn key ids held here.",
-            value=len(replica.withdrawn_ids),
+            value=len(replica.operations_by_withdrawn_id),
         )
         yield self.count_unready(services["readiness"].reasons())
         yield self.count_targets(services["listing"])
--- a/primroseturn/packaging/executable.py
+++ b/primroseturn/packaging/executable.py
@@ -23,8 +23,9 @@
 ENTRY_POINT = "primroseturn.cli.main:main"
 # VMs have no disks. SHIV_ROOT overrides this place at run time.
 UNPACK_ROOT = "/dev/shm/primroseturn"
-# Test data of libraries makes a fifth of the file and is never read.
-SKIPPED_PARTS = frozenset(("__pycache__", "tests", "test"))
+# Tests, samples and headers of libraries are never read by the product.
+SKIPPED_PARTS = frozenset(("__pycache__", "tests", "_tests", "test", "sample_data"))
+SKIPPED_SUFFIXES = frozenset((".a", ".c", ".h", ".pxd", ".pyi", ".pyx"))
 
 
 class BuildFailed(Failure):
@@ -72,7 +73,8 @@
 def copy_distribution(found: Distribution, directory: Path) -> None:
     """Copy the files of an installed distribution, without its scripts."""
     for file in found.files or ():
-        if ".." in file.parts or SKIPPED_PARTS & set(file.parts):
+        skipped = SKIPPED_PARTS & set(file.parts) or file.suffix in SKIPPED_SUFFIXES
+        if ".." in file.parts or skipped:
             continue
         target = directory / file
         target.parent.mkdir(parents=True, exist_ok=True)
--- a/primroseturn/plugins/demo/fleet.py
+++ b/primroseturn/plugins/demo/fleet.py
@@ -101,8 +101,8 @@
 
 
 async def add_daemons(fleet: DemoFleet, stack: AsyncExitStack) -> None:
-    """Start one daemon per data centre."""
-    fleet.store.write("vmlist/entry", encode(EntryList([])))
+    """Start one daemon per data centre and list it."""
+    listed = []
     for number, (data_center, region) in enumerate(PLACES, 1):
         vm = f"vm{number}"
         document = {
@@ -114,6 +114,8 @@
         settings = convert(document, DaemonSettings)
         kernel = await stack.enter_async_context(run_services(settings))
         fleet.kernels_by_vm[vm] = kernel
+        listed.append(kernel.find("membership").this)
+        fleet.store.write("vmlist/entry", encode(EntryList(listed)))
 
 
 @asynccontextmanager
