--- a/features/admin.feature
+++ b/features/admin.feature
@@ -111,6 +111,20 @@
     And its output contains "readiness.ready"
     And its output contains "store.reachable"
 
+  Scenario: The fleet's status names the version on each VM and who is not heard
+    Given the VM list also names "vm7", which does not run
+    When the operator runs "fleet --json"
+    Then the command exits with code 0
+    And "vm1" and "vm2" report the version in force and "vm7" is not heard
+
+  Scenario: An unexpected error gets a typed answer without internals and an event
+    Given the VM lists of "vm1" are broken
+    When the operator runs "targets"
+    Then the command exits with code 1
+    And its output contains "internal-error"
+    And its output does not contain "NoneType"
+    And the events file holds event 1004
+
   Scenario: An address without a daemon exits with code 4
     When the operator runs "status --url http://127.0.0.1:9"
     Then the command exits with code 4
--- a/features/observation.feature
+++ b/features/observation.feature
@@ -16,6 +16,16 @@
       | sample                                             |
       | primroseturn_request_seconds_count 0.0             |
 
+  Scenario: Every metric of the operators' page exists
+    Given a fleet with 1 targets and 2 daemons
+    When the workspace "shop" sends GET "/find/x" through "vm1"
+    And a caller without a key sends GET "/find/x" through "vm1"
+    Then "vm1" has every metric that the operators' page names
+
+  Scenario: Daemons probe each other's clocks, so that a time line can repair them
+    Given a fleet with 1 targets and 2 daemons for operators
+    Then the events file holds probes in both directions within 5 s
+
   Scenario: No metric label or value shows a caller's key or a workspace
     Given a fleet with 1 targets and 1 daemons
     When the workspace "shop" sends GET "/find/x" through "vm1"
--- a/features/steps/admin.py
+++ b/features/steps/admin.py
@@ -10,6 +10,7 @@
 from anyio import create_task_group
 from behave import given, then, when
 from httpx import AsyncClient
+from msgspec.structs import replace
 
 from features.certificates import write_certificate
 from features.fleet import run_fleet
@@ -356,3 +357,34 @@
 
     answer = context.portal.call(work)
     assert answer.status_code == status, answer.text
+
+
+def heard_vms(context):
+    """Return the VMs that answer the fleet's status through vm1."""
+    answer = call_api(context, lambda client: client.call("GET", "fleet"))
+    return {item["vm"] for item in answer["vms"]}
+
+
+@given('the VM list also names "{vm}", which does not run')
+def step_absent_vm(context, vm):
+    fleet = context.fleet
+    fleet.entry_vms.append(replace(fleet.entry_vms[0], vm=vm, control_port=9))
+    context.portal.call(fleet.list_entry_vms)
+    listing = fleet.kernels_by_vm["vm1"].find("listing")
+    wait_until(lambda: vm in listing.daemons_by_id, 5)
+    # Heartbeats teach the bus where peers are.
+    wait_until(lambda: "vm2" in heard_vms(context), 5)
+
+
+@then('"{one}" and "{two}" report the version in force and "{vm}" is not heard')
+def step_fleet_status(context, one, two, vm):
+    answer = json.loads(context.stdout)
+    versions = {item["vm"]: item["version"] for item in answer["vms"]}
+    expected = context.fleet.version
+    assert versions == {one: expected, two: expected}, answer
+    assert answer["unheard"] == [vm], answer
+
+
+@given('the VM lists of "{vm}" are broken')
+def step_broken_lists(context, vm):
+    context.fleet.kernels_by_vm[vm].services_by_name["listing"] = None
--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -130,3 +130,28 @@
     }
     assert {(201, "request-refused"), (1001, "admin-change")} <= emitted, emitted
     assert emitted <= listed, emitted - listed
+
+
+@then('"{vm}" has every metric that the operators\' page names')
+def step_metrics_page(context, vm):
+    page = Path("docs/operators/observation.md").read_text()
+    named = set(re.findall(r"`(primroseturn_\w+)", page))
+    assert len(named) > 10, named
+    text = fetch(context, vm, "/metrics").text
+    missing = [name for name in named if f"\n{name}" not in f"\n{text}"]
+    assert not missing, missing
+
+
+@then("the events file holds probes in both directions within {limit:d} s")
+def step_probes(context, limit):
+    def received():
+        lines = map(json.loads, context.events_file.read_text().splitlines())
+        return {item["vm"] for item in lines if item.get("event") == 111}
+
+    wait_until(lambda: received() == {"vm1", "vm2"}, limit)
+
+
+@then("the events file holds event {number:d}")
+def step_event_emitted(context, number):
+    lines = map(json.loads, context.events_file.read_text().splitlines())
+    assert number in {item.get("event") for item in lines}
--- a/primroseturn/admin/application.py
+++ b/primroseturn/admin/application.py
@@ -7,8 +7,9 @@
 
 from primroseturn.admin.changes import ChangeRequest, submit_change
 from primroseturn.admin.credentials import Credential, identify_operator
-from primroseturn.admin.events import ADMIN_CHANGE, ADMIN_REFUSED
+from primroseturn.admin.events import ADMIN_CHANGE, ADMIN_FAILED, ADMIN_REFUSED
 from primroseturn.admin.failures import (
+    CallFailed,
     CredentialReadOnly,
     MethodRefused,
     RequestInvalid,
@@ -74,14 +75,23 @@
         try:
             value = await self.serve(scope, receive)
         except Failure as failure:
-            fields = {"type": failure.code, "detail": str(failure)}
-            for name in ("expected", "found", "operation_id", "version"):
-                if hasattr(failure, name):
-                    fields[name] = getattr(failure, name)
-            self.kernel.find("events").emit(ADMIN_REFUSED, refusal=failure.code)
-            await answer_json(send, status_of(failure), fields)
-            return
-        await answer_json(send, 200, to_builtins(value))
+            await self.refuse(failure, send)
+        except Exception as error:
+            # One faulty call must not show internals or go unnoticed.
+            name = type(error).__name__
+            self.kernel.find("events").emit(ADMIN_FAILED, error=name)
+            await self.refuse(CallFailed(), send)
+        else:
+            await answer_json(send, 200, to_builtins(value))
+
+    async def refuse(self, failure: Failure, send: Any) -> None:
+        """Answer with a typed error."""
+        fields = {"type": failure.code, "detail": str(failure)}
+        for name in ("expected", "found", "operation_id", "version"):
+            if hasattr(failure, name):
+                fields[name] = getattr(failure, name)
+        self.kernel.find("events").emit(ADMIN_REFUSED, refusal=failure.code)
+        await answer_json(send, status_of(failure), fields)
 
     async def serve(self, scope: Any, receive: Any) -> Any:
         """Identify the operator and run the call that path and method name."""
@@ -97,6 +107,8 @@
         match method, *parts:
             case "GET", "status":
                 return await read_status(self.kernel)
+            case "GET", "fleet":
+                return await self.kernel.find("fleet-status").collect(query)
             case "GET", "targets":
                 return self.list_targets(query)
             case "GET", "audit":
@@ -115,7 +127,7 @@
             case "POST", "keys", key_id, "withdrawal":
                 request = await read_request(receive, KeyRequest)
                 return await withdraw_key(self.kernel, operator, key_id, request)
-            case _, ("status" | "targets" | "audit"):
+            case _, ("status" | "fleet" | "targets" | "audit"):
                 raise MethodRefused(method, path)
         raise ResourceMissing(f"{method} {path}")
 
--- a/primroseturn/admin/failures.py
+++ b/primroseturn/admin/failures.py
@@ -62,6 +62,15 @@
         super().__init__(reason)
 
 
+class CallFailed(Failure):
+    """The call met an unexpected error; the event log names its type."""
+
+    code = "internal-error"
+
+    def __init__(self) -> None:
+        super().__init__("the call failed; see event 1004 of the daemon")
+
+
 STATUS_BY_CODE = {
     "request-invalid": 400,
     "credential-refused": 401,
--- a/primroseturn/admin/service.py
+++ b/primroseturn/admin/service.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import primroseturn.admin.fleet
 import primroseturn.admin.sections  # noqa: F401
 from primroseturn.admin.application import AdminApplication
 from primroseturn.admin.events import ADMIN_STARTED
@@ -12,7 +13,16 @@
 
 
 @service(
-    "admin", needs=("settings", "events", "store", "replica", "listing", "readiness")
+    "admin",
+    needs=(
+        "settings",
+        "events",
+        "store",
+        "replica",
+        "listing",
+        "readiness",
+        "fleet-status",
+    ),
 )
 @asynccontextmanager
 async def provide_admin(kernel: Kernel) -> AsyncIterator[int]:
--- a/primroseturn/cli/admin/main.py
+++ b/primroseturn/cli/admin/main.py
@@ -6,6 +6,7 @@
 
 from primroseturn.cli.admin.audit import Audit
 from primroseturn.cli.admin.delete import Delete
+from primroseturn.cli.admin.fleet import Fleet
 from primroseturn.cli.admin.give import GiveKey
 from primroseturn.cli.admin.list import List
 from primroseturn.cli.admin.preset import UsePreset
@@ -35,5 +36,6 @@
         | WithdrawKey
         | Targets
         | Status
+        | Fleet
         | Audit
     ]
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -57,7 +57,12 @@
             await self.serve(request_id, scope, body, sender)
         except RequestRefused as failure:
             refusal = failure.refusal
-            events.emit(REQUEST_REFUSED, request=request_id, refusal=refusal.kind)
+            events.emit(
+                REQUEST_REFUSED,
+                request=request_id,
+                refusal=refusal.kind,
+                ran=refusal.ran,
+            )
             await body.drain()
             await send_refusal(sender, refusal)
         except AnswerBroken as failure:
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -277,6 +277,7 @@
         services.events.emit(
             ATTEMPT_FAILED,
             request=passage.request_id,
+            workspace=passage.caller.workspace.name,
             target=target.name,
             outcome=failure.outcome.value,
             sent=failure.sent,
