Measure convergence and the cost of the control plane; ask a lost store less

Cause: 40 daemons asked an unreachable store 95 times/s, because both the log and the lists were retried and the delay limit ignored the jitter. The bus could raise at its end when a socket was closed under its task.

--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -8,11 +8,12 @@
 
 from primroseturn import __version__
 from primroseturn.cli.daemon import Daemon
+from primroseturn.cli.measure_control import Measure
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Standin, Settings)
+COMMANDS = (Daemon, Standin, Settings, Measure)
 
 
 def build_root() -> type:
--- a/primroseturn/configuration/follower.py
+++ b/primroseturn/configuration/follower.py
@@ -39,8 +39,9 @@
 STAMP_SHARE = 0.5
 IDLE_CHECK_S = 0.2
 WATCHER_DELAY_LIMIT_S = 2.0
-# All other daemons together ask an unreachable store this often.
+# All other daemons together ask an unreachable store about this often.
 FALLBACK_CALLS_PER_S = 20.0
+MEAN_DELAY_SHARE = 0.55
 
 
 class Follower:
@@ -93,7 +94,8 @@
         limit_s = WATCHER_DELAY_LIMIT_S
         if not self.members.is_watcher():
             fleet = len(self.members.listing.daemons_by_id)
-            limit_s = max(limit_s, fleet / FALLBACK_CALLS_PER_S)
+            mean_s = fleet / FALLBACK_CALLS_PER_S
+            limit_s = max(limit_s, mean_s / MEAN_DELAY_SHARE)
         return create_delays(self.random, limit_s)
 
     async def follow_log(self) -> None:
@@ -183,7 +185,8 @@
         while True:
             delays = self.create_delays()
             revision = None
-            while self.must_follow():
+            # While the log cannot be read, its follower alone asks the store.
+            while self.reached and self.must_follow():
                 try:
                     revision = await self.follow_lists_once(revision)
                     delays = self.create_delays()
--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -258,11 +258,14 @@
     allowed_keys: tuple[str, ...] = (),
 ) -> AsyncIterator[ZeromqBus]:
     """Run a bus for the life of the context."""
-    async with create_task_group() as tasks:
-        bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
-        try:
+    bus = None
+    try:
+        async with create_task_group() as tasks:
+            bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
             tasks.start_soon(bus.serve_router, bus.bind(host, port))
             yield bus
-        finally:
             tasks.cancel_scope.cancel()
+    finally:
+        # Only after the tasks have ended: a closed socket raises in those that use it.
+        if bus is not None:
             bus.close()
--- a/primroseturn/standins/fleet.py
+++ b/primroseturn/standins/fleet.py
@@ -105,6 +105,8 @@
                 await stop.wait()
             stopped.set()
 
+        if self.network is not None:
+            self.network.regions_by_vm[vm] = place.region
         kernel = await self.tasks.start(hold)
         self.kernels_by_vm[vm] = kernel
         self.stops_by_vm[vm] = (stop, stopped)
--- a/primroseturn/standins/network.py
+++ b/primroseturn/standins/network.py
@@ -21,6 +21,8 @@
     ----------
     delay_s, jitter_s
         Fixed delay and upper bound of the added random delay, which reorders.
+    region_delay_s
+        Fixed delay between VMs of different regions (`MemoryNetwork.regions_by_vm`).
     cuts
         Ordered pairs (sender, receiver) whose messages are lost.
     lost_tags_by_receiver
@@ -33,6 +35,7 @@
     duplicate_share: float = 0.0
     delay_s: float = 0.0005
     jitter_s: float = 0.0
+    region_delay_s: float = 0.0005
     cuts: set[tuple[str, str]] = field(default_factory=set)
     lost_tags_by_receiver: dict[str, set[str]] = field(default_factory=dict)
     held_receivers: set[str] = field(default_factory=set)
@@ -45,6 +48,7 @@
         self.tasks = tasks
         self.random = Random(seed)
         self.faults = NetworkFaults()
+        self.regions_by_vm: dict[str, str] = {}
         self.buses_by_vm: dict[str, MemoryBus] = {}
         self.held: list[tuple[str, str, bytes]] = []
         self.frames = 0
@@ -76,9 +80,17 @@
             return
         copies = 2 if self.random.random() < self.faults.duplicate_share else 1
         for _ in range(copies):
-            delay = self.faults.delay_s + self.random.random() * self.faults.jitter_s
+            delay = self.path_delay_s(sender, receiver)
+            delay += self.random.random() * self.faults.jitter_s
             self.tasks.start_soon(self.deliver, sender, receiver, frame, delay)
 
+    def path_delay_s(self, sender: str, receiver: str) -> float:
+        """Return the fixed delay from one VM to another."""
+        regions = self.regions_by_vm
+        if regions.get(sender) == regions.get(receiver):
+            return self.faults.delay_s
+        return self.faults.region_delay_s
+
     def release(self, receiver: str) -> None:
         """Deliver the messages that were held back for a receiver, in order."""
         waiting = [item for item in self.held if item[1] == receiver]
