--- a/primroseturn/detection/cusum.py
+++ b/primroseturn/detection/cusum.py
@@ -24,8 +24,8 @@
 # From this multiple of the threshold on, a VM's own evidence is enough for itself.
 OWN_FACTOR = 1.5
 SOURCE_LIFE_S = 2.0
-# The odds of a suspect's exchanges since its change to be bad must be this many times those
-# of its peers. In an overload all targets are late, some a little more than others.
+# The odds of a suspect's exchanges since its change to be bad must be this many times
+# those of its peers. In an overload all targets are late, some a little more than others.
 CONTRAST = 6.0
 
 
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -63,7 +63,7 @@
         self.faults = StoreFaults()
         self.random = Random(1)
         self.tokens = 0.0
-        self.filled_at = 0.0
+        self.filled_at: float | None = None
         self.changed = Event()
         self.calls_by_kind: dict[str, int] = {}
 
@@ -102,7 +102,7 @@
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults in force and restart their random sequence."""
         self.faults = faults
-        self.tokens, self.filled_at = faults.calls_per_s, current_time()
+        self.tokens, self.filled_at = faults.calls_per_s, None
         self.random = Random(faults.seed)
         self.wake_watches()
 
@@ -130,7 +130,8 @@
         if not rate:
             return True
         now = current_time()
-        self.tokens = min(rate, self.tokens + (now - self.filled_at) * rate)
+        elapsed = 0.0 if self.filled_at is None else now - self.filled_at
+        self.tokens = min(rate, self.tokens + elapsed * rate)
         self.filled_at = now
         if self.tokens < 1:
             return False
