--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -15,6 +15,7 @@
 from primroseturn.replay.trace import load_trace, sort_lines
 
 SEED = 1
+DURATION_S = 5.0
 SIZES_BY_NAME = {size.name: size for size in SIZES}
 SHIPPED = Path(primroseturn.replay.__file__).parent / "traces"
 FLEET_LINE = '{"kind":"fleet","seed":1,"duration_s":2,"vms":2}'
@@ -29,6 +30,7 @@
 def replay_center(trace: str, size: str):
     """Return the report of a trace for one data centre."""
     lines = center_lines(trace, SIZES_BY_NAME[size], SEED)
+    lines[0].duration_s = DURATION_S
     return run_replay(sort_lines(f"{size}-{trace}", lines))
 
 
--- a/primroseturn/cli/replay.py
+++ b/primroseturn/cli/replay.py
@@ -9,8 +9,11 @@
 from cappa import Arg
 from msgspec.json import encode
 
+from primroseturn.detection.detectors import factories_by_name
+from primroseturn.replay.comparison import compare, Point, Setting, SETTINGS
 from primroseturn.replay.driver import run_replay
 from primroseturn.replay.generator import write_traces
+from primroseturn.replay.plot import plot_points
 from primroseturn.replay.results import Report
 from primroseturn.replay.trace import load_trace, Trace
 
@@ -50,6 +53,52 @@
         print(f"wrote {len(paths)} traces to {self.directory}")
 
 
+@dataclass
+class Detectors:
+    """Measure detection time against false ejections for each detector."""
+
+    detector: Annotated[str | None, Arg(long=True, help="Only this detector.")] = None
+    threshold: Annotated[
+        float | None, Arg(long=True, help="Only this threshold of the detector.")
+    ] = None
+    trials: Annotated[int, Arg(long=True, help="Replays per fault and size.")] = 12
+    target_hours: Annotated[
+        float, Arg(long=True, help="Simulated healthy target-hours.")
+    ] = 10_000.0
+    processes: Annotated[int, Arg(long=True, help="Processes.")] = 4
+    plot: Annotated[Path | None, Arg(long=True, help="File for the plot.")] = None
+
+    def __call__(self) -> None:
+        """Measure, print the table and draw the plot."""
+        settings = [item for item in SETTINGS if self.detector in (None, item.detector)]
+        if self.detector is not None and self.threshold is not None:
+            settings = [Setting(self.detector, self.threshold)]
+        if not settings or self.detector not in (None, *factories_by_name):
+            print(f"no detector is called {self.detector!r}", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE)
+        points = compare(settings, self.trials, self.target_hours, self.processes)
+        print_points(points)
+        if self.plot is not None:
+            plot_points(points, self.plot)
+
+
+def print_points(points: list[Point]) -> None:
+    """Print the figures of the settings as a table."""
+    print(
+        "| detector | threshold | size | slow p50 s | slow p99 s | errors p50 s "
+        "| errors p99 s | missed | false/1,000 h | replayed false |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|---|")
+    for point in points:
+        print(
+            f"| {point.setting.detector} | {point.setting.threshold:g} | {point.size} "
+            f"| {point.slow_p50_s:.3f} | {point.slow_p99_s:.3f} "
+            f"| {point.errors_p50_s:.3f} | {point.errors_p99_s:.3f} "
+            f"| {point.missed}/{point.trials} | {point.false_per_1000_h:.3g} "
+            f"| {point.replay_false} in {point.replay_target_hours:.2f} h |"
+        )
+
+
 def read_trace(path: Path) -> Trace:
     """Return the trace of a file or exit with `EXIT_USAGE`."""
     result = load_trace(path)
--- a/primroseturn/detection/cusum.py
+++ b/primroseturn/detection/cusum.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from primroseturn.detection.detectors import detector
-from primroseturn.detection.evidence import Counts, Key
+from primroseturn.detection.evidence import Counts, Key, NO_COUNTS
 from primroseturn.detection.shares import ShareTable
 
 # Shares that a healthy target is never assumed to undercut, and those of a faulty
@@ -16,7 +16,11 @@
 FAILED_BASELINE = 0.005
 FAILED_ALTERNATIVE = 0.3
 LATE_BASELINE = 0.04
-LATE_ALTERNATIVE = 0.6
+LATE_ALTERNATIVE = 0.8
+# Of the late exchanges, the shares that are very late: with a heavy tail, and after
+# a slow-down of 10x.
+VERY_LATE_BASELINE = 0.25
+VERY_LATE_ALTERNATIVE = 0.62
 BASELINE_MARGIN = 1.5
 # One VM's evidence counts up to this share of the threshold while others observe
 # the target too, because that VM's own network path may be at fault.
@@ -24,9 +28,14 @@
 # From this multiple of the threshold on, a VM's own evidence is enough for itself.
 OWN_FACTOR = 1.5
 SOURCE_LIFE_S = 2.0
-# The odds of a suspect's exchanges since its change to be bad must be this many times those
-# of its peers. In an overload all targets are late, some a little more than others.
+# The odds of a suspect's exchanges to be bad must be this many times those of its
+# peers, both since its sum left zero. In an overload all targets are late, some a
+# little more than others.
 CONTRAST = 6.0
+LEAST_PEER_EXCHANGES = 10
+# The same on the shares of the last half second, which follow an overload that began
+# after the sum left zero.
+RECENT_CONTRAST = 2.0
 
 
 def gain(bad: Any, total: Any, baseline: float, alternative: float) -> Any:
@@ -39,9 +48,14 @@
     return bad * bad_gain + (total - bad) * good_gain
 
 
-def stands_out(own: float, peers: float) -> bool:
-    """Return whether a bad share is clearly beyond that of the peers."""
-    return own * (1.0 - peers) >= CONTRAST * peers * (1.0 - own)
+def late_gain(
+    late: Any, very_late: Any, total: Any, baseline: float, alternative: float
+) -> Any:
+    """Return the log-likelihood ratio of late exchanges with their degrees."""
+    only_late = log((1.0 - VERY_LATE_ALTERNATIVE) / (1.0 - VERY_LATE_BASELINE))
+    step = log(VERY_LATE_ALTERNATIVE / VERY_LATE_BASELINE) - only_late
+    degrees = late * only_late + very_late * step
+    return gain(late, total, baseline, alternative) + degrees
 
 
 class Channel:
@@ -51,6 +65,7 @@
         self.value = 0.0
         self.bad = 0
         self.total = 0
+        self.peers_at_start = NO_COUNTS
         self.parts_by_source: dict[str, float] = {}
 
     def clear(self) -> None:
@@ -60,24 +75,21 @@
         self.total = 0
         self.parts_by_source.clear()
 
-    def bad_share(self) -> float:
-        """Return the bad share since the sum left zero, where the fault may start."""
-        return self.bad / self.total if self.total else 0.0
+    def stands_out(self, peers_bad: int, peers_total: int) -> bool:
+        """Return whether the bad share since the sum left zero exceeds the peers'."""
+        own = self.bad / self.total if self.total else 0.0
+        peers = max(0, peers_bad) / max(LEAST_PEER_EXCHANGES, peers_total)
+        return own * (1.0 - peers) >= CONTRAST * peers * (1.0 - own)
 
     def add_counts(
-        self, source: str, bad: int, total: int, baseline: float, alternative: float
+        self, source: str, bad: int, total: int, amount: float, peers: Counts
     ) -> None:
-        """Add a batch of exchanges.
-
-        The sum starts anew when the baseline reaches the alternative, because then
-        the peers are as bad as a faulty target.
-        """
-        if baseline >= alternative:
-            self.clear()
-        else:
-            self.bad += bad
-            self.total += total
-            self.add(source, gain(bad, total, baseline, alternative))
+        """Add a batch of exchanges. `peers` are the present sums of the peers."""
+        if self.value == 0.0:
+            self.peers_at_start = peers
+        self.bad += bad
+        self.total += total
+        self.add(source, amount)
 
     def add(self, source: str, amount: float) -> None:
         """Add a log-likelihood ratio; the sum never goes below zero."""
@@ -122,27 +134,42 @@
             self.sums_by_key[key] = sums
         sums.seen_at_by_source[source] = now
         peers = self.shares.peers(key, now)
+        peer_sums = self.shares.peer_sums(key)
+        total = counts.total
+        # A sum starts anew when the peers are as bad as a faulty target.
         baseline = max(FAILED_BASELINE, BASELINE_MARGIN * peers.failed)
-        sums.failed.add_counts(
-            source, counts.failed, counts.total, baseline, FAILED_ALTERNATIVE
-        )
+        if baseline >= FAILED_ALTERNATIVE:
+            sums.failed.clear()
+        else:
+            amount = gain(counts.failed, total, baseline, FAILED_ALTERNATIVE)
+            sums.failed.add_counts(source, counts.failed, total, amount, peer_sums)
         baseline = max(LATE_BASELINE, BASELINE_MARGIN * peers.late)
-        sums.late.add_counts(
-            source, counts.late, counts.total, baseline, LATE_ALTERNATIVE
-        )
+        if baseline >= LATE_ALTERNATIVE:
+            sums.late.clear()
+        else:
+            late, very_late = counts.late, counts.very_late
+            amount = late_gain(late, very_late, total, baseline, LATE_ALTERNATIVE)
+            sums.late.add_counts(source, late, total, amount, peer_sums)
 
     def suspicion(self, key: Key, now: float) -> float:
         """Return the larger sum as a multiple of the threshold."""
         sums = self.sums_by_key.get(key)
         if sums is None:
             return 0.0
-        peers = self.shares.recent_peers(key, now)
+        peers = self.shares.peer_sums(key)
+        recent, recent_peers = self.shares.recent(key, now)
         suspicion = 0.0
-        if stands_out(sums.failed.bad_share(), peers.failed):
-            suspicion = self.channel_suspicion(sums, sums.failed, now)
-        if stands_out(sums.late.bad_share(), peers.late):
-            late = self.channel_suspicion(sums, sums.late, now)
-            suspicion = max(suspicion, late)
+        if recent.failed >= RECENT_CONTRAST * recent_peers.failed:
+            start = sums.failed.peers_at_start
+            bad, total = peers.failed - start.failed, peers.total - start.total
+            if sums.failed.stands_out(bad, total):
+                suspicion = self.channel_suspicion(sums, sums.failed, now)
+        if recent.late >= RECENT_CONTRAST * recent_peers.late:
+            start = sums.late.peers_at_start
+            bad, total = peers.late - start.late, peers.total - start.total
+            if sums.late.stands_out(bad, total):
+                late = self.channel_suspicion(sums, sums.late, now)
+                suspicion = max(suspicion, late)
         return suspicion
 
     def channel_suspicion(
--- a/primroseturn/detection/digests.py
+++ b/primroseturn/detection/digests.py
@@ -12,11 +12,12 @@
 from primroseturn.control.messages import Message, message
 from primroseturn.detection.evidence import Counts, Key, NO_COUNTS
 
-ENTRY = Layout("<IHHH")
+ENTRY = Layout("<IHHHH")
 MODULUS = 65_536
 # After a longer silence the sums may have wrapped, so they only set a new base.
 GAP_LIMIT_S = 5.0
-ENTRIES_LIMIT = 400
+# A larger digest could exceed what the byte budget saves up.
+ENTRIES_LIMIT = 80
 
 
 @message("ed")
@@ -28,7 +29,7 @@
     number
         Counts the sender's digests; older ones are ignored.
     entries
-        Packed key hash, exchanges, failed and late ones (see `ENTRY`).
+        Packed key hash, exchanges, failed, late and very late ones (see `ENTRY`).
     """
 
     number: int
--- a/primroseturn/detection/evidence.py
+++ b/primroseturn/detection/evidence.py
@@ -28,11 +28,14 @@
         Ended with an error, a reset, a stall, a cut answer or a timeout.
     late
         Took longer than the late limit, or were shed.
+    very_late
+        Those of the late ones that took twice the late limit.
     """
 
     total: int = 0
     failed: int = 0
     late: int = 0
+    very_late: int = 0
 
     def plus(self, other: "Counts") -> "Counts":
         """Return the sum."""
@@ -40,11 +43,12 @@
             self.total + other.total,
             self.failed + other.failed,
             self.late + other.late,
+            self.very_late + other.very_late,
         )
 
     def is_bad(self) -> bool:
         """Return whether any exchange failed or was late."""
-        return self.failed > 0 or self.late > 0
+        return self.failed > 0 or self.late > 0 or self.very_late > 0
 
 
 NO_COUNTS = Counts()
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -24,6 +24,8 @@
 
 # How long the observation of an exchange may follow the end of its slot.
 SETTLE_LIMIT_S = 1.0
+# Multiple of the late limit from which an exchange is very late.
+VERY_LATE = 2.0
 # A VM suspects its own network path when more than this share of the targets that
 # it observes look bad.
 PATH_SHARE = 0.66
@@ -44,13 +46,14 @@
 class Flight:
     """An exchange that is running."""
 
-    __slots__ = ("aged", "key", "started_at", "streams")
+    __slots__ = ("aged", "key", "started_at", "streams", "very_aged")
 
     def __init__(self, key: Key, started_at: float, streams: bool) -> None:
         self.key = key
         self.started_at = started_at
         self.streams = streams
         self.aged = False
+        self.very_aged = False
 
 
 class HealthMonitor:
@@ -74,7 +77,7 @@
         self.writer = DigestWriter()
         self.reader = DigestReader()
         self.flights: dict[int, Flight] = {}
-        self.aged_ends_by_key: dict[Key, deque[float]] = {}
+        self.aged_ends_by_key: dict[Key, deque[tuple[float, Flight]]] = {}
         self.classes_by_service: dict[str, set[str]] = {}
         self.wholes_by_key: dict[Key, Key] = {}
         self.path_checked_at = float("-inf")
@@ -100,17 +103,23 @@
         """Take note that an exchange has ended."""
         self.flights.pop(id(flight), None)
         if flight.aged:
-            self.aged_ends_by_key.setdefault(flight.key, deque()).append(now)
+            self.aged_ends_by_key.setdefault(flight.key, deque()).append((now, flight))
 
     def tick(self, now: float) -> None:
         """Count running exchanges that became late, without waiting for their end."""
         for flight in list(self.flights.values()):
-            if flight.aged or flight.streams:
+            if flight.very_aged or flight.streams:
                 continue
             limit = self.reference.late_limit_s(flight.key, now)
-            if limit is not None and now - flight.started_at > limit:
+            if limit is None:
+                continue
+            age = now - flight.started_at
+            if age > limit and not flight.aged:
                 flight.aged = True
                 self.add_own(flight.key, Counts(1, 0, 1), now)
+            if age > VERY_LATE * limit:
+                flight.very_aged = True
+                self.add_own(flight.key, Counts(0, 0, 0, 1), now)
 
     def observe(self, seen: Observation) -> bool:
         """Take the evidence of a finished exchange and return whether it was bad."""
@@ -121,28 +130,30 @@
         late = seen.outcome is Outcome.SHED or (slow and not failed)
         if seen.outcome is Outcome.OK:
             self.reference.add(key, seen.first_byte_s)
-        if slow and self.settle_aged(key, seen.at):
-            counts = Counts(0, int(failed), 0)
+        settled = self.settle_aged(key, seen.at) if slow else None
+        very = slow and not failed and seen.first_byte_s > VERY_LATE * limit
+        if settled is None:
+            counts = Counts(1, int(failed), int(late), int(very))
         else:
-            counts = Counts(1, int(failed), int(late))
+            # Counted as late while it ran.
+            counts = Counts(0, int(failed), 0, int(very and not settled.very_aged))
         self.add_own(key, counts, seen.at)
         return failed or late
 
-    def settle_aged(self, key: Key, now: float) -> bool:
-        """Return whether this late exchange was already counted while it ran."""
+    def settle_aged(self, key: Key, now: float) -> Flight | None:
+        """Return the exchange if it was already counted while it ran."""
         ends = self.aged_ends_by_key.get(key)
-        while ends and ends[0] < now - SETTLE_LIMIT_S:
+        while ends and ends[0][0] < now - SETTLE_LIMIT_S:
             ends.popleft()
         if ends:
-            ends.popleft()
-            return True
+            return ends.popleft()[1]
         for flight in self.flights.values():
             if flight.aged and flight.key == key:
                 # Its end must not be counted again.
                 del self.flights[id(flight)]
                 flight.aged = False
-                return True
-        return False
+                return flight
+        return None
 
     def add_own(self, key: Key, counts: Counts, now: float) -> None:
         """Add this VM's own evidence."""
--- a/primroseturn/detection/profiles.py
+++ b/primroseturn/detection/profiles.py
@@ -16,11 +16,11 @@
 
     name: str
     detector: str = "cusum"
-    threshold: float = 18.0
+    threshold: float = 16.0
     backoff_s: float = 2.0
 
 
 profiles_by_name = {
-    "fast": Profile("fast", "cusum", 18.0, 2.0),
+    "fast": Profile("fast", "cusum", 16.0, 2.0),
     "careful": Profile("careful", "cusum", 24.0, 5.0),
 }
--- a/primroseturn/detection/shares.py
+++ b/primroseturn/detection/shares.py
@@ -23,14 +23,15 @@
 
 
 class DecayedCounts:
-    """Counts that decay exponentially, over a short and a long span."""
+    """Counts that decay over a short and a long span, and their plain sums."""
 
-    __slots__ = ("at", "long", "short")
+    __slots__ = ("at", "long", "short", "sums")
 
     def __init__(self) -> None:
         self.at = 0.0
         self.short = [0.0, 0.0, 0.0]
         self.long = [0.0, 0.0, 0.0]
+        self.sums = [0, 0, 0]
 
     def advance(self, now: float) -> None:
         """Apply the decay up to `now`."""
@@ -46,8 +47,8 @@
     def add(self, counts: Counts, now: float) -> None:
         """Add counts at `now`."""
         self.advance(now)
-        total, failed, late = counts
-        for values in (self.short, self.long):
+        total, failed, late, _ = counts
+        for values in (self.short, self.long, self.sums):
             values[0] += total
             values[1] += failed
             values[2] += late
@@ -104,12 +105,18 @@
             long.weight,
         )
 
-    def recent_peers(self, key: Key, now: float) -> Shares:
-        """Return the short shares of the other targets."""
+    def peer_sums(self, key: Key) -> Counts:
+        """Return the sums of all counts of the other targets."""
+        own, group = self.counts_of(key)
+        return Counts(*(g - o for g, o in zip(group.sums, own.sums, strict=True)))
+
+    def recent(self, key: Key, now: float) -> tuple[Shares, Shares]:
+        """Return the short shares of a target and of the others."""
         own, group = self.counts_of(key)
         own.advance(now)
         group.advance(now)
-        return shares_without(group.short, own.short)
+        alone = shares_without(own.short, [0.0, 0.0, 0.0])
+        return alone, shares_without(group.short, own.short)
 
     def own(self, key: Key, now: float) -> Shares:
         """Return the short shares of a target."""
@@ -121,4 +128,7 @@
 
     def forget(self, key: Key) -> None:
         """Drop what is known of a key."""
-        self.counts_by_key.pop(key, None)
+        own = self.counts_by_key.pop(key, None)
+        group = self.counts_by_group.get((key.service, key.route_class))
+        if own is not None and group is not None:
+            group.sums = [g - o for g, o in zip(group.sums, own.sums, strict=True)]
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -224,7 +224,8 @@
     def has_free_slot(self, target: Target, borrow: bool) -> bool:
         """Return whether this VM may run one more request at a target."""
         assigned = self.assigned_by_service[target.service].get(target.name, 0)
-        return self.in_flight_of(target.name) < assigned + borrow
+        most = min(assigned + borrow, self.slots_of(target.service))
+        return self.in_flight_of(target.name) < most
 
     def borrowed(self, service: str, tiers: Tiers) -> int:
         """Return the slots in use beyond this VM's own."""
