--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -147,12 +147,12 @@
         """Queue a frame for a peer; drops it when the peer is unknown or too slow."""
         connection = self.connections_by_vm.get(peer) or self.connect(peer)
         if connection is None:
-            self.counts["dropped_unknown_peer"] += 1
+            self.drop("unknown_peer")
             return
         connection.used_at = current_time()
         sending = connection.socket.send(frame, zmq.NOBLOCK)
         if sending.done() and sending.exception() is not None:
-            self.counts["dropped_queue_full"] += 1
+            self.drop("queue_full")
 
     def connect(self, peer: str) -> Connection | None:
         """Open the socket to a peer and start its task."""
@@ -199,9 +199,9 @@
         while True:
             frames = await router.recv_multipart(copy=False)
             if len(frames) != 2:
-                self.counts["dropped_malformed"] += 1
+                self.drop("malformed")
             elif self.running >= RUNNING_LIMIT:
-                self.counts["dropped_busy"] += 1
+                self.drop("busy")
             else:
                 self.running += 1
                 self.tasks.start_soon(self.run_handler, router, *frames)
@@ -223,7 +223,7 @@
         def reply(frame: bytes) -> None:
             sending = router.send_multipart([identity.bytes, frame], zmq.NOBLOCK)
             if sending.done() and sending.exception() is not None:
-                self.counts["dropped_queue_full"] += 1
+                self.drop("queue_full")
 
         return reply
 
@@ -258,11 +258,14 @@
     allowed_keys: tuple[str, ...] = (),
 ) -> AsyncIterator[ZeromqBus]:
     """Run a bus for the life of the context."""
-    async with create_task_group() as tasks:
-        bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
-        try:
+    bus = None
+    try:
+        async with create_task_group() as tasks:
+            bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
             tasks.start_soon(bus.serve_router, bus.bind(host, port))
             yield bus
-        finally:
             tasks.cancel_scope.cancel()
+    finally:
+        # Only after the tasks have ended: a closed socket raises in those that use it.
+        if bus is not None:
             bus.close()
