--- a/features/detection.feature
+++ b/features/detection.feature
@@ -43,3 +43,11 @@
       | outlier     | 0.2       |
       | phi         | 8         |
       | cusum       | 18        |
+
+  Scenario: Failures that one daemon sees reach another one as evidence
+    Given a fleet with 3 targets and 2 daemons
+    When the workspace "shop" repeats 200 times GET "/find/cartridge" through "vm1"
+    Then the daemon "vm2" gets digests from "vm1" within 5 seconds
+    When the target "target1" answers errors only
+    And the workspace "shop" repeats 200 times GET "/find/cartridge" through "vm1"
+    Then the daemon "vm2" pools failures of "target1" within 5 seconds
--- a/features/steps/detection.py
+++ b/features/steps/detection.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group, fail_after, sleep
 from behave import given, then, when
 from hypothesis import given as for_all, settings, strategies as st
 
@@ -248,3 +248,33 @@
         if add(dead, Counts(1, 1, 0)):
             return
     raise AssertionError("the dead target was never suspected")
+
+
+async def wait_until(condition, limit_s: float) -> None:
+    """Wait until a condition holds, at most `limit_s`."""
+    with fail_after(limit_s):
+        while not condition():
+            await sleep(0.05)
+
+
+@then('the daemon "{vm}" gets digests from "{peer}" within {seconds:d} seconds')
+def step_digests_arrive(context, vm, peer, seconds):
+    monitor = context.fleet.kernels_by_vm[vm].find("dispatcher").monitor
+
+    def arrived() -> bool:
+        state = monitor.reader.peers_by_vm.get(peer)
+        return state is not None and len(state.last_by_key) == 3
+
+    context.portal.call(wait_until, arrived, seconds)
+
+
+@then('the daemon "{vm}" pools failures of "{target}" within {seconds:d} seconds')
+def step_pooled_failures(context, vm, target, seconds):
+    monitor = context.fleet.kernels_by_vm[vm].find("dispatcher").monitor
+    key = Key("search", target, "default")
+
+    def pooled() -> bool:
+        counts = monitor.shares.counts_by_key.get(key)
+        return counts is not None and counts.sums[1] > 0
+
+    context.portal.call(wait_until, pooled, seconds)
--- a/features/steps/ejection.py
+++ b/features/steps/ejection.py
@@ -198,7 +198,7 @@
 
         async def caller():
             for _ in range(count // CALLERS):
-                answers.append(await fleet.request(vm, method, path, key))
+                answers.append(await fleet.request(vm, "GET", path, key))
 
         async with create_task_group() as tasks:
             for _ in range(CALLERS):
