--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -12,7 +12,7 @@
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.events import Events
 from primroseturn.cli.measure_control import Measure
-from primroseturn.cli.replay import Replay, Traces
+from primroseturn.cli.replay import Detectors, Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
@@ -27,6 +27,7 @@
     Measure,
     Replay,
     Traces,
+    Detectors,
 )
 
 
