Set the faults of the store stand-in inside its event loop

Cause: the merged stand-in reads the event loop's clock in set_faults, and one step called it from the test's thread. Before: 4 scenarios of features/admin.feature ended with NoEventLoopError. Conclusion: the step was wrong; the stand-in is unchanged.

--- a/features/steps/admin.py
+++ b/features/steps/admin.py
@@ -90,7 +90,7 @@
 def step_repeat(context, command):
     line = f"{command} --operation-id {create_operation_id()}"
     run_admin(context, line)
-    context.fleet.store.set_faults(StoreFaults())
+    context.portal.call(context.fleet.store.set_faults, StoreFaults())
     sleep(0.2)
     run_admin(context, line)
 
