--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -14,11 +14,15 @@
     "primroseturn.configuration.service",
     "primroseturn.membership.service",
     "primroseturn.detection.service",
+    "primroseturn.replay.recorder",
     "primroseturn.routing.service",
     "primroseturn.limits.service",
     "primroseturn.claims.service",
     "primroseturn.serving.readiness",
     "primroseturn.requestpath.service",
+    "primroseturn.admin.service",
+    "primroseturn.observation.health",
+    "primroseturn.observation.clocks",
 )
 DAEMON_SERVICES = (
     "configuration",
@@ -28,6 +32,9 @@
     "retries",
     "hedging",
     "digests",
+    "recorder",
+    "admin",
+    "metrics",
 )
 
 
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -1,9 +1,10 @@
 """Stand-in of the platform's object API, with seeded faults."""
 
 from random import Random
+from time import monotonic
 from typing import Any
 
-from anyio import current_time, Event, move_on_after, sleep, sleep_forever
+from anyio import Event, move_on_after, sleep, sleep_forever
 from msgspec import Struct
 from msgspec.json import decode
 
@@ -102,7 +103,7 @@
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults in force and restart their random sequence."""
         self.faults = faults
-        self.tokens, self.filled_at = faults.calls_per_s, current_time()
+        self.tokens, self.filled_at = faults.calls_per_s, monotonic()
         self.random = Random(faults.seed)
         self.wake_watches()
 
@@ -129,7 +130,7 @@
         rate = self.faults.calls_per_s
         if not rate:
             return True
-        now = current_time()
+        now = monotonic()
         self.tokens = min(rate, self.tokens + (now - self.filled_at) * rate)
         self.filled_at = now
         if self.tokens < 1:
