--- a/primroseturn/detection/digests.py
+++ b/primroseturn/detection/digests.py
@@ -12,11 +12,12 @@
 from primroseturn.control.messages import Message, message
 from primroseturn.detection.evidence import Counts, Key, NO_COUNTS
 
-ENTRY = Layout("<IHHH")
+ENTRY = Layout("<IHHHH")
 MODULUS = 65_536
 # After a longer silence the sums may have wrapped, so they only set a new base.
 GAP_LIMIT_S = 5.0
-ENTRIES_LIMIT = 400
+# A larger digest could exceed what the byte budget saves up.
+ENTRIES_LIMIT = 80
 
 
 @message("ed")
@@ -28,7 +29,7 @@
     number
         Counts the sender's digests; older ones are ignored.
     entries
-        Packed key hash, exchanges, failed and late ones (see `ENTRY`).
+        Packed key hash, exchanges, failed, late and very late ones (see `ENTRY`).
     """
 
     number: int
@@ -53,8 +54,8 @@
         self.sums_by_key[key] = self.sums_by_key.get(key, NO_COUNTS).plus(counts)
         self.changed[key] = self.changed.get(key, False) or counts.is_bad()
 
-    def take(self, urgent: bool) -> EvidenceDigest | None:
-        """Return a digest of the changed keys, or None without any.
+    def take(self, urgent: bool) -> list[Key]:
+        """Return the changed keys that are due, the bad ones first.
 
         Parameters
         ----------
@@ -65,11 +66,13 @@
         # Bad evidence first, in case the digest is full.
         due.sort(key=lambda key: not self.changed[key])
         due = due[:ENTRIES_LIMIT]
-        if not due:
-            return None
         for key in due:
             del self.changed[key]
-        return self.pack(due)
+        return due
+
+    def mark(self, keys: list[Key]) -> None:
+        """Let keys be due in the next round."""
+        self.changed.update(dict.fromkeys(keys, True))
 
     def pack(self, keys: list[Key]) -> EvidenceDigest:
         """Return a digest of the sums of some keys."""
