--- a/features/steps/bench.py
+++ b/features/steps/bench.py
@@ -28,6 +28,7 @@
 def step_figures(context, first, second):
     for comparison in (first, second):
         assert set(context.summary["added_ms"][comparison]) == set(QUANTILES)
+    assert set(context.summary["cpu_ms_per_request"]) == {"daemon", "passthrough"}
 
 
 @then("the daemon answered all of at least {count:d} requests")
@@ -41,5 +42,5 @@
     direct = dict.fromkeys(QUANTILES, 0.001)
     own = dict.fromkeys(QUANTILES, 0.001 + added / 1000)
     latencies = {"direct": direct, "passthrough": own, "daemon": own}
-    run = Run(latencies, {"daemon": failures}, {"daemon": 100})
+    run = Run(latencies, {"daemon": failures}, {"daemon": 100}, {})
     assert summarize([run], 130.0, [])["met"] is (verdict == "met")
--- a/primroseturn/bench/latency.py
+++ b/primroseturn/bench/latency.py
@@ -8,7 +8,7 @@
 from anyio import create_task_group, sleep
 
 from primroseturn.bench.client import Client, Timing
-from primroseturn.bench.processes import Subjects
+from primroseturn.bench.processes import cpu_time_s, Processes, Subjects
 
 QUANTILES = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
 TARGET_P99_S = 0.0045
@@ -28,11 +28,21 @@
 
 
 class Run(NamedTuple):
-    """Latencies in seconds by quantile, and failed requests, by subject."""
+    """Latencies, failed requests and CPU time of one run, by subject.
+
+    Attributes
+    ----------
+    latencies_s
+        By subject and quantile.
+    cpu_ms
+        CPU time of the process per request that it carried. Other load on the
+        machine disturbs it less than the latencies.
+    """
 
     latencies_s: dict[str, dict[str, float]]
     failures: dict[str, int]
     requests: dict[str, int]
+    cpu_ms: dict[str, float]
 
     def added_s(self, subject: str, baseline: str = "direct") -> dict[str, float]:
         """Return the latency of a subject beyond that of a baseline."""
@@ -65,16 +75,21 @@
     return timings
 
 
-async def measure(subjects: Subjects, rate: float, seconds: float, seed: int) -> Run:
+async def measure(
+    subjects: Subjects, processes: Processes, rate: float, seconds: float, seed: int
+) -> Run:
     """Measure all subjects in alternating segments of one run."""
     random = Random(seed)
     timings: dict[str, list[Timing]] = {name: [] for name in Subjects._fields}
     for client in subjects:
         await send_load(client, rate, WARM_UP_S, random)
     segment_s = min(SEGMENT_S, seconds)
+    used_s = {name: -cpu_time_s(item) for name, item in processes._asdict().items()}
     for _ in range(round(seconds / segment_s)):
         for name, client in subjects._asdict().items():
             timings[name] += await send_load(client, rate, segment_s, random)
+    for name, item in processes._asdict().items():
+        used_s[name] += cpu_time_s(item)
     return Run(
         {name: quantiles_of(items) for name, items in timings.items()},
         {
@@ -82,6 +97,7 @@
             for name, items in timings.items()
         },
         {name: len(items) for name, items in timings.items()},
+        {name: used * 1000 / len(timings[name]) for name, used in used_s.items()},
     )
 
 
--- a/primroseturn/bench/processes.py
+++ b/primroseturn/bench/processes.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from os import sysconf
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
@@ -29,15 +30,35 @@
 
 
 class Subjects(NamedTuple):
-    """What is measured, each by the URL where it answers and the headers it needs."""
+    """What is measured: a client for each way to the upstream."""
 
     direct: Client
     passthrough: Client
     daemon: Client
 
 
+class Processes(NamedTuple):
+    """Ids of the processes whose CPU time is compared."""
+
+    passthrough: int
+    daemon: int
+
+
+class Started(NamedTuple):
+    """A process that serves."""
+
+    port: int
+    process_id: int
+
+
+def cpu_time_s(process_id: int) -> float:
+    """Return the CPU time of a process so far, from /proc."""
+    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / sysconf("SC_CLK_TCK")
+
+
 @asynccontextmanager
-async def run_process(*arguments: str) -> AsyncIterator[int]:
+async def run_process(*arguments: str) -> AsyncIterator[Started]:
     """Run a process of this package and yield the port that it prints."""
     command = [sys.executable, "-m", *arguments]
     async with await open_process(command, stdin=None, stderr=None) as process:
@@ -46,7 +67,7 @@
             output = BufferedByteReceiveStream(process.stdout)
             with fail_after(START_LIMIT_S):
                 line = await output.receive_until(b"\n", LINE_LIMIT_BYTES)
-            yield int(line.split()[-1])
+            yield Started(int(line.split()[-1]), process.pid)
         finally:
             process.terminate()
             with move_on_after(STOP_LIMIT_S, shield=True):
@@ -90,15 +111,15 @@
 
 
 @asynccontextmanager
-async def run_subjects() -> AsyncIterator[Subjects]:
+async def run_subjects() -> AsyncIterator[tuple[Subjects, Processes]]:
     """Run store, upstream, pass-through and daemon as processes of their own."""
     upstream = ("primroseturn", "standin", "upstream", "--slots", str(SLOTS))
     async with (
-        run_process("primroseturn", "standin", "store") as store_port,
-        run_process(*upstream) as upstream_port,
+        run_process("primroseturn", "standin", "store") as stored,
+        run_process(*upstream) as target,
     ):
-        store_url = f"http://127.0.0.1:{store_port}"
-        upstream_url = f"http://127.0.0.1:{upstream_port}"
+        store_url = f"http://127.0.0.1:{stored.port}"
+        upstream_url = f"http://127.0.0.1:{target.port}"
         secret = await write_configuration(store_url, upstream_url)
         with TemporaryDirectory() as directory:
             settings = {
@@ -111,16 +132,16 @@
             file.write_bytes(encode(settings))
             async with (
                 run_process("primroseturn.bench.passthrough", upstream_url) as plain,
-                run_process("primroseturn", "daemon", "--settings", str(file)) as port,
+                run_process("primroseturn", "daemon", "--settings", str(file)) as own,
             ):
                 headers = [(b"x-api-key", secret.encode())]
                 subjects = Subjects(
                     Client(upstream_url, PATH, []),
-                    Client(f"http://127.0.0.1:{plain}", PATH, []),
-                    Client(f"http://127.0.0.1:{port}", PATH, headers),
+                    Client(f"http://127.0.0.1:{plain.port}", PATH, []),
+                    Client(f"http://127.0.0.1:{own.port}", PATH, headers),
                 )
                 for client in subjects:
                     await wait_until_served(client)
-                yield subjects
+                yield subjects, Processes(plain.process_id, own.process_id)
                 for client in subjects:
                     client.close()
--- a/primroseturn/bench/report.py
+++ b/primroseturn/bench/report.py
@@ -31,6 +31,9 @@
         "requests_per_run": runs[0].requests,
         "failures": [run.failures for run in runs],
         "added_ms": added,
+        "cpu_ms_per_request": {
+            name: spread([run.cpu_ms[name] for run in runs]) for name in runs[0].cpu_ms
+        },
         "target_p99_ms": TARGET_P99_S * MS,
         "highest_rate_per_s": spread(rates) if rates else None,
         "met": median_p99 <= TARGET_P99_S * MS and no_failures(runs),
@@ -57,6 +60,9 @@
     if summary["highest_rate_per_s"] is not None:
         values = "".join(f"{value:9.0f}" for value in summary["highest_rate_per_s"])
         lines.append(f"{'highest rate (requests/s)':36}{values}")
+    for name, figures in summary["cpu_ms_per_request"].items():
+        values = "".join(f"{value:9.2f}" for value in figures)
+        lines.append(f"{'CPU time per request (ms), ' + name:36}{values}")
     failed = sum(item["daemon"] for item in summary["failures"])
     verdict = "met" if summary["met"] else "missed"
     lines.append(f"failed requests: {failed}")
--- a/primroseturn/cli/bench.py
+++ b/primroseturn/cli/bench.py
@@ -50,10 +50,12 @@
         from primroseturn.bench.report import summarize
 
         runs, rates = [], []
-        async with run_subjects() as subjects:
+        async with run_subjects() as (subjects, processes):
             for number in range(self.runs):
                 seed = SEED + number
-                runs.append(await measure(subjects, self.rate, self.seconds, seed))
+                runs.append(
+                    await measure(subjects, processes, self.rate, self.seconds, seed)
+                )
                 if self.sustain:
                     rates.append(await find_highest_rate(subjects, self.rate, seed))
         return summarize(runs, self.rate, rates)
