Guard against repeated orders, lost cancellation and missing hedges

Trials without these mechanisms passed: a single target hid that an order would have been sent again, the progress limit hid a missing cancellation, and a retry hid a missing hedge.

--- a/features/once.feature
+++ b/features/once.feature
@@ -10,8 +10,9 @@
     And the operation "o1" ran 0 time
 
   Scenario: An order whose answer was lost may have run and is not sent again
-    Given 1 targets behind relays and 2 daemons
+    Given 2 targets behind relays and 2 daemons
     And the connections to "target1" refuse to carry answers
+    And the connections to "target2" refuse to carry answers
     When a caller orders with operation "o1" through "vm1"
     Then all answers are the refusal "upstream-failed" with status 502 and ran "unknown"
     When a caller orders with operation "o1" through "vm2"
@@ -50,7 +51,7 @@
     Given 1 targets behind relays and 1 daemon
     And target "target1" has the faults {"extra_delay_s": 5.0}
     When a caller leaves 0.1 s after its GET "/find/item"
-    Then target "target1" cancelled 1 request within 1 s
+    Then target "target1" cancelled 1 request within 0.5 s
 
   Scenario: The remaining deadline reaches the upstream and ends the request
     Given 1 targets behind relays and 1 daemon
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -21,8 +21,10 @@
     Given 2 targets behind relays and 1 daemon
     And 120 requests to "/quick/warm" have opened connections
     And target "target1" has the faults {"extra_delay_s": 3.0}
+    And the events of the daemon are recorded
     When 4 callers fetch "/quick/item" at once
     Then all answers name the path "/quick/item" and come within 1.5 s
+    And the daemon emitted "request-hedged"
     And target "target1" lost a race
 
   Scenario: An order is never hedged or retried after it was sent
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -442,3 +442,15 @@
 @then('the daemon observed "{outcome}"')
 def step_observed(context, outcome):
     assert context.observed == [outcome], context.observed
+
+
+@given("the events of the daemon are recorded")
+def step_record_events(context):
+    context.events = []
+    events = context.fleet.kernels_by_vm["vm1"].find("events")
+    events.listeners.append(lambda event, fields: context.events.append(event.name))
+
+
+@then('the daemon emitted "{name}"')
+def step_emitted(context, name):
+    assert name in context.events, set(context.events)
--- a/primroseturn/requestpath/events.py
+++ b/primroseturn/requestpath/events.py
@@ -23,3 +23,6 @@
 REQUEST_FAILED = define_event(
     208, "request-failed", "An internal error ended a request."
 )
+REQUEST_HEDGED = define_event(
+    209, "request-hedged", "A late request was sent to a second target."
+)
--- a/primroseturn/requestpath/forward.py
+++ b/primroseturn/requestpath/forward.py
@@ -16,7 +16,7 @@
 from primroseturn.detection.observations import Outcome
 from primroseturn.failures import Refusal
 from primroseturn.requestpath.answers import deliver, deliver_rest, Extent
-from primroseturn.requestpath.events import ANSWER_RESUMED
+from primroseturn.requestpath.events import ANSWER_RESUMED, REQUEST_HEDGED
 from primroseturn.requestpath.exchange import AttemptFailed, Exchange, run_exchange
 from primroseturn.requestpath.identify import KeyRefused
 from primroseturn.requestpath.passage import AnswerBroken, Passage
@@ -147,6 +147,7 @@
             with move_on_after(delay_s):
                 await race.changed.wait()
             if not race.changed.is_set() and self.take_retry(passage):
+                self.services.events.emit(REQUEST_HEDGED, request=passage.request_id)
                 others = excluded | {passage.target_name}
                 tasks.start_soon(self.run_racer, race, passage, others, True)
         passage.outrun = False
