Test separate processes under kills, freezes, store faults and gray upstreams

Cause: no test ran the system as separate processes with several faults at once. Checked against the targets' execution counters, body hashes and the words of the refusals.

--- /dev/null
+++ b/features/traffic.py
@@ -0,0 +1,110 @@
+"""Callers that repeat refused operations through other VMs and keep the answers."""
+
+from collections.abc import Callable
+from hashlib import sha256
+from random import Random
+from typing import NamedTuple
+
+from anyio import sleep
+from httpx import AsyncClient, HTTPError, Response
+
+from primroseturn.standins.documents import document_part
+
+ORDER_ATTEMPTS = 40
+PAUSE_S = 0.1
+DOCUMENT_BYTES = 400_000
+DOCUMENT_HASH = sha256(document_part(0, DOCUMENT_BYTES)).hexdigest()
+
+
+class Attempt(NamedTuple):
+    """One request for an operation and what its caller was told.
+
+    `ran` is "yes" for an answer, the refusal's word, or "broken" without an answer.
+    """
+
+    operation: str
+    vm: str
+    status: int
+    ran: str
+
+
+def word_of(response: Response) -> str:
+    """Return "yes" for an answer of an upstream, else the word of the refusal.
+
+    The upstream stand-in runs an operation before it answers with an error.
+    """
+    if response.status_code == 200 or response.content == b"error":
+        return "yes"
+    return response.json()["ran"]
+
+
+class Traffic:
+    """Sends orders, lookups and downloads to the VMs in turn."""
+
+    def __init__(
+        self, http: AsyncClient, url_of: Callable[[str, str], str], secret: str
+    ) -> None:
+        self.http = http
+        self.url_of = url_of
+        self.headers = {"x-api-key": secret}
+        self.attempts: list[Attempt] = []
+        self.lookups = 0
+        self.wrong: list[str] = []
+        self.refused_lookups = 0
+        self.whole_documents = 0
+        self.stopping = False
+
+    async def order(self, vms: list[str], operation: str, random: Random) -> None:
+        """Repeat an order through the VMs until it is answered or its attempts end."""
+        headers = {**self.headers, "idempotency-key": operation}
+        for _ in range(ORDER_ATTEMPTS):
+            vm = random.choice(vms)
+            try:
+                url = self.url_of(vm, "/order")
+                response = await self.http.post(url, headers=headers, content=b"{}")
+            except HTTPError:
+                self.attempts.append(Attempt(operation, vm, 0, "broken"))
+                await sleep(PAUSE_S)
+                continue
+            ran = word_of(response)
+            self.attempts.append(Attempt(operation, vm, response.status_code, ran))
+            if ran == "yes":
+                return
+            await sleep(PAUSE_S)
+
+    async def order_repeatedly(self, vms: list[str], name: str, seed: int) -> None:
+        """Send one order after the other until the traffic stops."""
+        random = Random(seed)
+        number = 0
+        while not self.stopping:
+            number += 1
+            await self.order(vms, f"{name}-{number}", random)
+
+    async def look_up(self, vms: list[str], name: str, seed: int) -> None:
+        """Send lookups and downloads until the traffic stops."""
+        random = Random(seed)
+        while not self.stopping:
+            self.lookups += 1
+            path = f"/find/{name}-{self.lookups}"
+            if random.random() < 0.2:
+                path = f"/doc/sheet?size={DOCUMENT_BYTES}"
+            try:
+                url = self.url_of(random.choice(vms), path)
+                response = await self.http.get(url, headers=self.headers)
+            except HTTPError:
+                self.refused_lookups += 1
+                await sleep(PAUSE_S)
+                continue
+            self.check_lookup(path, response.status_code, response.content)
+            await sleep(0.01)
+
+    def check_lookup(self, path: str, status: int, body: bytes) -> None:
+        """Note an answer that is not the whole answer to its own request."""
+        if status != 200:
+            self.refused_lookups += 1
+        elif path.startswith("/doc"):
+            self.whole_documents += 1
+            if sha256(body).hexdigest() != DOCUMENT_HASH:
+                self.wrong.append(path)
+        elif path.encode() not in body:
+            self.wrong.append(path)
