Ask targets for their reported load

The balancer weighed reported loads that nobody gathered. Near targets of the subset are asked once a second on upstreams.load_path; a scenario checks the report.

--- a/features/ejection.feature
+++ b/features/ejection.feature
@@ -53,3 +53,8 @@
     And the workspace "shop" repeats 300 times GET "/find/cartridge" through "vm1"
     Then the daemon "vm1" has ejected "target1"
     And at least 28 of the last 30 requests were answered by other targets than "target1"
+
+  Scenario: A daemon knows the load that a target reports
+    Given a fleet with 2 targets and 1 daemons
+    When the target "target1" is busy with 4 requests of others
+    Then the daemon "vm1" counts load of others at "target1" only
--- a/features/steps/ejection.py
+++ b/features/steps/ejection.py
@@ -2,7 +2,7 @@
 
 from math import ceil
 
-from anyio import create_task_group, current_time, sleep
+from anyio import create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from hypothesis import given as for_all, settings, strategies as st
 
@@ -225,3 +225,29 @@
     good = [item for item in last if item.status_code == 200]
     assert all(item.json()["target"] != target for item in good)
     assert len(good) >= least, len(good)
+
+
+@when('the target "{target}" is busy with {count:d} requests of others')
+def step_busy(context, target, count):
+    slots = context.fleet.upstreams_by_name[target].slots
+    for number in range(count):
+        context.portal.call(slots.acquire_on_behalf_of_nowait, number)
+
+
+@then('the daemon "{vm}" counts load of others at "{target}" only')
+def step_reported(context, vm, target):
+    balancer = context.fleet.kernels_by_vm[vm].find("dispatcher").balancer
+
+    async def wait_for_reports():
+        with fail_after(5):
+            while True:
+                others = {
+                    name: report.others
+                    for name, report in balancer.reports_by_target.items()
+                }
+                if len(others) == 2 and others[target] > 0:
+                    return others
+                await sleep(0.05)
+
+    others = context.portal.call(wait_for_reports)
+    assert sum(others.values()) == others[target], others
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -32,6 +32,7 @@
     "retries",
     "hedging",
     "digests",
+    "loads",
     "recorder",
     "admin",
     "metrics",
--- a/primroseturn/routing/service.py
+++ b/primroseturn/routing/service.py
@@ -3,8 +3,10 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
+from ssl import create_default_context
 
 from anyio import create_task_group, current_time, sleep
+from httpx import AsyncClient
 
 from primroseturn.configuration.state import ConfigurationState
 from primroseturn.detection.evidence import Key
@@ -21,6 +23,7 @@
 from primroseturn.retries.hedging import Hedging
 from primroseturn.routing.assembly import assemble_dispatcher
 from primroseturn.routing.dispatcher import Demand, Dispatcher
+from primroseturn.routing.loads import LoadPoller, PROBE_LIMIT_S
 from primroseturn.routing.router import Router
 from primroseturn.routing.subset import Place
 
@@ -113,3 +116,25 @@
     replica = kernel.find("replica")
     replica.subscribe(lambda state: router.install(state.routes_by_name))
     yield router
+
+
+@service("loads", needs=("settings", "dispatcher"))
+@asynccontextmanager
+async def provide_loads(kernel: Kernel) -> AsyncIterator[LoadPoller | None]:
+    """Ask targets for their loads if the settings name the endpoint."""
+    settings = kernel.find("settings").upstreams
+    if settings.load_path is None:
+        yield None
+        return
+    trust = create_default_context(cafile=settings.ca_file)
+    async with (
+        AsyncClient(timeout=PROBE_LIMIT_S, trust_env=False, verify=trust) as http,
+        create_task_group() as tasks,
+    ):
+        balancer = kernel.find("dispatcher").balancer
+        poller = LoadPoller(
+            balancer, http, settings.load_path, settings.load_interval_s
+        )
+        tasks.start_soon(poller.run)
+        yield poller
+        tasks.cancel_scope.cancel()
--- a/primroseturn/settings/models.py
+++ b/primroseturn/settings/models.py
@@ -100,6 +100,10 @@
         Time limit of the first byte on an old connection.
     progress_limit_s
         Time without progress after which an exchange has stalled.
+    load_path
+        Path of the targets' load endpoint; null asks for no loads.
+    load_interval_s
+        Time between two questions for the load of a target.
     ca_file
         PEM file of the authority that is trusted for https targets; null
         trusts the system's.
@@ -109,6 +113,8 @@
     old_connection_s: Seconds = 2.0
     old_first_byte_limit_s: Seconds = 0.5
     progress_limit_s: Seconds = 10.0
+    load_path: str | None = "/load"
+    load_interval_s: Annotated[float, Meta(gt=0)] = 1.0
     ca_file: str | None = None
 
 
