Read the owner record of each session that is judged

An exploration found rates that added up to 8.016 of 8: a VM that had read the owner record before the next session opened took that session for superseded and took its units while they were in use.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -74,3 +74,7 @@
   Scenario: A grant for the former incarnation is not taken by the next
     When a restarted VM gets a loan that its predecessor asked for
     Then it holds no loan
+
+  Scenario: A session is not taken for over because its predecessor was observed
+    When a VM that watched a session sees the units of the next one
+    Then it does not take them
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,5 +1,6 @@
 """Steps for rate and burst. Schedules run on virtual time in the Then steps."""
 
+from anyio import sleep
 from behave import given, then, when
 from expression import Ok
 from msgspec.json import decode
@@ -11,8 +12,10 @@
 from primroseturn.limits.borrowing import Borrower
 from primroseturn.limits.ledger import Ledger
 from primroseturn.limits.messages import LoanGrant
-from primroseturn.limits.sessions import owner_of, OwnerSession
+from primroseturn.limits.sessions import owner_of, OwnerSession, SessionObserver
 from primroseturn.limits.share import Limits, Share
+from primroseturn.standins.network import run_network
+from primroseturn.standins.objects import MemoryObjects
 
 
 @when("{count:d} schedules of the {protocol} protocol are explored with seed {seed:d}")
@@ -181,3 +184,26 @@
 def step_no_loan(context):
     assert not context.share.borrowed_by_id
     assert context.share.tokens == 0
+
+
+async def observe_successor():
+    """Return whether a session that stands is taken for over."""
+    async with run_network(1) as network:
+        objects, clock = MemoryObjects(network.tasks, 1), MonotonicClock()
+        observer = SessionObserver(objects, clock, 100.0, 1.0)
+        for incarnation in ("1", "2"):
+            session = OwnerSession(objects, clock, "b@h:1", incarnation, 100.0, 1.0)
+            await session.open()
+            over = await observer.is_over(session.name)
+            await sleep(5.0)
+        return over or await observer.is_over(session.name)
+
+
+@when("a VM that watched a session sees the units of the next one")
+def step_observe(context):
+    context.over = run_on_virtual_time(observe_successor)
+
+
+@then("it does not take them")
+def step_not_over(context):
+    assert not context.over
--- a/primroseturn/limits/sessions.py
+++ b/primroseturn/limits/sessions.py
@@ -13,6 +13,7 @@
 SESSION_PREFIX = "owners/"
 RENEWALS_PER_LEASE = 36
 OBSERVATION_INTERVAL_S = 10.0
+OBSERVATIONS_KEPT = 1000
 
 
 class SessionRecord(Struct, frozen=True):
@@ -199,7 +200,7 @@
         self.clock = clock
         self.lease_s = lease_s
         self.loan_s = loan_s
-        self.observations_by_owner: dict[str, Observation] = {}
+        self.observations_by_session: dict[str, Observation] = {}
 
     async def is_over(self, session: str) -> bool:
         """Return whether `session` and all loans that it granted have ended.
@@ -209,26 +210,33 @@
         StoreUnavailable
             If the session object could not be read.
         """
-        owner = owner_of(session)
-        seen = await self.look(owner)
+        seen = await self.look(session)
         if seen is None:
             return False
         age = self.clock.now() - seen.since
         if seen.record.session == session and not seen.record.ended:
             if age >= self.lease_s * CLOCK_MARGIN:
-                await self.fence(owner, seen)
+                await self.fence(session, seen)
             return False
         if seen.record.session == session and seen.record.quiet:
             return True
         return age >= self.loan_s * CLOCK_MARGIN
 
-    async def look(self, owner: str) -> Observation | None:
-        """Return the session object of a VM, read at most every few seconds."""
-        seen = self.observations_by_owner.get(owner)
+    async def look(self, session: str) -> Observation | None:
+        """Return the session object of a VM, read at most every few seconds.
+
+        What was read before `session` was known says nothing about it: the object may
+        have named a predecessor, which must not be taken for a successor. So the
+        first look at each session reads.
+        """
+        seen = self.observations_by_session.get(session)
         now = self.clock.now()
-        if seen is not None and now - seen.read_at < OBSERVATION_INTERVAL_S:
-            return seen
-        stored = await self.store.read(SESSION_PREFIX + owner)
+        if seen is not None:
+            # A session never stands again after another one or its end was seen.
+            final = seen.record.session != session or seen.record.ended
+            if final or now - seen.read_at < OBSERVATION_INTERVAL_S:
+                return seen
+        stored = await self.store.read(SESSION_PREFIX + owner_of(session))
         if stored is None:
             return None
         # The time counts from the end of the read, when this version was in force
@@ -239,18 +247,21 @@
             seen = Observation(stored.version, record, now, now)
         else:
             seen = seen._replace(read_at=now)
-        self.observations_by_owner[owner] = seen
+        self.observations_by_session.pop(session, None)
+        self.observations_by_session[session] = seen
+        if len(self.observations_by_session) > OBSERVATIONS_KEPT:
+            del self.observations_by_session[next(iter(self.observations_by_session))]
         return seen
 
-    async def fence(self, owner: str, seen: Observation) -> None:
+    async def fence(self, session: str, seen: Observation) -> None:
         """End a session that was not renewed for its full lease."""
-        record = SessionRecord(seen.record.session, seen.record.beat, ended=True)
+        record = SessionRecord(session, seen.record.beat, ended=True)
         try:
-            key = SESSION_PREFIX + owner
+            key = SESSION_PREFIX + owner_of(session)
             await self.store.update(key, encode(record), seen.version)
         except VersionConflict:
             pass
-        del self.observations_by_owner[owner]
+        self.observations_by_session.pop(session, None)
 
     async def confirm_off(self, owner: str) -> bool:
         """End the session of a VM that an operator knows to be off.
