--- a/features/executable.feature
+++ b/features/executable.feature
@@ -10,4 +10,7 @@
     And its output contains "operations that ran twice: 0"
     When the executable runs "settings check missing.json" in an empty environment
     Then the command exits with code 2
+    When the executable runs "timeline ../events.jsonl --svg picture.svg" in an empty environment
+    Then the command exits with code 1
+    And its output contains "this command needs matplotlib"
     And all that it unpacked is under the stated root
--- a/features/steps/executable.py
+++ b/features/steps/executable.py
@@ -1,5 +1,6 @@
 """Steps that build and run the single executable."""
 
+import json
 import sys
 from pathlib import Path
 from shlex import split
@@ -28,6 +29,9 @@
     context.cleanups.append(lambda: rmtree(context.directory))
     context.executable = context.directory / "primroseturn"
     (context.directory / "empty").mkdir()
+    event = {"event": 100, "message_type": "daemon-started", "vm": "vm1"}
+    event |= {"incarnation": "1", "wall_s": 1.0, "monotonic_s": 1.0}
+    (context.directory / "events.jsonl").write_text(json.dumps(event) + "\n")
     build_executable(context.executable)
 
 
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -11,6 +11,7 @@
 from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.events import Events
+from primroseturn.cli.exits import ExitCode, fail
 from primroseturn.cli.measure_control import Measure
 from primroseturn.cli.replay import Replay, Traces
 from primroseturn.cli.settings import Settings
@@ -29,6 +30,9 @@
     Traces,
 )
 
+# Left out of the single executable, see primroseturn/packaging/executable.py.
+PLOT_MODULES = ("matplotlib", "numpy")
+
 
 def build_root() -> type:
     """Return the root command with the listed commands and those of plugins."""
@@ -51,4 +55,10 @@
 
 def main(argv: list[str] | None = None) -> None:
     """Run the command line, with the process's arguments by default."""
-    invoke(build_root(), argv=argv, version=__version__)
+    try:
+        invoke(build_root(), argv=argv, version=__version__)
+    except ModuleNotFoundError as error:
+        if error.name not in PLOT_MODULES:
+            raise
+        message = f"this command needs {error.name}: pip install primroseturn"
+        fail(ExitCode.FAILED, message)
--- a/primroseturn/packaging/executable.py
+++ b/primroseturn/packaging/executable.py
@@ -23,6 +23,9 @@
 ENTRY_POINT = "primroseturn.cli.main:main"
 # VMs have no disks. SHIV_ROOT overrides this place at run time.
 UNPACK_ROOT = "/dev/shm/primroseturn"
+# Only pictures and benchmarks need it; with what it requires it would take most of
+# the memory that the unpacked executable occupies on a VM.
+LEFT_OUT = frozenset(("matplotlib",))
 # Tests, samples and headers of libraries are never read by the product.
 SKIPPED_PARTS = frozenset(("__pycache__", "tests", "_tests", "test", "sample_data"))
 SKIPPED_SUFFIXES = frozenset((".a", ".c", ".h", ".pxd", ".pyi", ".pyx"))
@@ -38,14 +41,14 @@
 
 
 def find_requirements(name: str) -> Iterator[Distribution]:
-    """Yield the installed distributions that `name` needs at run time.
+    """Yield the installed distributions that `name` needs on a VM.
 
     Raises
     ------
     BuildFailed
         If one is not installed.
     """
-    seen = {canonicalize_name(name)}
+    seen = {canonicalize_name(name)} | LEFT_OUT
     waiting = [name]
     while waiting:
         found = find_distribution(waiting.pop())
