--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -13,7 +13,7 @@
 from primroseturn.cli.events import Events
 from primroseturn.cli.exits import ExitCode, fail
 from primroseturn.cli.measure_control import Measure
-from primroseturn.cli.replay import Replay, Traces
+from primroseturn.cli.replay import Detectors, Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
@@ -28,6 +28,7 @@
     Measure,
     Replay,
     Traces,
+    Detectors,
 )
 
 # Left out of the single executable, see primroseturn/packaging/executable.py.
