--- a/primroseturn/membership/heartbeats.py
+++ b/primroseturn/membership/heartbeats.py
@@ -113,14 +113,16 @@
     async def accept(self, sender: Sender, heartbeat: Heartbeat) -> None:
         """Take over what a heartbeat says."""
         now = current_time()
+        if heartbeat.place is not None and heartbeat.place.vm == sender.vm:
+            self.members.add_guest(heartbeat.place)
+        if not self.members.is_known(sender.vm):
+            return
         link = self.members.links_by_vm.setdefault(sender.vm, Link())
         if link.incarnation != sender.incarnation:
             link.incarnation, link.received_number = sender.incarnation, 0
         if heartbeat.number <= link.received_number:
             return
         link.received_number, link.received_at = heartbeat.number, now
-        if heartbeat.place is not None and heartbeat.place.vm == sender.vm:
-            self.members.add_guest(heartbeat.place)
         sent_at = self.date_heartbeat(heartbeat, now)
         echoed_at = self.sent_at_by_number.get(heartbeat.echo_number)
         if echoed_at is not None:
--- a/primroseturn/membership/members.py
+++ b/primroseturn/membership/members.py
@@ -130,12 +130,19 @@
         if place.vm in self.guests_by_vm or len(self.guests_by_vm) < room:
             self.guests_by_vm[place.vm] = place
 
+    def is_known(self, vm: str) -> bool:
+        """Return whether heartbeats of a VM count; all do before a list is known."""
+        listed = self.listing.daemons_by_id
+        return not listed or vm in listed or vm in self.guests_by_vm
+
     def drop_guests(self, now: float) -> None:
         """Forget unlisted VMs that have fallen silent."""
         for vm in list(self.guests_by_vm):
             link = self.links_by_vm.get(vm)
             if link is None or now - link.received_at > self.silence_limit_s:
                 del self.guests_by_vm[vm]
+        for vm in [vm for vm in self.links_by_vm if not self.is_known(vm)]:
+            del self.links_by_vm[vm]
 
     def note_alive(self, vm: str, at: float) -> None:
         """Note that a listed VM or a guest was alive at a time."""
