Measure memory and processor time per item of each role

Cause: docs/CAPACITY.md needs slopes for detection, routing and claims. Change: primroseturn measure roles.

--- a/primroseturn/cli/measure_control.py
+++ b/primroseturn/cli/measure_control.py
@@ -13,6 +13,7 @@
     measure_convergence,
     measure_state,
 )
+from primroseturn.bench.roles import measure_roles
 
 Json = Annotated[bool, Arg(long="--json", help="Print JSON lines.")]
 Tcp = Annotated[bool, Arg(long=True, help="TCP on loopback, not the memory network.")]
@@ -90,8 +91,22 @@
         print_rows([measure_state(self.workspaces, self.seed)], self.json)
 
 
+@command(name="roles")
+@dataclass
+class MeasureRoles:
+    """Measure memory and processor time per item that each role carries."""
+
+    json: Json = False
+
+    def __call__(self) -> None:
+        """Run the measurement and print its result."""
+        print_rows(measure_roles(), self.json)
+
+
 @dataclass
 class Measure:
     """Measure parts of the system on this machine."""
 
-    command: Subcommands[MeasureConvergence | MeasureControl | MeasureState]
+    command: Subcommands[
+        MeasureConvergence | MeasureControl | MeasureState | MeasureRoles
+    ]
