--- a/primroseturn/replay/plot.py
+++ b/primroseturn/replay/plot.py
@@ -27,6 +27,7 @@
         axes.axhline(1.0, color="grey", linestyle=":")
         axes.set_yscale("symlog", linthresh=0.1)
         axes.set_xlim(0, 3.4)
+        axes.set_ylim(bottom=-0.05)
         axes.set_xlabel("worse fault's p99 detection time [s]; 3.2: missed")
         axes.set_ylabel("false ejections per 1,000 target-hours")
         axes.set_title(size)
