--- a/features/detection.feature
+++ b/features/detection.feature
@@ -8,6 +8,11 @@
     When the second of 3 digests is lost
     Then the pooled failures since the first digest are 20
 
+  Scenario: A sender that starts its sums anew adds no false evidence
+    Given a peer whose digests carry 10 failures each
+    When the peer forgets its sums after 2 digests
+    Then the pooled failures since the first digest are 10
+
   Scenario: A running request counts as late before it ends
     Given a monitor whose targets answer in 20 ms
     When a request has run for 200 ms
@@ -43,3 +48,11 @@
       | outlier     | 0.2       |
       | phi         | 8         |
       | cusum       | 18        |
+
+  Scenario: Failures that one daemon sees reach another one as evidence
+    Given a fleet with 3 targets and 2 daemons
+    When the workspace "shop" repeats 200 times GET "/find/cartridge" through "vm1"
+    Then the daemon "vm2" gets digests from "vm1" within 5 seconds
+    When the target "target1" answers errors only
+    And the workspace "shop" repeats 200 times GET "/find/cartridge" through "vm1"
+    Then the daemon "vm2" pools failures of "target1" within 5 seconds
--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -2,12 +2,12 @@
 
 import json
 import re
+from ast import Load, Name, parse, walk
 from pathlib import Path
 
 from anyio import sleep
 from behave import then, when
 from expression import Error
-from httpx import AsyncClient
 
 from features.steps.admin import wait_until
 from primroseturn.failures import Failure
@@ -23,11 +23,7 @@
     """Return the answer of a daemon's metrics address."""
     port = context.fleet.kernels_by_vm[vm].find("metrics")
 
-    async def work():
-        async with AsyncClient(trust_env=False) as http:
-            return await http.get(f"http://127.0.0.1:{port}{path}")
-
-    return context.portal.call(work)
+    return context.portal.call(context.fleet.http.get, f"http://127.0.0.1:{port}{path}")
 
 
 @then('the metrics of "{vm}" contain these samples')
@@ -106,13 +102,14 @@
     files = [path.read_text() for path in Path("primroseturn").rglob("*.py")]
     names = [name for text in files for name in DEFINITION.findall(text)]
     assert len(names) == len(events_by_number), names
-    source = "\n".join(files)
-    unused = []
-    for name in names:
-        imported = len(re.findall(rf"^from .*\b{name}$|^    {name},$", source, re.M))
-        uses = len(re.findall(rf"\b{name}\b", source)) - 1 - imported
-        if uses < 1:
-            unused.append(name)
+    # Imports and definitions are no uses; both are not names in load context.
+    used = {
+        node.id
+        for text in files
+        for node in walk(parse(text))
+        if isinstance(node, Name) and isinstance(node.ctx, Load)
+    }
+    unused = [name for name in names if name not in used]
     assert not unused, unused
 
 
@@ -128,3 +125,28 @@
     }
     assert {(201, "request-refused"), (1001, "admin-change")} <= emitted, emitted
     assert emitted <= listed, emitted - listed
+
+
+@then('"{vm}" has every metric that the operators\' page names')
+def step_metrics_page(context, vm):
+    page = Path("docs/operators/observation.md").read_text()
+    named = set(re.findall(r"`(primroseturn_\w+)", page))
+    assert len(named) > 10, named
+    text = fetch(context, vm, "/metrics").text
+    missing = [name for name in named if f"\n{name}" not in f"\n{text}"]
+    assert not missing, missing
+
+
+@then("the events file holds probes in both directions within {limit:d} s")
+def step_probes(context, limit):
+    def received():
+        lines = map(json.loads, context.events_file.read_text().splitlines())
+        return {item["vm"] for item in lines if item.get("event") == 111}
+
+    wait_until(lambda: received() == {"vm1", "vm2"}, limit)
+
+
+@then("the events file holds event {number:d}")
+def step_event_emitted(context, number):
+    lines = map(json.loads, context.events_file.read_text().splitlines())
+    assert number in {item.get("event") for item in lines}
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -11,13 +11,28 @@
 from primroseturn.cli.bench import Bench
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.events import Events
+from primroseturn.cli.exits import ExitCode, fail
 from primroseturn.cli.measure import Measure
-from primroseturn.cli.replay import Replay, Traces
+from primroseturn.cli.replay import Detectors, Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
 from primroseturn.plugins.registry import load_plugins
 
-COMMANDS = (Daemon, Admin, Events, Standin, Settings, Bench, Measure, Replay, Traces)
+COMMANDS = (
+    Daemon,
+    Admin,
+    Events,
+    Standin,
+    Settings,
+    Bench,
+    Measure,
+    Replay,
+    Traces,
+    Detectors,
+)
+
+# Left out of the single executable, see primroseturn/packaging/executable.py.
+PLOT_MODULES = ("matplotlib", "numpy")
 
 
 def build_root() -> type:
@@ -41,4 +56,10 @@
 
 def main(argv: list[str] | None = None) -> None:
     """Run the command line, with the process's arguments by default."""
-    invoke(build_root(), argv=argv, version=__version__)
+    try:
+        invoke(build_root(), argv=argv, version=__version__)
+    except ModuleNotFoundError as error:
+        if error.name not in PLOT_MODULES:
+            raise
+        message = f"this command needs {error.name}: pip install primroseturn"
+        fail(ExitCode.FAILED, message)
--- a/primroseturn/cli/measure.py
+++ b/primroseturn/cli/measure.py
@@ -1,4 +1,4 @@
-"""Commands that measure mechanisms on virtual time."""
+"""Commands that measure parts of the system."""
 
 from dataclasses import dataclass
 from typing import Annotated
@@ -6,6 +6,12 @@
 from cappa import Arg, command, Subcommands
 from msgspec.json import encode
 
+from primroseturn.cli.measure_control import (
+    MeasureControl,
+    MeasureConvergence,
+    MeasureRoles,
+    MeasureState,
+)
 from primroseturn.limits.measurement import LimitsReport, measure_limits, Run
 
 
@@ -53,6 +59,12 @@
 
 @dataclass
 class Measure:
-    """Measure a mechanism on virtual time."""
+    """Measure parts of the system on this machine."""
 
-    command: Subcommands[MeasureLimits]
+    command: Subcommands[
+        MeasureConvergence
+        | MeasureControl
+        | MeasureState
+        | MeasureRoles
+        | MeasureLimits
+    ]
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -32,9 +32,11 @@
     "retries",
     "hedging",
     "digests",
+    "loads",
     "recorder",
     "admin",
     "metrics",
+    "clock-probes",
 )
 
 
--- a/primroseturn/limits/share.py
+++ b/primroseturn/limits/share.py
@@ -9,7 +9,7 @@
 from primroseturn.limits.sessions import OwnerSession
 
 UNITS = 1000
-DEMAND_MEMORY_S = 2.0
+DEMAND_MEMORY_S = 1.0
 # Part of the burst that VMs keep by demand. The rest stays with the owners for whoever
 # needs single tokens; a VM whose part is below one token needs only these.
 BURST_PART = 0.4
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -1,10 +1,12 @@
 """The ASGI application that carries a request from a caller to an upstream."""
 
+from contextlib import suppress
 from itertools import count
 from math import inf
 from typing import Any
 
-from anyio import CancelScope, create_task_group, current_time
+from anyio import CancelScope, current_time
+from hypercorn.utils import UnexpectedMessageError
 
 from primroseturn.failures import Refusal
 from primroseturn.requestpath.body import CallerGone, RequestBody
@@ -12,6 +14,7 @@
 from primroseturn.requestpath.events import (
     CALLER_GONE,
     REQUEST_BROKEN,
+    REQUEST_FAILED,
     REQUEST_FINISHED,
     REQUEST_REFUSED,
 )
@@ -27,6 +30,7 @@
 from primroseturn.requestpath.passage import AnswerBroken, Passage
 from primroseturn.requestpath.refusals import RequestRefused, send_refusal, unwrap
 from primroseturn.requestpath.services import Services
+from primroseturn.serving.protocol import CALLER_LINK
 
 CLOSE = (b"connection", b"close")
 
@@ -57,7 +61,12 @@
             await self.serve(request_id, scope, body, sender)
         except RequestRefused as failure:
             refusal = failure.refusal
-            events.emit(REQUEST_REFUSED, request=request_id, refusal=refusal.kind)
+            events.emit(
+                REQUEST_REFUSED,
+                request=request_id,
+                refusal=refusal.kind,
+                ran=refusal.ran,
+            )
             await body.drain()
             await send_refusal(sender, refusal)
         except AnswerBroken as failure:
@@ -66,6 +75,12 @@
             events.emit(REQUEST_BROKEN, request=request_id, reason=str(failure))
         except CallerGone:
             events.emit(CALLER_GONE, request=request_id)
+        except Exception as error:
+            # The fault of one request must not look like "not run" to its caller.
+            events.emit(REQUEST_FAILED, request=request_id, error=type(error).__name__)
+            refusal = Refusal("internal-error", 500, "internal error", "unknown")
+            with suppress(UnexpectedMessageError):
+                await send_refusal(sender, refusal)
 
     def closing_sender(self, send: Any) -> Any:
         """Return `send`, asking callers to reconnect elsewhere during a drain."""
@@ -83,21 +98,19 @@
     ) -> None:
         """Check a request, then run it for its caller."""
         passage = self.open_passage(request_id, scope, body, send)
-        failures: list[Exception] = []
-        finished = False
-        async with create_task_group() as tasks:
-            tasks.cancel_scope.deadline = passage.deadline_at or inf
-            tasks.start_soon(watch_caller, passage, tasks.cancel_scope)
+        failure: Exception | None = None
+        link = passage.link
+        with CancelScope(deadline=passage.deadline_at or inf) as limit:
+            link.watch(lambda: end_abandoned(passage, limit))
             try:
                 await self.run(passage, scope["headers"])
-                finished = True
-            except (RequestRefused, AnswerBroken, CallerGone) as failure:
-                failures.append(failure)
-            tasks.cancel_scope.cancel()
-        if finished:
-            self.note_finished(passage)
-            return
-        raise self.explain(passage, failures[0] if failures else None)
+                self.note_finished(passage)
+                return
+            except (RequestRefused, AnswerBroken, CallerGone) as error:
+                failure = error
+            finally:
+                link.watch(None)
+        raise self.explain(passage, failure)
 
     def open_passage(
         self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
@@ -127,6 +140,7 @@
         passage = Passage(
             request_id, scope, forwarded, route, caller, body, send, deadline_s
         )
+        passage.link = scope["extensions"][CALLER_LINK]
         check_key(services, passage)
         return passage
 
@@ -171,6 +185,7 @@
             target=passage.target_name,
             status=passage.status,
             latency_s=current_time() - passage.started_at,
+            upstream_s=passage.upstream_s,
         )
 
 
@@ -182,13 +197,12 @@
     )
 
 
-async def watch_caller(passage: Passage, scope: CancelScope) -> None:
+def end_abandoned(passage: Passage, limit: CancelScope) -> None:
     """End a request whose caller has left.
 
     An operation that must not repeat goes on once it was sent, so that its outcome
     is recorded and a repeat gets it.
     """
-    await passage.body.wait_gone()
     passage.gone = True
     if passage.route.repeatable or not passage.sent:
-        scope.cancel()
+        limit.cancel()
--- a/primroseturn/requestpath/pool.py
+++ b/primroseturn/requestpath/pool.py
@@ -5,7 +5,7 @@
 from math import ceil
 from ssl import create_default_context, SSLContext
 
-from anyio import create_task_group, current_time, sleep
+from anyio import create_task_group, current_time, Event, move_on_after, sleep
 from httpx import URL
 
 from primroseturn.configuration.models import Target
@@ -49,6 +49,7 @@
         self.ssl_context = ssl_context
         self.idle: list[Connection] = []
         self.opened = 0
+        self.freed = Event()
 
     async def take(self, name: str, limit: int, proven: bool, new: bool) -> Connection:
         """Return an idle connection or open one.
@@ -62,27 +63,66 @@
             within `old_connection_s`.
         new
             Whether the connection must be new.
+
+        Raises
+        ------
+        ConnectionsExhausted
+            If all connections stay in use for `CONNECT_LIMIT_S`.
         """
-        self.prune(current_time())
-        if self.idle and not new:
-            connection = self.idle[-1]
-            if not (proven and self.is_old(connection, current_time())):
-                return self.idle.pop()
-        if self.opened >= limit:
-            if not self.idle:
+        give_up_at = current_time() + CONNECT_LIMIT_S
+        while True:
+            connection = None if new else self.take_idle(proven)
+            if connection is not None:
+                return connection
+            if self.opened < limit:
+                return await self.open()
+            if self.idle:
+                self.discard(self.idle.pop(0))
+            elif not await self.wait_freed(give_up_at):
                 raise ConnectionsExhausted(name)
-            self.discard(self.idle.pop(0))
+
+    def take_idle(self, proven: bool) -> Connection | None:
+        """Return an idle connection that suits, the newest first."""
+        now = current_time()
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.is_usable() or self.is_expired(connection, now):
+                self.discard(connection)
+            elif proven and self.is_old(connection, now):
+                # The newest one is too old, so all are.
+                self.idle.append(connection)
+                return None
+            else:
+                return connection
+        return None
+
+    async def open(self) -> Connection:
+        """Open a connection."""
         self.opened += 1
         try:
             return await open_connection(self.url, self.ssl_context, CONNECT_LIMIT_S)
         except BaseException:
             self.opened -= 1
+            self.announce_freed()
             raise
 
+    async def wait_freed(self, give_up_at: float) -> bool:
+        """Wait until a connection is given back or closed."""
+        with move_on_after(give_up_at - current_time()):
+            await self.freed.wait()
+            return True
+        return False
+
+    def announce_freed(self) -> None:
+        """Wake requests that wait for a connection."""
+        self.freed.set()
+        self.freed = Event()
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose exchange ended cleanly, close any other."""
         if connection.finish():
             self.idle.append(connection)
+            self.announce_freed()
         else:
             self.discard(connection)
 
@@ -90,21 +130,23 @@
         """Close a connection."""
         self.opened -= 1
         connection.abort()
+        self.announce_freed()
 
     def is_old(self, connection: Connection, now: float) -> bool:
         """Return whether a connection's last proof of life is too long ago."""
         return now - connection.proven_at > self.settings.old_connection_s
 
+    def is_expired(self, connection: Connection, now: float) -> bool:
+        """Return whether a connection was idle for too long."""
+        return now - connection.proven_at > self.settings.idle_limit_s
+
     def close_old(self, now: float) -> int:
         """Close the old idle connections and return their number."""
         return self.close_idle(lambda item: self.is_old(item, now))
 
     def prune(self, now: float) -> None:
         """Close idle connections that are too old or were closed by the target."""
-        limit_s = self.settings.idle_limit_s
-        self.close_idle(
-            lambda item: now - item.proven_at > limit_s or not item.is_usable()
-        )
+        self.close_idle(lambda item: self.is_expired(item, now) or not item.is_usable())
 
     def close_idle(self, unwanted) -> int:
         """Close the idle connections that a predicate selects."""
