--- a/primroseturn/cli/measure_control.py
+++ b/primroseturn/cli/measure_control.py
@@ -5,7 +5,7 @@
 from typing import Annotated, Any
 
 from anyio import run
-from cappa import Arg, command, Subcommands
+from cappa import Arg, command
 from msgspec.json import encode
 
 from primroseturn.bench.control import (
@@ -101,12 +101,3 @@
     def __call__(self) -> None:
         """Run the measurement and print its result."""
         print_rows(measure_roles(), self.json)
-
-
-@dataclass
-class Measure:
-    """Measure parts of the system on this machine."""
-
-    command: Subcommands[
-        MeasureConvergence | MeasureControl | MeasureState | MeasureRoles
-    ]
