Expose each metric once and measure the wait in the queue

Cause: after a merge the version, the withdrawals and the convergence were exposed twice, and the queue delay not at all. Conclusion: observation keeps only what no other subpackage measures.

--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -133,8 +133,11 @@
     named = set(re.findall(r"`(primroseturn_\w+)", page))
     assert len(named) > 10, named
     text = fetch(context, vm, "/metrics").text
-    missing = [name for name in named if f"\n{name}" not in f"\n{text}"]
+    # A counter with labels has no sample before its first event, but a HELP line.
+    families = re.findall(r"^# HELP (\S+)", text, re.M)
+    missing = named - set(families)
     assert not missing, missing
+    assert len(families) == len(set(families)), sorted(families)
 
 
 @then("the events file holds probes in both directions within {limit:d} s")
--- a/primroseturn/observation/metrics.py
+++ b/primroseturn/observation/metrics.py
@@ -1,7 +1,6 @@
 """Metrics of one daemon: counted from its events and read from its services."""
 
 from collections.abc import Iterator
-from time import time
 from typing import Any
 
 from prometheus_client import (
@@ -13,14 +12,11 @@
 )
 from prometheus_client.core import GaugeMetricFamily
 
-from primroseturn.configuration.replica import Replica
-from primroseturn.configuration.state import ConfigurationState
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.observation.catalogue import Event
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-CONVERGENCE_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 18.0, 60.0)
 UNREADY_REASONS = ("draining", "not-configured", "isolated")
 
 
@@ -57,33 +53,6 @@
             self.latency.observe(fields["latency_s"])
 
 
-class ConvergenceMetrics:
-    """Measures the time from the acceptance of a change to its application here.
-
-    Both ends read wall clocks, so the error is the difference of two VMs' clocks.
-    """
-
-    def __init__(self, registry: CollectorRegistry, replica: Replica) -> None:
-        self.replica = replica
-        self.started_at_unix_s = time()
-        self.seconds = Histogram(
-            "primroseturn_convergence_seconds",
-            "Time from the acceptance of a change until it is in force here.",
-            registry=registry,
-            buckets=CONVERGENCE_BUCKETS_S,
-        )
-
-    def note_state(self, state: ConfigurationState) -> None:
-        """Measure the change that led to a new state."""
-        recent = self.replica.recent
-        if not recent or recent[-1].version != state.version:
-            return
-        accepted_at = recent[-1].at_unix_s
-        # Changes from before the start are caught up and say nothing.
-        if accepted_at >= self.started_at_unix_s:
-            self.seconds.observe(max(0.0, time() - accepted_at))
-
-
 class KernelCollector:
     """Reads gauges from the running services when metrics are fetched."""
 
@@ -93,17 +62,6 @@
     def collect(self) -> Iterator[GaugeMetricFamily]:
         """Yield the gauges of the services that run."""
         services = self.kernel.services_by_name
-        replica = services["replica"]
-        yield GaugeMetricFamily(
-            "primroseturn_configuration_version",
-            "Version of the configuration in force here.",
-            value=replica.state.version,
-        )
-        yield GaugeMetricFamily(
-            "primroseturn_withdrawn_keys",
-            "Withdrawn key ids held here.",
-            value=len(replica.operations_by_withdrawn_id),
-        )
         yield self.count_unready(services["readiness"].reasons())
         yield self.count_targets(services["listing"])
         if "dispatcher" in services:
@@ -171,9 +129,6 @@
         self.registry = CollectorRegistry()
         self.registry.register(KernelCollector(kernel))
         self.events = EventMetrics(self.registry)
-        replica = kernel.find("replica")
-        self.convergence = ConvergenceMetrics(self.registry, replica)
-        replica.subscribe(self.convergence.note_state)
 
     def render(self) -> bytes:
         """Return the daemon's metrics and those that subpackages define globally."""
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -16,6 +16,7 @@
 from primroseturn.ejection.ejector import Ejector
 from primroseturn.failures import Failure
 from primroseturn.membership.listing import ENTRY_LIST, Listing
+from primroseturn.queueing.metrics import QUEUE_SECONDS
 from primroseturn.queueing.queue import FairQueue, QueueRefused, Waiter
 from primroseturn.retries.budget import RetryBudget
 from primroseturn.retries.hedging import Hedging
@@ -105,7 +106,8 @@
             self.recorder.note_demand(demand)
         result = self.grant_at_once(demand)
         if result.is_error():
-            result = await self.wait_in_queue(demand)
+            with QUEUE_SECONDS.time():
+                result = await self.wait_in_queue(demand)
         if result.is_error():
             if isinstance(result.error, QueueRefused):
                 for listener in self.refusal_listeners:
