--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -20,6 +20,7 @@
 ROUTES = {
     "find": {"deadline_s": 5.0},
     "quick": {"hedge": True},
+    "brief": {"deadline_s": 0.3},
     "open": {"open": True},
     "doc": {"download": True, "deadline_s": 1.0},
     "docs-page": {},
@@ -39,9 +40,12 @@
     """Run a fleet whose targets are behind relays."""
     async with run_fleet() as fleet:
         fleet.relays = {}
-        fleet.configure(
-            "service", "search", {"name": "search", "connections_per_target": 8}
-        )
+        service = {
+            "name": "search",
+            "slots_per_target": 50,
+            "connections_per_target": 8,
+        }
+        fleet.configure("service", "search", service)
         for name, options in ROUTES.items():
             body = {"name": name, "path_prefix": f"/{name}", "service": "search"}
             fleet.configure("route", name, {**body, **options})
@@ -91,6 +95,12 @@
     start_passages(context, targets, 1, delay_s)
 
 
+@given("each target has the faults {faults}")
+def step_all_faults(context, faults):
+    for name in context.fleet.upstreams_by_name:
+        step_faults(context, name, faults)
+
+
 @given('target "{name}" has the faults {faults}')
 @when('target "{name}" has the faults {faults}')
 def step_faults(context, name, faults):
@@ -128,8 +138,9 @@
     context.answers.clear()
 
 
-@when('target "{name}" sends a stray answer after the next one')
-def step_stray(context, name):
+@when('target "{name}" sends a stray answer {seconds:g} s after the next one')
+def step_stray(context, name, seconds):
+    context.fleet.relays[name].late_after_s = seconds
     body = b'{"path": "/find/stray"}'
     head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
     context.fleet.relays[name].late_bytes = head.encode() + body
@@ -313,13 +324,15 @@
         assert found == (status, kind, ran), found
 
 
-@then('the raw answer has status {status:d}, type "{kind}" and ran "no"')
-def step_raw_refused(context, status, kind):
-    head, _, body = context.raw.partition(b"\r\n\r\n")
-    assert head.split()[1] == str(status).encode(), context.raw
-    # The raw request may hold a second one, whose answer follows.
-    refusal, _ = JSONDecoder().raw_decode(body.decode())
-    assert (refusal["type"], refusal["ran"]) == (kind, "no"), body
+@then('each raw request is refused with its status and type and ran "no"')
+def step_raw_refused(context):
+    for row in context.table:
+        step_raw(context, row["request"])
+        head, _, body = context.raw.partition(b"\r\n\r\n")
+        assert head.split()[1] == row["status"].encode(), (row, context.raw)
+        # The raw request may hold a second one, whose answer follows.
+        refusal, _ = JSONDecoder().raw_decode(body.decode())
+        assert (refusal["type"], refusal["ran"]) == (row["type"], "no"), (row, body)
 
 
 @then("the raw answer has status {status:d}")
@@ -387,3 +400,45 @@
     seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
     names = {first.encode(), second.encode()}
     assert seen and not any(names & item.keys() for item in seen), seen
+
+
+@then('an upstream saw the header "{name}"')
+def step_header_seen(context, name):
+    upstreams = context.fleet.upstreams_by_name.values()
+    seen = [dict(headers) for item in upstreams for headers in item.seen_headers]
+    assert any(name.encode() in item for item in seen)
+
+
+@then(
+    "the answer is one version of the document of {size:d} bytes, "
+    "the other shifted by {shift:d}"
+)
+def step_one_version(context, size, shift):
+    versions = (document_part(0, size), document_part(shift, size + shift))
+    assert not isinstance(context.answer, Exception), context.answer
+    assert context.answer.content in versions
+
+
+@given("the observations of the daemon are recorded")
+def step_record(context):
+    dispatcher = context.fleet.kernels_by_vm["vm1"].find("dispatcher")
+    context.observed = []
+    dispatcher.observe = lambda item: context.observed.append(item.outcome.value)
+
+
+@given("the dispatcher of the daemon is broken")
+def step_break_dispatcher(context):
+    def acquire(demand):
+        raise RuntimeError("broken by the test")
+
+    context.fleet.kernels_by_vm["vm1"].find("dispatcher").acquire = acquire
+
+
+@then("the daemon observed nothing")
+def step_observed_nothing(context):
+    assert not context.observed, context.observed
+
+
+@then('the daemon observed "{outcome}"')
+def step_observed(context, outcome):
+    assert context.observed == [outcome], context.observed
