--- a/features/steps/detection.py
+++ b/features/steps/detection.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group, fail_after, sleep
 from behave import given, then, when
 from hypothesis import given as for_all, settings, strategies as st
 
@@ -49,7 +49,7 @@
         digests = []
         for amount in amounts:
             writer.add(KEY, Counts(amount + 1, amount, 0))
-            digests.append(writer.take(urgent=False))
+            digests.append(writer.pack(writer.take(urgent=False)))
         indexes = st.lists(st.integers(0, len(digests) - 1), max_size=30)
         arrivals = data.draw(indexes)
         read = [
@@ -72,7 +72,7 @@
     context.digests = []
     for _ in range(3):
         writer.add(KEY, Counts(count, count, 0))
-        context.digests.append(writer.take(urgent=True))
+        context.digests.append(writer.pack(writer.take(urgent=True)))
 
 
 @when("the second of 3 digests is lost")
@@ -248,3 +248,33 @@
         if add(dead, Counts(1, 1, 0)):
             return
     raise AssertionError("the dead target was never suspected")
+
+
+async def wait_until(condition, limit_s: float) -> None:
+    """Wait until a condition holds, at most `limit_s`."""
+    with fail_after(limit_s):
+        while not condition():
+            await sleep(0.05)
+
+
+@then('the daemon "{vm}" gets digests from "{peer}" within {seconds:d} seconds')
+def step_digests_arrive(context, vm, peer, seconds):
+    monitor = context.fleet.kernels_by_vm[vm].find("dispatcher").monitor
+
+    def arrived() -> bool:
+        state = monitor.reader.peers_by_vm.get(peer)
+        return state is not None and len(state.last_by_key) == 3
+
+    context.portal.call(wait_until, arrived, seconds)
+
+
+@then('the daemon "{vm}" pools failures of "{target}" within {seconds:d} seconds')
+def step_pooled_failures(context, vm, target, seconds):
+    monitor = context.fleet.kernels_by_vm[vm].find("dispatcher").monitor
+    key = Key("search", target, "default")
+
+    def pooled() -> bool:
+        counts = monitor.shares.counts_by_key.get(key)
+        return counts is not None and counts.sums[1] > 0
+
+    context.portal.call(wait_until, pooled, seconds)
--- a/primroseturn/detection/monitor.py
+++ b/primroseturn/detection/monitor.py
@@ -7,6 +7,7 @@
 from primroseturn.detection.digests import (
     DigestReader,
     DigestWriter,
+    ENTRIES_LIMIT,
     EvidenceDigest,
     hash_key,
 )
@@ -23,12 +24,16 @@
 
 # How long the observation of an exchange may follow the end of its slot.
 SETTLE_LIMIT_S = 1.0
+# Multiple of the late limit from which an exchange is very late.
+VERY_LATE = 2.0
 # A VM suspects its own network path when more than this share of the targets that
 # it observes look bad.
 PATH_SHARE = 0.66
 PATH_TARGETS = 3
 PATH_BAD_SHARE = 0.5
 PATH_WEIGHT = 1.5
+# From this bad share on, evidence also goes to other data centres.
+UNHEALTHY_SHARE = 0.2
 PATH_REFRESH_S = 0.05
 # Another class shows health when it has this weight of evidence and less than this
 # part of the bad share of the worst class.
@@ -41,13 +46,14 @@
 class Flight:
     """An exchange that is running."""
 
-    __slots__ = ("aged", "key", "started_at", "streams")
+    __slots__ = ("aged", "key", "started_at", "streams", "very_aged")
 
     def __init__(self, key: Key, started_at: float, streams: bool) -> None:
         self.key = key
         self.started_at = started_at
         self.streams = streams
         self.aged = False
+        self.very_aged = False
 
 
 class HealthMonitor:
@@ -71,7 +77,7 @@
         self.writer = DigestWriter()
         self.reader = DigestReader()
         self.flights: dict[int, Flight] = {}
-        self.aged_ends_by_key: dict[Key, deque[float]] = {}
+        self.aged_ends_by_key: dict[Key, deque[tuple[float, Flight]]] = {}
         self.classes_by_service: dict[str, set[str]] = {}
         self.wholes_by_key: dict[Key, Key] = {}
         self.path_checked_at = float("-inf")
@@ -97,17 +103,23 @@
         """Take note that an exchange has ended."""
         self.flights.pop(id(flight), None)
         if flight.aged:
-            self.aged_ends_by_key.setdefault(flight.key, deque()).append(now)
+            self.aged_ends_by_key.setdefault(flight.key, deque()).append((now, flight))
 
     def tick(self, now: float) -> None:
         """Count running exchanges that became late, without waiting for their end."""
         for flight in list(self.flights.values()):
-            if flight.aged or flight.streams:
+            if flight.very_aged or flight.streams:
                 continue
             limit = self.reference.late_limit_s(flight.key, now)
-            if limit is not None and now - flight.started_at > limit:
+            if limit is None:
+                continue
+            age = now - flight.started_at
+            if age > limit and not flight.aged:
                 flight.aged = True
                 self.add_own(flight.key, Counts(1, 0, 1), now)
+            if age > VERY_LATE * limit:
+                flight.very_aged = True
+                self.add_own(flight.key, Counts(0, 0, 0, 1), now)
 
     def observe(self, seen: Observation) -> bool:
         """Take the evidence of a finished exchange and return whether it was bad."""
@@ -118,28 +130,30 @@
         late = seen.outcome is Outcome.SHED or (slow and not failed)
         if seen.outcome is Outcome.OK:
             self.reference.add(key, seen.first_byte_s)
-        if slow and self.settle_aged(key, seen.at):
-            counts = Counts(0, int(failed), 0)
+        settled = self.settle_aged(key, seen.at) if slow else None
+        very = slow and not failed and seen.first_byte_s > VERY_LATE * limit
+        if settled is None:
+            counts = Counts(1, int(failed), int(late), int(very))
         else:
-            counts = Counts(1, int(failed), int(late))
+            # Counted as late while it ran.
+            counts = Counts(0, int(failed), 0, int(very and not settled.very_aged))
         self.add_own(key, counts, seen.at)
         return failed or late
 
-    def settle_aged(self, key: Key, now: float) -> bool:
-        """Return whether this late exchange was already counted while it ran."""
+    def settle_aged(self, key: Key, now: float) -> Flight | None:
+        """Return the exchange if it was already counted while it ran."""
         ends = self.aged_ends_by_key.get(key)
-        while ends and ends[0] < now - SETTLE_LIMIT_S:
+        while ends and ends[0][0] < now - SETTLE_LIMIT_S:
             ends.popleft()
         if ends:
-            ends.popleft()
-            return True
+            return ends.popleft()[1]
         for flight in self.flights.values():
             if flight.aged and flight.key == key:
                 # Its end must not be counted again.
                 del self.flights[id(flight)]
                 flight.aged = False
-                return True
-        return False
+                return flight
+        return None
 
     def add_own(self, key: Key, counts: Counts, now: float) -> None:
         """Add this VM's own evidence."""
@@ -211,6 +225,20 @@
             and max(item.failed, item.late) < CLASS_PART * worst
         }
 
+    def unhealthy_keys(self, now: float) -> list[Key]:
+        """Return the keys of targets that look unhealthy on this VM's evidence."""
+        return [
+            key
+            for key in self.writer.sums_by_key
+            if self.looks_unhealthy(self.whole_of(key), now)
+        ][:ENTRIES_LIMIT]
+
+    def looks_unhealthy(self, whole: Key, now: float) -> bool:
+        """Return whether this VM's recent exchanges with a target went badly."""
+        shares = self.own_shares.own(whole, now)
+        bad = shares.failed + shares.late
+        return shares.weight * bad >= 1.0 and bad >= UNHEALTHY_SHARE
+
     def path_suspected(self, now: float) -> bool:
         """Return whether most targets look bad, so this VM's path may be at fault."""
         if now - self.path_checked_at >= PATH_REFRESH_S:
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -1,10 +1,9 @@
 """Stand-in of the platform's object API, with seeded faults."""
 
 from random import Random
-from time import monotonic
 from typing import Any
 
-from anyio import Event, move_on_after, sleep, sleep_forever
+from anyio import current_time, Event, move_on_after, sleep, sleep_forever
 from msgspec import Struct
 from msgspec.json import decode
 
@@ -64,7 +63,7 @@
         self.faults = StoreFaults()
         self.random = Random(1)
         self.tokens = 0.0
-        self.filled_at = 0.0
+        self.filled_at: float | None = None
         self.changed = Event()
         self.calls_by_kind: dict[str, int] = {}
 
@@ -103,7 +102,7 @@
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults in force and restart their random sequence."""
         self.faults = faults
-        self.tokens, self.filled_at = faults.calls_per_s, monotonic()
+        self.tokens, self.filled_at = faults.calls_per_s, None
         self.random = Random(faults.seed)
         self.wake_watches()
 
@@ -130,8 +129,9 @@
         rate = self.faults.calls_per_s
         if not rate:
             return True
-        now = monotonic()
-        self.tokens = min(rate, self.tokens + (now - self.filled_at) * rate)
+        now = current_time()
+        elapsed = 0.0 if self.filled_at is None else now - self.filled_at
+        self.tokens = min(rate, self.tokens + elapsed * rate)
         self.filled_at = now
         if self.tokens < 1:
             return False
