--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -66,6 +66,18 @@
     When 1 s pass
     Then the store gets at most 6 calls per second over 2 s
 
+  Scenario: A change reaches all VMs of a region by the relay tree alone
+    Given a control fleet of 12 VMs in 1 regions
+    When messages of type "fetch" to all VMs are lost
+    And 3 workspaces are created in the log
+    Then the newest change is in force everywhere within 2 s
+
+  Scenario: A fleet does not hammer a lost store
+    Given a control fleet of 16 VMs in 2 regions
+    When the store becomes unavailable
+    And 2.5 s pass
+    Then the store gets at most 30 calls per second over 2 s
+
   Scenario: A capped store is not overrun after an outage
     Given a control fleet of 16 VMs in 2 regions
     When the store becomes unavailable
--- a/features/configuration_table.feature
+++ b/features/configuration_table.feature
@@ -29,3 +29,14 @@
     When 520 workspaces are created in the log
     Then a snapshot is in the store within 5 s
     And a new VM installs the snapshot and the later changes from the store
+
+  Scenario: A table that grows by single additions keeps its buckets small
+    Given a configuration of 1 workspaces
+    When 3000 workspaces are added one by one
+    Then the largest bucket has at most 128 objects
+
+  Scenario: An older or equal snapshot is not installed
+    Given a replica at version 9
+    Then a snapshot of version 8 is not installed
+    And a snapshot of version 9 is not installed
+    And a snapshot of version 10 is installed
--- a/features/steps/configuration_table.py
+++ b/features/steps/configuration_table.py
@@ -11,6 +11,7 @@
 from features.steps.control_plane import step_fleet, vm_name
 from primroseturn.configuration import storage
 from primroseturn.configuration.models import Workspace
+from primroseturn.configuration.replica import Replica
 from primroseturn.configuration.snapshot import (
     encode_group,
     group_buckets,
@@ -18,7 +19,11 @@
 )
 from primroseturn.configuration.state import ConfigurationState, EMPTY_STATE
 from primroseturn.configuration.storage import load_snapshot, SnapshotWriter
-from primroseturn.configuration.table import build_table, ObjectTable
+from primroseturn.configuration.table import (
+    build_table,
+    decode_bucket,
+    ObjectTable,
+)
 from primroseturn.observation.events import EventLog
 from primroseturn.standins.fleet import Place
 from primroseturn.standins.store import ObjectStore
@@ -187,3 +192,38 @@
         assert fleet.store.calls_by_kind["read"] > read
 
     context.portal.call(restart)
+
+
+@when("{count:d} workspaces are added one by one")
+def step_add_many(context, count):
+    table = context.state.workspaces_by_name
+    for number in range(count):
+        name = f"added-{number}"
+        table = table.with_item(name, number, Workspace(name, 1, 1))
+    context.table = table
+
+
+@then("the largest bucket has at most {limit:d} objects")
+def step_largest_bucket(context, limit):
+    sizes = [len(decode_bucket("workspace", item)) for item in context.table.buckets]
+    assert sum(sizes) == len(context.table)
+    assert max(sizes) <= limit, max(sizes)
+
+
+@given("a replica at version {version:d}")
+def step_replica(context, version):
+    context.replica = Replica()
+    assert context.replica.install(build_state(3, version))
+
+
+@then("a snapshot of version {version:d} is not installed")
+def step_not_installed(context, version):
+    before = context.replica.state
+    assert not context.replica.install(build_state(4, version))
+    assert context.replica.state is before
+
+
+@then("a snapshot of version {version:d} is installed")
+def step_installed(context, version):
+    assert context.replica.install(build_state(4, version))
+    assert context.replica.state.version == version
--- a/features/steps/control_plane.py
+++ b/features/steps/control_plane.py
@@ -391,6 +391,13 @@
     faults.lost_tags_by_receiver.setdefault(vm_name(number), set()).add(tag)
 
 
+@when('messages of type "{tag}" to all VMs are lost')
+def step_lose_type_everywhere(context, tag):
+    faults = context.control.network.faults
+    for vm in context.control.kernels_by_vm:
+        faults.lost_tags_by_receiver.setdefault(vm, set()).add(tag)
+
+
 @then("no VM serves the key")
 def step_none_serves(context):
     serving = context.portal.call(serving_vms, context.control, context.key_id)
--- a/features/withdrawal.feature
+++ b/features/withdrawal.feature
@@ -52,3 +52,10 @@
     When the store becomes unavailable
     And the key is withdrawn through VM 4
     Then no VM serves the key later than 5 s after its withdrawal
+
+  Scenario: A VM that gets no withdrawal message learns of it from heartbeats
+    Given a control fleet of 8 VMs in 2 regions with half of all times
+    When the store becomes unavailable
+    And messages of type "withdrawal" to VM 3 are lost
+    And the key is withdrawn through VM 1
+    Then no VM serves the key later than 2.5 s after its withdrawal
