--- a/features/steps/configuration_table.py
+++ b/features/steps/configuration_table.py
@@ -200,13 +200,13 @@
     for number in range(count):
         name = f"added-{number}"
         table = table.with_item(name, number, Workspace(name, 1, 1))
-    context.table = table
+    context.grown = table
 
 
 @then("the largest bucket has at most {limit:d} objects")
 def step_largest_bucket(context, limit):
-    sizes = [len(decode_bucket("workspace", item)) for item in context.table.buckets]
-    assert sum(sizes) == len(context.table)
+    sizes = [len(decode_bucket("workspace", item)) for item in context.grown.buckets]
+    assert sum(sizes) == len(context.grown)
     assert max(sizes) <= limit, max(sizes)
 
 
