--- a/primroseturn/configuration/listings.py
+++ b/primroseturn/configuration/listings.py
@@ -12,7 +12,7 @@
     ListingDelta,
     ListingFetch,
 )
-from primroseturn.configuration.relay import Relay
+from primroseturn.configuration.relay import OTHER_REGION_DELAY_S, Relay
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import MessageInvalid
 from primroseturn.membership.listing import ENTRY_LIST, Listing
@@ -53,6 +53,10 @@
             return
         after = self.listing.members_of(name)
         change = create_change(name, base, version, before, after)
+        await self.publish(change)
+
+    async def publish(self, change: ListingChange) -> None:
+        """Start the relay of a change in this region."""
         targets = dict.fromkeys([*self.relay.heads(), *self.relay.children()])
         targets.pop(self.bus.vm, None)
         await self.pass_on(change, list(targets))
@@ -96,11 +100,20 @@
     async def catch_up(self, peer: str, heartbeat: Heartbeat) -> bool:
         """Fetch newer lists of a peer; the heartbeat counts in any case."""
         if heartbeat.listing_hash != self.listing.versions_hash:
-            settled = current_time() - self.changed_at >= DIFFERENCE_DELAY_S
+            settled = current_time() - self.changed_at >= self.fetch_delay(peer)
             if settled or not self.listing.versions_by_list:
                 self.start_fetch(peer)
         return True
 
+    def fetch_delay(self, peer: str) -> float:
+        """Return how long a difference is left to the relay."""
+        members = self.relay.members
+        known = self.listing.daemons_by_id.get(peer)
+        other = known is not None and known.region != members.this.region
+        if other and not members.is_watcher():
+            return OTHER_REGION_DELAY_S
+        return DIFFERENCE_DELAY_S
+
     def start_fetch(self, peer: str) -> None:
         """Fetch from a peer in the background, once at a time."""
         if peer not in self.fetching:
@@ -117,6 +130,9 @@
                     return
                 if not result.ok.version or not self.take(result.ok):
                     return
+                if self.relay.members.is_watcher():
+                    # The region's VMs get what its watcher fetched from another one.
+                    await self.publish(result.ok)
         finally:
             self.fetching.discard(peer)
 
