--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -15,7 +15,7 @@
 from primroseturn.replay.trace import load_trace, sort_lines
 
 SEED = 1
-DURATION_S = 5.0
+DURATION_S = 4.4
 SIZES_BY_NAME = {size.name: size for size in SIZES}
 SHIPPED = Path(primroseturn.replay.__file__).parent / "traces"
 FLEET_LINE = '{"kind":"fleet","seed":1,"duration_s":2,"vms":2}'
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -106,9 +106,12 @@
         self.views_by_target: dict[str, LocalView] = {}
         self.reports_by_target: dict[str, Report] = {}
         self.tiers_by_service: dict[str, Tiers] = {}
+        # Services whose subset is computed again at their next request.
+        self.stale_services: set[str] = set()
 
     def set_targets(self, service: str) -> None:
-        """Recompute the subset of a service after a change of its list."""
+        """Recompute the subset of a service after a change of a list."""
+        self.stale_services.discard(service)
         listed = self.listing.targets_by_service.get(service, {})
         live = [item for item in listed.values() if item.state == "live"]
         center = self.place.data_center
@@ -151,6 +154,8 @@
         download: bool = False,
     ) -> Result[Choice, Failure]:
         """Return the target that should take the next request."""
+        if service in self.stale_services:
+            self.set_targets(service)
         tiers = self.tiers_by_service.get(service)
         if tiers is None:
             return Error(NoCapacity(service))
--- a/primroseturn/routing/dispatcher.py
+++ b/primroseturn/routing/dispatcher.py
@@ -250,10 +250,9 @@
     def use_list(self, listing: Listing, service: str, now: float) -> None:
         """Take over a changed list of targets."""
         if service == ENTRY_LIST:
-            # The assignment of slots follows the VMs.
-            for name in self.targets_by_service:
-                self.balancer.set_targets(name)
-                self.pump(name)
+            # The assignment of slots follows the VMs. Most services of a large fleet
+            # get no requests here, so theirs is not computed.
+            self.balancer.stale_services.update(self.targets_by_service)
             return
         listed = listing.targets_by_service.get(service, {})
         live = {item.name for item in listed.values() if item.state == "live"}
