--- a/features/limits.feature
+++ b/features/limits.feature
@@ -83,3 +83,16 @@
     When limits are measured for 12 VMs over 3 virtual seconds
     Then nothing was admitted above the rate
     And every shape of demand is refused less often than with a static split
+
+  Scenario: Daemons that borrow over the bus admit no more than rate and burst
+    Given a fleet with 1 targets and 3 daemons
+    When a workspace of rate 5 and burst 10 sends 90 requests through all daemons
+    Then at least 8 requests and no more than rate and burst were answered
+
+  Scenario: A release without an answer binds until the ledger has moved on
+    When a write that leaves 100 of 500 units has no answer
+    Then 100 units are usable until a newer version is read
+
+  Scenario: Units earn nothing for the time before they were gained
+    When a VM without units gains all units after 10 s
+    Then it holds no tokens
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,6 +1,9 @@
 """Steps for rate and burst. Schedules run on virtual time in the Then steps."""
 
-from anyio import sleep
+from collections import Counter
+from time import monotonic
+
+from anyio import create_task_group, sleep
 from behave import given, then, when
 from expression import Ok
 from msgspec.json import decode
@@ -10,7 +13,7 @@
 from features.exploration.vms import run_on_virtual_time
 from primroseturn.clock import MonotonicClock
 from primroseturn.limits.borrowing import Borrower
-from primroseturn.limits.ledger import Ledger
+from primroseturn.limits.ledger import Entry, Ledger, LedgerView
 from primroseturn.limits.measurement import measure_limits, Run
 from primroseturn.limits.messages import LoanGrant
 from primroseturn.limits.sessions import owner_of, OwnerSession, SessionObserver
@@ -225,3 +228,76 @@
     for item in context.reports:
         static = item.static_split_refused_inside_rate
         assert item.refused_inside_rate < static, item
+
+
+@when("a workspace of rate 5 and burst 10 sends 90 requests through all daemons")
+def step_send_through_all(context):
+    fleet = context.fleet
+
+    async def send():
+        key = fleet.add_workspace("small", rate=5, burst=10)
+        await fleet.wait_ready()
+        answers = []
+
+        async def request(number):
+            vm = f"vm{number % 3 + 1}"
+            answers.append(await fleet.request(vm, "GET", "/find/x", key))
+
+        started = monotonic()
+        async with create_task_group() as tasks:
+            for number in range(90):
+                tasks.start_soon(request, number)
+        return Counter(item.status_code for item in answers), monotonic() - started
+
+    context.statuses, context.elapsed_s = context.portal.call(send)
+
+
+@then("at least 8 requests and no more than rate and burst were answered")
+def step_answered(context):
+    assert set(context.statuses) == {200, 429}, context.statuses
+    most = 10 + 5 * context.elapsed_s
+    assert 8 <= context.statuses[200] <= most, (context.statuses, most)
+
+
+def ledger_of(units):
+    """Return a ledger whose units all belong to one session and were used before."""
+    return Ledger("other", 0, {"b@h:1#1.1": Entry(units, 8.0, 12.0)})
+
+
+@when("a write that leaves 100 of 500 units has no answer")
+def step_release_in_doubt(context):
+    context.view = LedgerView("w")
+    context.view.adopt(5, ledger_of(500))
+    context.view.begin(100)
+
+
+@then("100 units are usable until a newer version is read")
+def step_doubt_binds(context):
+    usable = []
+    for version in (5, 4, 6):
+        context.view.adopt(version, ledger_of(500))
+        usable.append(context.view.usable_units("b@h:1#1.1"))
+    assert usable == [100, 100, 500], usable
+
+
+async def gain_late():
+    """Return the tokens of a VM that gains units after a while."""
+    async with run_network(1) as network:
+        objects, clock = MemoryObjects(network.tasks, 1), MonotonicClock()
+        session = OwnerSession(objects, clock, "b@h:1", "1", 100.0, 1.0)
+        await session.open()
+        share = Share("w", Limits(8.0, 12.0), session, clock.now())
+        await sleep(10.0)
+        share.adopt(5, ledger_of(1000), clock.now())
+        assert share.rate == 8.0
+        return share.tokens
+
+
+@when("a VM without units gains all units after 10 s")
+def step_gain(context):
+    context.tokens = run_on_virtual_time(gain_late)
+
+
+@then("it holds no tokens")
+def step_no_tokens(context):
+    assert context.tokens == 0, context.tokens
