--- a/features/steps/documentation.py
+++ b/features/steps/documentation.py
@@ -40,3 +40,11 @@
 @then('the README has the line "{line}"')
 def step_readme(context, line):
     assert line in README.read_text().splitlines()
+
+
+@then("the index of operators' pages lists every page")
+def step_index(context):
+    index = Path("docs/operators/README.md")
+    pages = {page.name for page in index.parent.glob("*.md")} - {index.name}
+    missing = pages - set(LINK.findall(index.read_text()))
+    assert len(pages) > 8 and not missing, missing
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -236,14 +236,15 @@
     context.portal.call(lambda: fetch(context, "POST", "/upload", content=parts()))
 
 
-@when("{count:d} callers close their connections after a request")
+@when("{count:d} callers close their connections, half of them after a request")
 def step_close_connections(context, count):
     async def run():
         port = context.fleet.kernels_by_vm["vm1"].find("callers")
-        for _ in range(count):
+        for number in range(count):
             async with await connect_tcp("127.0.0.1", port) as stream:
-                await stream.send(b"GET /open HTTP/1.1\r\nHost: a\r\n\r\n")
-                await stream.receive()
+                if number % 2:
+                    await stream.send(b"GET /open HTTP/1.1\r\nHost: a\r\n\r\n")
+                    await stream.receive()
 
     context.portal.call(run)
 
@@ -442,3 +443,15 @@
 @then('the daemon observed "{outcome}"')
 def step_observed(context, outcome):
     assert context.observed == [outcome], context.observed
+
+
+@given("the events of the daemon are recorded")
+def step_record_events(context):
+    context.events = []
+    events = context.fleet.kernels_by_vm["vm1"].find("events")
+    events.listeners.append(lambda event, fields: context.events.append(event.name))
+
+
+@then('the daemon emitted "{name}"')
+def step_emitted(context, name):
+    assert name in context.events, set(context.events)
