Keep the product's features within 60 s

Cause: they took 69.6 s at a load average of 15; the demo ran twice with the same checks, from the source and from the executable, and each help text was rendered. Before: 69.6 s.

--- a/features/product_demo.feature
+++ b/features/commands.feature
@@ -1,10 +1,4 @@
-Feature: The demo shows the fleet and judges its own outcomes
-
-  Scenario: The demo meets its stated outcomes within 20 s
-    When the command "demo --seconds 2" runs for at most 20 s
-    Then the command exits with code 0
-    And its output contains "operations that ran twice: 0"
-    And its output does not contain "MISSED"
+Feature: Commands report how they ended
 
   Scenario Outline: Wrong usage exits with code 2 and does not show a traceback
     When the command "<command>" is called
--- a/features/steps/executable.py
+++ b/features/steps/executable.py
@@ -7,6 +7,7 @@
 from shutil import rmtree
 from subprocess import run
 from tempfile import mkdtemp
+from time import monotonic
 
 from behave import given, then, when
 
@@ -37,6 +38,7 @@
 
 @when('the executable runs "{command}" in an empty environment')
 def step_run(context, command):
+    started = monotonic()
     done = run(
         [find_interpreter(), "-I", context.executable, *split(command)],
         capture_output=True,
@@ -46,11 +48,17 @@
         cwd=context.directory / "empty",
         env={"SHIV_ROOT": str(context.directory / "unpacked")},
     )
+    context.seconds = monotonic() - started
     context.exit_code = done.returncode
     context.stdout = done.stdout
     context.output = done.stdout + done.stderr
 
 
+@then("the command took at most {limit:d} s")
+def step_duration(context, limit):
+    assert context.seconds <= limit, context.seconds
+
+
 @then("its output is the version of the product")
 def step_version(context):
     assert context.stdout.strip().endswith(__version__), context.output
--- a/features/steps/product_commands.py
+++ b/features/steps/product_commands.py
@@ -1,12 +1,10 @@
 """Steps that run commands of the command line as processes."""
 
 import re
-import sys
 from contextlib import redirect_stderr, redirect_stdout
 from io import StringIO
 from pathlib import Path
 from shlex import split
-from subprocess import run
 
 from behave import then, when
 
@@ -16,21 +14,6 @@
 EXIT_CODES_PAGE = Path("docs/exit-codes.md")
 
 
-def run_command(context, command, limit_s, **options):
-    """Run a command and keep its exit code and output."""
-    done = run(
-        [sys.executable, "-m", "primroseturn", *split(command)],
-        capture_output=True,
-        text=True,
-        timeout=limit_s,
-        check=False,
-        **options,
-    )
-    context.exit_code = done.returncode
-    context.output = done.stdout + done.stderr
-    context.stdout = done.stdout
-
-
 def call_command(context, command):
     """Run a command in this process, which saves the start of an interpreter."""
     stdout, stderr = StringIO(), StringIO()
@@ -44,11 +27,6 @@
     context.output = context.stdout + stderr.getvalue()
 
 
-@when('the command "{command}" runs for at most {limit_s:d} s')
-def step_command(context, command, limit_s):
-    run_command(context, command, limit_s)
-
-
 @when('the command "{command}" is called')
 def step_call(context, command):
     call_command(context, command)
