--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -12,7 +12,7 @@
 from primroseturn.cli.daemon import Daemon
 from primroseturn.cli.events import Events
 from primroseturn.cli.exits import ExitCode, fail
-from primroseturn.cli.measure_control import Measure
+from primroseturn.cli.measure import Measure
 from primroseturn.cli.replay import Detectors, Replay, Traces
 from primroseturn.cli.settings import Settings
 from primroseturn.cli.standin import Standin
