End without a traceback when the reader of the output ends early

Cause: primroseturn admin status piped into head showed a BrokenPipeError. Before: a traceback. After: exit code 1 and no message; the new scenario fails without the change. Conclusion: main handles the closed pipe for all commands.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -13,3 +13,8 @@
 
   Scenario: The page of exit codes is up to date
     Then the page of exit codes lists exactly the codes of the command line
+
+  Scenario: A reader that ends early, as head does, causes no traceback
+    When the output of the command "events" is closed before it is read
+    Then the command exits with code 1
+    And its output does not contain "Broken"
--- a/features/steps/product_commands.py
+++ b/features/steps/product_commands.py
@@ -1,16 +1,19 @@
 """Steps that run commands of the command line as processes."""
 
 import re
+import sys
 from contextlib import redirect_stderr, redirect_stdout
 from io import StringIO
 from pathlib import Path
 from shlex import split
+from subprocess import PIPE, Popen
 
 from behave import then, when
 
 from primroseturn.cli.exits import ExitCode
 from primroseturn.cli.main import main
 
+PIPE_LIMIT_S = 20
 EXIT_CODES_PAGE = Path("docs/exit-codes.md")
 
 
@@ -32,6 +35,15 @@
     call_command(context, command)
 
 
+@when('the output of the command "{command}" is closed before it is read')
+def step_closed_output(context, command):
+    line = [sys.executable, "-m", "primroseturn", *split(command)]
+    with Popen(line, stdout=PIPE, stderr=PIPE, text=True) as process:
+        process.stdout.close()
+        context.output = process.stderr.read()
+        context.exit_code = process.wait(PIPE_LIMIT_S)
+
+
 @then("the command exits with code {code:d}")
 def step_exit_code(context, code):
     assert context.exit_code == code, (context.exit_code, context.output)
--- a/primroseturn/cli/main.py
+++ b/primroseturn/cli/main.py
@@ -1,5 +1,7 @@
 """Command line of primroseturn: the list of its commands."""
 
+import os
+import sys
 from dataclasses import dataclass
 from functools import reduce
 from operator import or_
@@ -58,6 +60,12 @@
     """Run the command line, with the process's arguments by default."""
     try:
         invoke(build_root(), argv=argv, version=__version__)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output has ended, as `head` does. The interpreter would
+        # report the failure of its own flush at the exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        raise SystemExit(int(ExitCode.FAILED)) from None
     except ModuleNotFoundError as error:
         if error.name not in PLOT_MODULES:
             raise
