--- a/features/steps/product_commands.py
+++ b/features/steps/product_commands.py
@@ -6,31 +6,17 @@
 from io import StringIO
 from pathlib import Path
 from shlex import split
-from subprocess import run
+from subprocess import PIPE, Popen
 
 from behave import then, when
 
 from primroseturn.cli.exits import ExitCode
 from primroseturn.cli.main import main
 
+PIPE_LIMIT_S = 20
 EXIT_CODES_PAGE = Path("docs/exit-codes.md")
 
 
-def run_command(context, command, limit_s, **options):
-    """Run a command and keep its exit code and output."""
-    done = run(
-        [sys.executable, "-m", "primroseturn", *split(command)],
-        capture_output=True,
-        text=True,
-        timeout=limit_s,
-        check=False,
-        **options,
-    )
-    context.exit_code = done.returncode
-    context.output = done.stdout + done.stderr
-    context.stdout = done.stdout
-
-
 def call_command(context, command):
     """Run a command in this process, which saves the start of an interpreter."""
     stdout, stderr = StringIO(), StringIO()
@@ -44,16 +30,20 @@
     context.output = context.stdout + stderr.getvalue()
 
 
-@when('the command "{command}" runs for at most {limit_s:d} s')
-def step_command(context, command, limit_s):
-    run_command(context, command, limit_s)
-
-
 @when('the command "{command}" is called')
 def step_call(context, command):
     call_command(context, command)
 
 
+@when('the output of the command "{command}" is closed before it is read')
+def step_closed_output(context, command):
+    line = [sys.executable, "-m", "primroseturn", *split(command)]
+    with Popen(line, stdout=PIPE, stderr=PIPE, text=True) as process:
+        process.stdout.close()
+        context.output = process.stderr.read()
+        context.exit_code = process.wait(PIPE_LIMIT_S)
+
+
 @then("the command exits with code {code:d}")
 def step_exit_code(context, code):
     assert context.exit_code == code, (context.exit_code, context.output)
