Keep health and the administration API up until the drain has ended

Cause: services stop in reverse order of their start and metrics started after callers, so during a drain the health address refused connections instead of answering that the daemon drains. Change: callers starts last. The extended shutdown scenario failed before and passes now (16 of 16 scenarios of shutdown, observation and request_path).

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -12,6 +12,7 @@
     When the daemon stops
     And 0.1 s pass
     Then the daemon is not ready because of "draining"
+    And its health address reports "draining"
     And a request is answered and asks the caller to connect elsewhere
     When 0.7 s pass
     Then a new connection is refused
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -92,6 +92,15 @@
     assert reason in context.portal.call(read_reasons)
 
 
+@then('its health address reports "{reason}"')
+def step_health(context, reason):
+    fleet = context.fleet
+    url = f"http://127.0.0.1:{fleet.kernels_by_vm['vm1'].find('metrics')}/ready"
+    response = context.portal.call(fleet.http.get, url)
+    assert response.status_code == 503, response.text
+    assert reason in response.json()["reasons"], response.text
+
+
 @then("a request is answered and asks the caller to connect elsewhere")
 def step_answered(context):
     context.portal.call(fetch, context, "GET", "/find/item")
--- a/primroseturn/daemon.py
+++ b/primroseturn/daemon.py
@@ -24,11 +24,12 @@
     "primroseturn.observation.health",
     "primroseturn.observation.clocks",
 )
+# Services stop in reverse order. "callers" is last, so that health, digests and the
+# administration API answer until the drain has ended.
 DAEMON_SERVICES = (
     "configuration",
     "withdrawals",
     "isolation",
-    "callers",
     "retries",
     "hedging",
     "digests",
@@ -37,6 +38,7 @@
     "admin",
     "metrics",
     "clock-probes",
+    "callers",
 )
 
 
