--- a/features/retries.feature
+++ b/features/retries.feature
@@ -19,7 +19,7 @@
 
   Scenario: A late answer is hedged on another target and the loser is cancelled
     Given 2 targets behind relays and 1 daemon
-    And 120 requests to "/quick/warm" have opened connections
+    And 120 requests to "/quick/warm" were answered, 4 at a time
     And target "target1" has the faults {"extra_delay_s": 3.0}
     And the events of the daemon are recorded
     When 4 callers fetch "/quick/item" at once
--- a/features/steps/passages.py
+++ b/features/steps/passages.py
@@ -140,6 +140,22 @@
     context.answers.clear()
 
 
+@given('{count:d} requests to "{path}" were answered, {width:d} at a time')
+def step_answered(context, count, path, width):
+    async def send_in_turn():
+        for _ in range(count // width):
+            await fetch(context, "GET", path)
+
+    async def send_all():
+        async with create_task_group() as tasks:
+            for _ in range(width):
+                tasks.start_soon(send_in_turn)
+
+    context.portal.call(send_all)
+    assert all(item.status_code == 200 for item in context.answers)
+    context.answers.clear()
+
+
 @when('target "{name}" sends a stray answer {seconds:g} s after the next one')
 def step_stray(context, name, seconds):
     context.fleet.relays[name].late_after_s = seconds
