Keep long-lived objects out of garbage collections

Cause: the daemon misses 4.5 ms added at p99; collections scan all modules and services while requests wait. Change: freeze after the start and raise the thresholds.

--- a/primroseturn/cli/processes.py
+++ b/primroseturn/cli/processes.py
@@ -1,5 +1,6 @@
 """Runs the processes of the system until a signal asks them to stop."""
 
+import gc
 from contextlib import AsyncExitStack
 from signal import SIGINT, SIGTERM
 
@@ -12,6 +13,10 @@
 from primroseturn.standins.store import ObjectStore
 from primroseturn.standins.upstream import Upstream
 
+# Allocations before a collection of the first generation, and collections of one
+# generation before one of the next.
+COLLECTION_THRESHOLDS = (10_000, 50, 100)
+
 
 async def wait_for_signal() -> None:
     """Return on the first SIGTERM or SIGINT."""
@@ -20,9 +25,21 @@
             return
 
 
+def limit_collections() -> None:
+    """Leave what the start created out of garbage collections and run fewer.
+
+    Modules and services live as long as the process. Scanning them with each
+    collection stops the event loop and shows in the latency at p99.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+
+
 async def run_daemon(settings: DaemonSettings) -> None:
     """Run a daemon until a signal."""
     async with run_services(settings) as kernel:
+        limit_collections()
         print(f"serving callers on port {kernel.find('callers')}", flush=True)
         await wait_for_signal()
 
