--- a/features/decisions.py
+++ b/features/decisions.py
@@ -13,7 +13,7 @@
 from primroseturn.membership.listing import Listing
 from primroseturn.routing.assembly import assemble_dispatcher
 from primroseturn.routing.dispatcher import Demand, Dispatcher
-from primroseturn.routing.subset import Place
+from primroseturn.routing.subset import Locality
 
 SERVICE = "search"
 
@@ -35,7 +35,7 @@
         name: Target(name, SERVICE, "", "dc1", "region1") for name in names
     }
     now = current_time()
-    place = Place("vm1", "dc1", "region1")
+    place = Locality("vm1", "dc1", "region1")
     dispatcher = assemble_dispatcher(
         listing, place, profile, 0.5, 1_000_000.0, Random(1), now
     )
--- a/features/exploration/claims.py
+++ b/features/exploration/claims.py
@@ -16,7 +16,7 @@
     VmClock,
     VmStore,
 )
-from primroseturn.claims.claims import Claims, ClaimSurroundings, run_claims
+from primroseturn.claims.claims import ClaimDependencies, Claims, run_claims
 from primroseturn.claims.commit import SlotCommitter
 from primroseturn.claims.models import ClaimGranted, Operation, RecordedOutcome
 from primroseturn.claims.slots import bits_of, encode_slot, Slot
@@ -102,7 +102,7 @@
         """Run one incarnation until it crashes."""
         clock = VmClock(gate, 0.0, 0.0)
         store = VmStore(gate, self.objects)
-        surroundings = ClaimSurroundings(
+        dependencies = ClaimDependencies(
             SlotCommitter(store, clock, current_time, 2, 86_400.0, SPLIT_BYTES),
             VmBus(gate, self.network.join(vm, incarnation)),
             clock,
@@ -113,7 +113,7 @@
         )
         async with create_task_group() as tasks:
             self.scopes[vm] = tasks.cancel_scope
-            async with run_claims(surroundings) as claims:
+            async with run_claims(dependencies) as claims:
                 self.claims_by_vm[vm] = (claims, tasks)
                 task_status.started()
                 await Event().wait()
--- a/features/exploration/limits.py
+++ b/features/exploration/limits.py
@@ -19,9 +19,9 @@
 )
 from primroseturn.configuration.models import EntryVm, Workspace
 from primroseturn.limits.admission import (
+    Dependencies,
     Identity,
     run_admission,
-    Surroundings,
 )
 from primroseturn.limits.borrowing import Borrower
 from primroseturn.limits.ledger import LedgerView
@@ -124,7 +124,7 @@
     async def hold(self, vm, gate, incarnation, stop, *, task_status):
         """Run one incarnation until it is stopped or crashes."""
         bus = VmBus(gate, self.network.join(vm, incarnation))
-        surroundings = Surroundings(
+        dependencies = Dependencies(
             VmStore(gate, self.objects),
             bus,
             VmClock(gate, self.drift[vm], 100.0 * ord(vm)),
@@ -137,7 +137,7 @@
         identity = Identity(vm, f"{vm}@h:1", incarnation)
         async with create_task_group() as tasks:
             self.scopes[vm] = tasks.cancel_scope
-            running = run_admission(identity, settings, surroundings)
+            running = run_admission(identity, settings, dependencies)
             async with running as admission:
                 self.admissions[vm] = admission
                 task_status.started()
--- a/features/steps/configuration_table.py
+++ b/features/steps/configuration_table.py
@@ -25,7 +25,7 @@
     ObjectTable,
 )
 from primroseturn.observation.events import EventLog
-from primroseturn.standins.fleet import Place
+from primroseturn.standins.fleet import Locality
 from primroseturn.standins.store import ObjectStore
 from primroseturn.store.client import StoreClient
 
@@ -182,7 +182,7 @@
             await fleet.remove(vm)
         add_workspace(fleet, "later")
         read = fleet.store.calls_by_kind.get("read", 0)
-        kernel = await fleet.add(vm_name(9), Place(0, 1, 1))
+        kernel = await fleet.add(vm_name(9), Locality(0, 1, 1))
         VersionChecker().observe(vm_name(9), kernel)
         replica = kernel.find("replica")
         await wait_until(lambda: replica.state.version == fleet.version, 5.0)
--- a/features/steps/control_plane.py
+++ b/features/steps/control_plane.py
@@ -14,7 +14,7 @@
 )
 from primroseturn.configuration.log import LOG_PREFIX, propose_change
 from primroseturn.configuration.models import Change
-from primroseturn.standins.fleet import ControlFleet, Place, run_control_fleet
+from primroseturn.standins.fleet import ControlFleet, Locality, run_control_fleet
 from primroseturn.standins.store import StoreFaults
 
 SETTLE_LIMIT_S = 10.0
@@ -217,7 +217,7 @@
         known.append({"vm": listed.vm, "address": address})
 
     async def start():
-        place = Place(number - 1, 2, 2)
+        place = Locality(number - 1, 2, 2)
         kernel = await fleet.add(vm_name(number), place, control={"seeds": known})
         context.checker.observe(vm_name(number), kernel)
 
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -38,7 +38,7 @@
 
 
 @asynccontextmanager
-async def run_passages(targets, daemons, callers):
+async def run_relayed_fleet(targets, daemons, callers):
     """Run a fleet whose targets are behind relays."""
     async with run_fleet() as fleet:
         fleet.relays = {}
@@ -75,10 +75,10 @@
         yield fleet
 
 
-def start_passages(context, targets, daemons=1, delay_s=0.0):
+def start_relayed_fleet(context, targets, daemons=1, delay_s=0.0):
     callers = {"drain_delay_s": delay_s, "drain_limit_s": 3.0}
     manager = context.portal.wrap_async_context_manager(
-        run_passages(targets, daemons, callers)
+        run_relayed_fleet(targets, daemons, callers)
     )
     context.fleet = manager.__enter__()
     context.cleanups.append(lambda: manager.__exit__(None, None, None))
@@ -88,13 +88,13 @@
 
 @given("{targets:d} targets behind relays and {daemons:d} daemon")
 @given("{targets:d} targets behind relays and {daemons:d} daemons")
-def step_passages(context, targets, daemons):
-    start_passages(context, targets, daemons)
+def step_relayed_fleet(context, targets, daemons):
+    start_relayed_fleet(context, targets, daemons)
 
 
 @given("{targets:d} targets and a daemon that waits {delay_s:g} s before a drain")
-def step_drain_passages(context, targets, delay_s):
-    start_passages(context, targets, 1, delay_s)
+def step_drain_fleet(context, targets, delay_s):
+    start_relayed_fleet(context, targets, 1, delay_s)
 
 
 @given("each target has the faults {faults}")
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from httpx import ConnectError
 
-from features.steps.passages import fetch
+from features.steps.request_faults import fetch
 from primroseturn.serving.asgi import serve_application
 from primroseturn.standins.documents import document_part
 from primroseturn.standins.store import ObjectStore
--- a/primroseturn/bench/roles.py
+++ b/primroseturn/bench/roles.py
@@ -17,10 +17,10 @@
 from primroseturn.detection.profiles import profiles_by_name
 from primroseturn.membership.listing import Listing
 from primroseturn.routing.assembly import assemble_dispatcher
-from primroseturn.routing.subset import Place
+from primroseturn.routing.subset import Locality
 
 ROUNDS = 5
-PLACE = Place("vm1", "dc1", "region1")
+PLACE = Locality("vm1", "dc1", "region1")
 OUTCOME_BODY_BYTES = 200
 
 
--- a/primroseturn/claims/claims.py
+++ b/primroseturn/claims/claims.py
@@ -36,7 +36,7 @@
 LAST_RETRY_S = 10.0
 
 
-class ClaimSurroundings(NamedTuple):
+class ClaimDependencies(NamedTuple):
     """What the protocol is given."""
 
     committer: SlotCommitter
@@ -58,14 +58,14 @@
 class Claims:
     """Claims operations through the committer of their slot, or directly."""
 
-    def __init__(self, surroundings: ClaimSurroundings, tasks: TaskGroup) -> None:
-        self.committer = surroundings.committer
-        self.bus = surroundings.bus
-        self.clock = surroundings.clock
-        self.random = surroundings.random
-        self.live_daemons = surroundings.live_daemons
-        self.emit = surroundings.emit
-        interval_s = surroundings.commit_interval_s
+    def __init__(self, dependencies: ClaimDependencies, tasks: TaskGroup) -> None:
+        self.committer = dependencies.committer
+        self.bus = dependencies.bus
+        self.clock = dependencies.clock
+        self.random = dependencies.random
+        self.live_daemons = dependencies.live_daemons
+        self.emit = dependencies.emit
+        interval_s = dependencies.commit_interval_s
         self.batches = Batches(self.committer, self.clock, interval_s, tasks)
         self.unsettled_by_attempt: dict[str, ClaimRequest] = {}
         self.unsettled = Event()
@@ -208,10 +208,10 @@
 
 
 @asynccontextmanager
-async def run_claims(surroundings: ClaimSurroundings) -> AsyncIterator[Claims]:
+async def run_claims(dependencies: ClaimDependencies) -> AsyncIterator[Claims]:
     """Run claims for the life of the context."""
     async with create_task_group() as tasks:
-        claims = Claims(surroundings, tasks)
+        claims = Claims(dependencies, tasks)
         tasks.start_soon(claims.settle_for_ever)
         try:
             yield claims
--- a/primroseturn/claims/commit.py
+++ b/primroseturn/claims/commit.py
@@ -35,7 +35,7 @@
     """The slot was split; its entries are in its children."""
 
 
-class Held(NamedTuple):
+class CachedSlot(NamedTuple):
     """A slot as last read or written."""
 
     version: int
@@ -63,7 +63,7 @@
         self.depth_lock = Lock()
         self.retention_s = retention_s
         self.split_bytes = split_bytes
-        self.held_by_prefix: dict[str, Held] = {}
+        self.held_by_prefix: dict[str, CachedSlot] = {}
         self.split_prefixes: set[str] = set()
 
     async def locate(self, operation_id: str) -> str:
@@ -120,18 +120,18 @@
                 return replies
         raise StoreUnavailable(f"PUT {SLOT_PREFIX}{prefix}", "too many conflicts", True)
 
-    async def hold(self, prefix: str) -> Held:
+    async def hold(self, prefix: str) -> CachedSlot:
         """Return the slot, read from the store unless it is held."""
         held = self.held_by_prefix.get(prefix)
         if held is None:
             stored = await self.store.read(SLOT_PREFIX + prefix)
             version = stored.version if stored else 0
             slot = decode_slot(stored.value) if stored else Slot()
-            held = self.held_by_prefix[prefix] = Held(version, slot, True)
+            held = self.held_by_prefix[prefix] = CachedSlot(version, slot, True)
         return held
 
     async def try_commit(
-        self, prefix: str, held: Held, changes: list[ClaimRequest]
+        self, prefix: str, held: CachedSlot, changes: list[ClaimRequest]
     ) -> list[ClaimReply] | None:
         """Commit against a held slot. None if the slot must be held again."""
         if held.slot.state == "split":
@@ -156,7 +156,7 @@
             return None
         version = await self.put(prefix, value, held.version)
         COMMITS.labels("slot").inc()
-        held = self.held_by_prefix[prefix] = Held(version, slot, False)
+        held = self.held_by_prefix[prefix] = CachedSlot(version, slot, False)
         if len(value) > self.split_bytes:
             await self.split_after_commit(prefix, held)
         return replies
@@ -188,7 +188,7 @@
             return await self.store.update(key, value, version)
         return await self.store.create(key, value)
 
-    async def split_after_commit(self, prefix: str, held: Held) -> None:
+    async def split_after_commit(self, prefix: str, held: CachedSlot) -> None:
         """Split a slot that has grown, without failing what was committed."""
         try:
             await self.begin_split(prefix, held)
@@ -196,13 +196,13 @@
             # Whoever holds the slot next goes on from where this stopped.
             self.held_by_prefix.pop(prefix, None)
 
-    async def begin_split(self, prefix: str, held: Held) -> None:
+    async def begin_split(self, prefix: str, held: CachedSlot) -> None:
         """Freeze a slot and move its entries to its children."""
         slot = Slot("splitting", held.slot.entries_by_id)
         version = await self.put(prefix, encode_slot(slot), held.version)
-        await self.finish_split(prefix, Held(version, slot, False))
+        await self.finish_split(prefix, CachedSlot(version, slot, False))
 
-    async def finish_split(self, prefix: str, held: Held) -> None:
+    async def finish_split(self, prefix: str, held: CachedSlot) -> None:
         """Create the children from the frozen entries and mark the slot `split`.
 
         Every step may be repeated by any VM: a child that exists is left as it is, as
--- a/primroseturn/claims/service.py
+++ b/primroseturn/claims/service.py
@@ -5,10 +5,10 @@
 from random import Random
 from time import time
 
-from primroseturn.claims.claims import Claims, ClaimSurroundings, run_claims
+from primroseturn.claims.claims import ClaimDependencies, Claims, run_claims
 from primroseturn.claims.commit import SlotCommitter
 from primroseturn.clock import MonotonicClock
-from primroseturn.control.surroundings import find_bus, find_members, optional
+from primroseturn.control.lookup import find_bus, find_members, optional
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 
@@ -24,7 +24,7 @@
     committer = SlotCommitter(
         kernel.find("store"), clock, time, settings.slots, settings.retention_s
     )
-    surroundings = ClaimSurroundings(
+    dependencies = ClaimDependencies(
         committer,
         find_bus(kernel, events.vm, events.incarnation),
         clock,
@@ -33,5 +33,5 @@
         settings.commit_interval_s,
         events.emit,
     )
-    async with run_claims(surroundings) as claims:
+    async with run_claims(dependencies) as claims:
         yield claims
--- a/primroseturn/control/lookup.py
+++ b/primroseturn/control/lookup.py
@@ -7,7 +7,7 @@
 from anyio import current_time
 
 from primroseturn.configuration.models import EntryVm
-from primroseturn.control.alone import BusWithoutPeers
+from primroseturn.control.standalone import BusWithoutPeers
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import entries_by_name
 
--- a/primroseturn/limits/admission.py
+++ b/primroseturn/limits/admission.py
@@ -12,8 +12,8 @@
 
 from primroseturn.clock import Clock
 from primroseturn.configuration.models import EntryVm, Workspace
-from primroseturn.control.alone import BusWithoutPeers
 from primroseturn.control.bus import Bus
+from primroseturn.control.standalone import BusWithoutPeers
 from primroseturn.failures import Failure
 from primroseturn.limits.borrowing import Borrower
 from primroseturn.limits.events import LIMITS_UNAVAILABLE, SESSION_ENDED
@@ -72,7 +72,7 @@
     incarnation: str
 
 
-class Surroundings(NamedTuple):
+class Dependencies(NamedTuple):
     """What the protocol is given.
 
     Attributes
@@ -99,14 +99,14 @@
         self,
         identity: Identity,
         settings: LimitSettings,
-        surroundings: Surroundings,
+        dependencies: Dependencies,
         tasks: TaskGroup,
     ) -> None:
-        store, bus, clock, random = surroundings[:4]
+        store, bus, clock, random = dependencies[:4]
         lease_s, loan_s = settings.owner_lease_s, settings.loan_s
         self.identity = identity
         self.settings = settings
-        self.surroundings = surroundings
+        self.dependencies = dependencies
         self.clock = clock
         self.tasks = tasks
         self.closed = False
@@ -124,7 +124,7 @@
             random,
             self.owners_of,
             identity.vm,
-            surroundings.emit,
+            dependencies.emit,
             isinstance(bus, BusWithoutPeers),
         )
         name = f"{identity.vm}-{identity.incarnation}"
@@ -150,7 +150,7 @@
             delay = delay if isfinite(delay) else RETRY_AFTER_S
             return Error(RateExceeded(workspace.name, delay))
         ADMISSIONS.labels("unavailable").inc()
-        self.surroundings.emit(LIMITS_UNAVAILABLE, workspace=workspace.name)
+        self.dependencies.emit(LIMITS_UNAVAILABLE, workspace=workspace.name)
         return Error(LimitsUnavailable(workspace.name))
 
     async def wait_for_token(self, share: Share, deadline: float) -> bool:
@@ -184,7 +184,7 @@
 
     def find_share(self, name: str) -> Share | None:
         """Return the share for a peer's request, by the configuration in force."""
-        workspace = self.surroundings.limits_of(name)
+        workspace = self.dependencies.limits_of(name)
         if workspace is None or self.closed:
             return None
         return self.share_of(workspace)
@@ -208,13 +208,13 @@
             return owners
         most = self.settings.owners_per_workspace
         count = count_owners(share.limits.burst, most)
-        owners = choose_owners(share.name, self.surroundings.live_daemons(), count)
+        owners = choose_owners(share.name, self.dependencies.live_daemons(), count)
         self.owners_by_workspace[share.name] = (now, owners)
         return owners
 
     def lenders_of(self, share: Share) -> list[str]:
         """Return the peers to borrow from, the nearest first."""
-        daemons = self.surroundings.live_daemons()
+        daemons = self.dependencies.live_daemons()
         names = dict.fromkeys([*self.owners_of(share), *share.owners])
         peers = [name for name in names if name != self.identity.vm]
         return order_by_distance(peers, daemons.get(self.identity.vm), daemons)
@@ -223,7 +223,7 @@
         """Apply the limits of the configuration in force to all shares."""
         now = self.clock.now()
         for name, share in self.shares_by_workspace.items():
-            workspace = self.surroundings.limits_of(name)
+            workspace = self.dependencies.limits_of(name)
             if workspace is not None:
                 share.set_limits(Limits(workspace.rate, workspace.burst), now)
 
@@ -235,18 +235,18 @@
             share.refill(now)
             lent = lent or bool(share.lent_by_id)
         await self.session.end(lent)
-        self.surroundings.emit(SESSION_ENDED, session=self.session.name)
+        self.dependencies.emit(SESSION_ENDED, session=self.session.name)
 
 
 @asynccontextmanager
 async def run_admission(
     identity: Identity,
     settings: LimitSettings,
-    surroundings: Surroundings,
+    dependencies: Dependencies,
 ) -> AsyncIterator[Admission]:
     """Run admission for the life of the context and end its session after it."""
     async with create_task_group() as tasks:
-        admission = Admission(identity, settings, surroundings, tasks)
+        admission = Admission(identity, settings, dependencies, tasks)
         tasks.start_soon(admission.ownership.renew_for_ever)
         try:
             yield admission
--- a/primroseturn/limits/measurement.py
+++ b/primroseturn/limits/measurement.py
@@ -16,9 +16,9 @@
 from primroseturn.configuration.models import EntryVm, Workspace
 from primroseturn.limits.admission import (
     Admission,
+    Dependencies,
     Identity,
     run_admission,
-    Surroundings,
 )
 from primroseturn.limits.bucket import TokenBucket
 from primroseturn.settings.models import LimitSettings
@@ -227,7 +227,7 @@
 ) -> None:
     """Run admission of one VM until cancelled."""
     by_name = {item.name: item for item in make_workspaces()}
-    surroundings = Surroundings(
+    dependencies = Dependencies(
         objects,
         network.join(vm, "i1"),
         MonotonicClock(),
@@ -237,7 +237,7 @@
         lambda event, **fields: None,
     )
     identity = Identity(vm, f"{vm}@h:1", "i1")
-    async with run_admission(identity, LimitSettings(), surroundings) as admission:
+    async with run_admission(identity, LimitSettings(), dependencies) as admission:
         admissions.append(admission)
         task_status.started()
         await sleep(float("inf"))
--- a/primroseturn/limits/service.py
+++ b/primroseturn/limits/service.py
@@ -7,14 +7,14 @@
 from primroseturn.clock import MonotonicClock
 from primroseturn.configuration.models import Workspace
 from primroseturn.configuration.replica import Replica
-from primroseturn.control.surroundings import find_bus, find_members, optional
+from primroseturn.control.lookup import find_bus, find_members, optional
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.limits.admission import (
     Admission,
+    Dependencies,
     Identity,
     run_admission,
-    Surroundings,
 )
 from primroseturn.requestpath.identify import OPEN_WORKSPACE
 from primroseturn.settings.models import DaemonSettings
@@ -52,7 +52,7 @@
     """Provide admission by rate and burst."""
     settings, events = kernel.find("settings"), kernel.find("events")
     replica = kernel.find("replica")
-    surroundings = Surroundings(
+    dependencies = Dependencies(
         kernel.find("store"),
         find_bus(kernel, events.vm, events.incarnation),
         MonotonicClock(),
@@ -62,6 +62,6 @@
         events.emit,
     )
     identity = identify(settings, events.incarnation)
-    async with run_admission(identity, settings.limits, surroundings) as admission:
+    async with run_admission(identity, settings.limits, dependencies) as admission:
         replica.subscribe(lambda _: admission.apply_limits())
         yield admission
--- a/primroseturn/plugins/demo/callers.py
+++ b/primroseturn/plugins/demo/callers.py
@@ -64,7 +64,7 @@
 async def send_order(
     http: AsyncClient, url: str, key: str, results: Results, operation: str
 ) -> str:
-    """Place an order that must not run twice."""
+    """Locality an order that must not run twice."""
     results.operations.add(operation)
     headers = {"x-api-key": key, "idempotency-key": operation}
     response = await http.post(f"{url}/order", headers=headers, content=b"{}")
--- a/primroseturn/replay/driver.py
+++ b/primroseturn/replay/driver.py
@@ -35,7 +35,7 @@
 from primroseturn.routing.assembly import assemble_dispatcher
 from primroseturn.routing.dispatcher import Demand, Dispatcher
 from primroseturn.routing.service import TICK_S
-from primroseturn.routing.subset import Place
+from primroseturn.routing.subset import Locality
 from primroseturn.standins.network import MemoryNetwork
 
 # One-way delays: within a data centre, between data centres, between regions.
@@ -47,11 +47,11 @@
 LINK_BYTES_PER_S = 1_000_000.0
 
 
-def place_of(number: int, trace: Trace) -> Place:
+def place_of(number: int, trace: Trace) -> Locality:
     """Return where the VM or target with a number stands."""
     fleet = trace.fleet
     center = number % (fleet.regions * fleet.data_centers_per_region)
-    return Place(
+    return Locality(
         f"vm{number}", f"dc{center + 1}", f"region{center % fleet.regions + 1}"
     )
 
@@ -69,7 +69,7 @@
         self.network = MemoryNetwork(tasks, trace.fleet.seed)
         self.targets_by_name: dict[str, ReplayTarget] = {}
         self.listed_by_name: dict[str, Target] = {}
-        self.places_by_vm: dict[str, Place] = {}
+        self.places_by_vm: dict[str, Locality] = {}
         self.dispatchers_by_vm: dict[str, Dispatcher] = {}
         self.exchanges: list[DigestExchange] = []
         self.blind_vms: set[str] = set()
@@ -167,7 +167,7 @@
         )
         self.exchanges.append(exchange)
 
-    def peers_of(self, place: Place) -> Peers:
+    def peers_of(self, place: Locality) -> Peers:
         """Return the peers of a VM."""
         near = [
             item.vm
--- a/primroseturn/requestpath/answers.py
+++ b/primroseturn/requestpath/answers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 
 from primroseturn.detection.observations import Outcome
+from primroseturn.requestpath.context import RequestContext
 from primroseturn.requestpath.exchange import AttemptFailed, Exchange
 from primroseturn.requestpath.headers import (
     CONTENT_LENGTH,
@@ -11,7 +12,6 @@
     HeaderList,
     values_of,
 )
-from primroseturn.requestpath.passage import Passage
 
 # A short answer is read whole before the caller sees its start, so that a cut can
 # still be hidden by a retry.
@@ -66,13 +66,13 @@
     return first, last, total
 
 
-def extent_of(passage: Passage, exchange: Exchange) -> Extent | None:
+def extent_of(context: RequestContext, exchange: Exchange) -> Extent | None:
     """Return what the answer covers, or None if it cannot be resumed."""
     etags = values_of(exchange.headers, b"etag")
     resumable = (
-        passage.route.download
-        and passage.route.repeatable
-        and passage.method == "GET"
+        context.route.download
+        and context.route.repeatable
+        and context.method == "GET"
         and len(etags) == 1
         and etags[0].startswith(b'"')
     )
@@ -94,15 +94,15 @@
     return body
 
 
-async def send_whole(passage: Passage, exchange: Exchange, body: bytes) -> None:
+async def send_whole(context: RequestContext, exchange: Exchange, body: bytes) -> None:
     """Send a body that was read whole, with its length."""
     headers = forwarded_response_headers(exchange.headers)
     if exchange.may_have_body() and exchange.length is None:
         headers.append((CONTENT_LENGTH, str(len(body)).encode()))
-    await passage.send_whole(exchange.status, headers, body)
+    await context.send_whole(exchange.status, headers, body)
 
 
-async def deliver(passage: Passage, exchange: Exchange) -> Extent | None:
+async def deliver(context: RequestContext, exchange: Exchange) -> Extent | None:
     """Pass an answer on to the caller.
 
     Returns
@@ -117,33 +117,35 @@
     """
     length = exchange.length
     if length is not None and length <= WHOLE_ANSWER_LIMIT_BYTES:
-        await send_whole(passage, exchange, await read_whole(exchange))
+        await send_whole(context, exchange, await read_whole(exchange))
         return None
-    extent = extent_of(passage, exchange)
+    extent = extent_of(context, exchange)
     headers = forwarded_response_headers(exchange.headers)
-    await passage.start_answer(exchange.status, headers)
+    await context.start_answer(exchange.status, headers)
     try:
-        await pass_parts(passage, exchange.parts(), extent)
+        await pass_parts(context, exchange.parts(), extent)
     except AttemptFailed:
         if extent is None:
             raise
         return extent
     exchange.conclude()
-    await passage.end_answer()
+    await context.end_answer()
     return None
 
 
 async def pass_parts(
-    passage: Passage, parts: AsyncIterator[bytes], extent: Extent | None
+    context: RequestContext, parts: AsyncIterator[bytes], extent: Extent | None
 ) -> None:
     """Send the parts of a body to the caller and count them."""
     async for part in parts:
-        await passage.send_part(part)
+        await context.send_part(part)
         if extent is not None:
             extent.received += len(part)
 
 
-async def deliver_rest(passage: Passage, exchange: Exchange, extent: Extent) -> None:
+async def deliver_rest(
+    context: RequestContext, exchange: Exchange, extent: Extent
+) -> None:
     """Pass the rest of a resumed answer on to the caller.
 
     Raises
@@ -154,9 +156,9 @@
     if not extent.is_continued_by(exchange):
         exchange.outcome = Outcome.OK if exchange.status < 500 else Outcome.ERROR
         raise AttemptFailed(exchange.outcome, "the rest has changed", True, False)
-    await pass_parts(passage, exchange.parts(), extent)
+    await pass_parts(context, exchange.parts(), extent)
     if extent.received != extent.last - extent.first + 1:
         exchange.outcome = Outcome.CUT
         raise AttemptFailed(Outcome.CUT, "the rest is too short", True, False)
     exchange.conclude()
-    await passage.end_answer()
+    await context.end_answer()
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -11,6 +11,7 @@
 from primroseturn.failures import Refusal
 from primroseturn.requestpath.body import CallerGone, RequestBody
 from primroseturn.requestpath.checks import check_request, stated_deadline_s
+from primroseturn.requestpath.context import AnswerBroken, RequestContext
 from primroseturn.requestpath.events import (
     CALLER_GONE,
     REQUEST_BROKEN,
@@ -27,7 +28,6 @@
 )
 from primroseturn.requestpath.identify import identify_caller, secrets_of
 from primroseturn.requestpath.once import OnceForwarder
-from primroseturn.requestpath.passage import AnswerBroken, Passage
 from primroseturn.requestpath.refusals import RequestRefused, send_refusal, unwrap
 from primroseturn.requestpath.services import Services
 from primroseturn.serving.protocol import CALLER_LINK
@@ -97,24 +97,24 @@
         self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
     ) -> None:
         """Check a request, then run it for its caller."""
-        passage = self.open_passage(request_id, scope, body, send)
+        context = self.open_context(request_id, scope, body, send)
         failure: Exception | None = None
-        link = passage.link
-        with CancelScope(deadline=passage.deadline_at or inf) as limit:
-            link.watch(lambda: end_abandoned(passage, limit))
+        link = context.link
+        with CancelScope(deadline=context.deadline_at or inf) as limit:
+            link.watch(lambda: end_abandoned(context, limit))
             try:
-                await self.run(passage, scope["headers"])
-                self.note_finished(passage)
+                await self.run(context, scope["headers"])
+                self.note_finished(context)
                 return
             except (RequestRefused, AnswerBroken, CallerGone) as error:
                 failure = error
             finally:
                 link.watch(None)
-        raise self.explain(passage, failure)
+        raise self.explain(context, failure)
 
-    def open_passage(
+    def open_context(
         self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
-    ) -> Passage:
+    ) -> RequestContext:
         """Match, identify and check a request.
 
         Raises
@@ -137,55 +137,55 @@
             raise RequestRefused(Refusal("key-misplaced", 400, detail))
         forwarded = forwarded_request_headers(headers, secrets)
         deadline_s = stated_deadline_s(headers)
-        passage = Passage(
+        context = RequestContext(
             request_id, scope, forwarded, route, caller, body, send, deadline_s
         )
-        passage.link = scope["extensions"][CALLER_LINK]
-        check_key(services, passage)
-        return passage
+        context.link = scope["extensions"][CALLER_LINK]
+        check_key(services, context)
+        return context
 
-    async def run(self, passage: Passage, headers: HeaderList) -> None:
+    async def run(self, context: RequestContext, headers: HeaderList) -> None:
         """Admit and forward a request."""
         services = self.services
         wait_s = services.settings.limits.wait_limit_s
-        workspace = passage.caller.workspace
+        workspace = context.caller.workspace
         unwrap(await services.admission.admit(workspace, wait_s))
-        await passage.body.preload()
-        if passage.route.repeatable:
-            await self.repeatable.forward(passage)
+        await context.body.preload()
+        if context.route.repeatable:
+            await self.repeatable.forward(context)
         else:
-            await self.once.forward(passage, headers)
+            await self.once.forward(context, headers)
 
-    def explain(self, passage: Passage, failure: Exception | None) -> Exception:
+    def explain(self, context: RequestContext, failure: Exception | None) -> Exception:
         """Return why a request was not answered, with a truthful `ran`."""
-        if isinstance(failure, RequestRefused) and not passage.answer_started:
+        if isinstance(failure, RequestRefused) and not context.answer_started:
             refusal = failure.refusal
-            if passage.sent:
+            if context.sent:
                 refusal = refusal._replace(ran="unknown")
             return RequestRefused(refusal)
         if isinstance(failure, RequestRefused):
             return AnswerBroken(failure.refusal.kind)
         if failure is not None:
             return failure
-        if passage.gone:
+        if context.gone:
             return CallerGone()
-        if passage.answer_started:
+        if context.answer_started:
             return AnswerBroken("deadline-exceeded")
-        ran = "unknown" if passage.sent else "no"
+        ran = "unknown" if context.sent else "no"
         detail = "the request's deadline has passed"
         return RequestRefused(Refusal("deadline-exceeded", 504, detail, ran))
 
-    def note_finished(self, passage: Passage) -> None:
+    def note_finished(self, context: RequestContext) -> None:
         """Emit the event of an answered request."""
         self.services.events.emit(
             REQUEST_FINISHED,
-            request=passage.request_id,
-            workspace=passage.caller.workspace.name,
-            route=passage.route.name,
-            target=passage.target_name,
-            status=passage.status,
-            latency_s=current_time() - passage.started_at,
-            upstream_s=passage.upstream_s,
+            request=context.request_id,
+            workspace=context.caller.workspace.name,
+            route=context.route.name,
+            target=context.target_name,
+            status=context.status,
+            latency_s=current_time() - context.started_at,
+            upstream_s=context.upstream_s,
         )
 
 
@@ -197,12 +197,12 @@
     )
 
 
-def end_abandoned(passage: Passage, limit: CancelScope) -> None:
+def end_abandoned(context: RequestContext, limit: CancelScope) -> None:
     """End a request whose caller has left.
 
     An operation that must not repeat goes on once it was sent, so that its outcome
     is recorded and a repeat gets it.
     """
-    passage.gone = True
-    if passage.route.repeatable or not passage.sent:
+    context.gone = True
+    if context.route.repeatable or not context.sent:
         limit.cancel()
--- a/primroseturn/requestpath/context.py
+++ b/primroseturn/requestpath/context.py
@@ -26,7 +26,7 @@
     """A started answer cannot be completed; the caller's connection is aborted."""
 
 
-class Passage:
+class RequestContext:
     """One request, its caller and what has been sent to either side.
 
     Attributes
@@ -42,7 +42,7 @@
         Whether any byte may have reached an upstream that might run the request.
     answer_started
         Whether the caller has received the start of an answer.
-    gone, outrun
+    gone, superseded
         Whether the caller has left, and whether another attempt of a hedged request
         has won.
     upstream_s
@@ -84,7 +84,7 @@
         self.sent = False
         self.answer_started = False
         self.gone = False
-        self.outrun = False
+        self.superseded = False
         self.status = 0
         self.target_name = ""
         self.upstream_s = 0.0
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -19,6 +19,7 @@
 from primroseturn.detection.observations import Observation, Outcome
 from primroseturn.failures import Failure
 from primroseturn.requestpath.connection import Connection, ExchangeLimits
+from primroseturn.requestpath.context import RequestContext
 from primroseturn.requestpath.events import ATTEMPT_FAILED, CONNECTION_SILENT
 from primroseturn.requestpath.headers import (
     CONTENT_LENGTH,
@@ -28,7 +29,6 @@
     TRANSFER_ENCODING,
     values_of,
 )
-from primroseturn.requestpath.passage import Passage
 from primroseturn.requestpath.pool import ConnectionsExhausted, TargetPool
 from primroseturn.requestpath.services import Services
 
@@ -68,9 +68,11 @@
         Whether the target states that it refused the request without running it.
     """
 
-    def __init__(self, services: Services, passage: Passage, target: Target) -> None:
+    def __init__(
+        self, services: Services, context: RequestContext, target: Target
+    ) -> None:
         self.services = services
-        self.passage = passage
+        self.context = context
         self.target = target
         self.started_at = current_time()
         self.connection: Connection | None = None
@@ -102,9 +104,9 @@
 
     async def connect(self, pool: TargetPool, new: bool) -> None:
         """Take a connection that suits the request."""
-        passage = self.passage
+        context = self.context
         # A request that cannot be sent again must not meet a silent connection.
-        proven = not (passage.route.repeatable and passage.body.is_whole())
+        proven = not (context.route.repeatable and context.body.is_whole())
         self.connection = await self.services.pools.take(self.target, proven, new)
         # Nothing of this request has been sent, whatever the last one sent.
         self.connection.sent = False
@@ -114,26 +116,26 @@
 
     def build_request(self, pool: TargetPool, extra_headers: HeaderList) -> Request:
         """Return the request as it goes to the target."""
-        passage = self.passage
+        context = self.context
         upstreams = self.services.settings.upstreams
         first_byte_s = upstreams.progress_limit_s
         if self.old:
             first_byte_s = min(first_byte_s, upstreams.old_first_byte_limit_s)
         limits = ExchangeLimits(first_byte_s, upstreams.progress_limit_s)
-        headers = passage.attempt_headers(pool.host)
+        headers = context.attempt_headers(pool.host)
         if extra_headers:
             names = {name for name, _ in extra_headers}
             headers = [item for item in headers if item[0] not in names]
             headers += extra_headers
         return Request(
-            passage.method,
+            context.method,
             pool.url,
             headers=headers,
-            stream=passage.body,
+            stream=context.body,
             extensions={
-                "target": passage.target,
+                "target": context.target,
                 "limits": limits,
-                "note_sent": passage.note_sent,
+                "note_sent": context.note_sent,
             },
         )
 
@@ -149,7 +151,7 @@
         lengths = values_of(self.headers, CONTENT_LENGTH)
         encodings = values_of(self.headers, TRANSFER_ENCODING)
         echoed = values_of(self.headers, REQUEST_ID)
-        if any(value != self.passage.request_id.encode() for value in echoed):
+        if any(value != self.context.request_id.encode() for value in echoed):
             raise self.reject("the target answered another request")
         if len(lengths) + len(encodings) > 1:
             raise self.reject("the answer's length is ambiguous")
@@ -158,7 +160,7 @@
 
     def may_have_body(self) -> bool:
         """Return whether the answer may have a body."""
-        return self.passage.method != "HEAD" and self.status not in BODILESS_STATUSES
+        return self.context.method != "HEAD" and self.status not in BODILESS_STATUSES
 
     def reject(self, detail: str) -> AttemptFailed:
         """Return the failure for an answer that cannot be trusted."""
@@ -228,7 +230,7 @@
         now = current_time()
         latency_s = now - self.started_at
         first_byte_s = first_byte_at - self.started_at if first_byte_at else latency_s
-        route = self.passage.route
+        route = self.context.route
         self.services.dispatcher.observe(
             Observation(
                 route.service,
@@ -249,11 +251,11 @@
         targets look bad.
         """
         took_s = current_time() - self.started_at
-        return took_s >= FAIR_DEADLINE_SHARE * self.passage.route.deadline_s
+        return took_s >= FAIR_DEADLINE_SHARE * self.context.route.deadline_s
 
     def conclude(self) -> None:
         """Note that the answer arrived whole."""
-        self.passage.upstream_s += current_time() - self.started_at
+        self.context.upstream_s += current_time() - self.started_at
         if self.status in SHED_STATUSES and (
             self.not_run or values_of(self.headers, b"retry-after")
         ):
@@ -279,27 +281,27 @@
 
 @asynccontextmanager
 async def run_exchange(
-    services: Services, passage: Passage, target: Target
+    services: Services, context: RequestContext, target: Target
 ) -> AsyncIterator[Exchange]:
     """Run one exchange; its connection is kept only if it ended cleanly."""
-    exchange = Exchange(services, passage, target)
-    passage.target_name = target.name
+    exchange = Exchange(services, context, target)
+    context.target_name = target.name
     try:
         yield exchange
     except AttemptFailed as failure:
         services.events.emit(
             ATTEMPT_FAILED,
-            request=passage.request_id,
-            workspace=passage.caller.workspace.name,
+            request=context.request_id,
+            workspace=context.caller.workspace.name,
             target=target.name,
             outcome=failure.outcome.value,
             sent=failure.sent,
         )
         raise
     except get_cancelled_exc_class():
-        if passage.expired() and exchange.had_time():
+        if context.expired() and exchange.had_time():
             exchange.outcome = Outcome.TIMEOUT
-        elif passage.outrun:
+        elif context.superseded:
             # A lower bound of the latency, so that hedging hides no slow target.
             exchange.outcome = Outcome.OK
         raise
--- a/primroseturn/requestpath/forward.py
+++ b/primroseturn/requestpath/forward.py
@@ -16,10 +16,10 @@
 from primroseturn.detection.observations import Outcome
 from primroseturn.failures import Refusal
 from primroseturn.requestpath.answers import deliver, deliver_rest, Extent
+from primroseturn.requestpath.context import AnswerBroken, RequestContext
 from primroseturn.requestpath.events import ANSWER_RESUMED, REQUEST_HEDGED
 from primroseturn.requestpath.exchange import AttemptFailed, Exchange, run_exchange
 from primroseturn.requestpath.identify import KeyRefused
-from primroseturn.requestpath.passage import AnswerBroken, Passage
 from primroseturn.requestpath.refusals import refuse, RequestRefused, unwrap
 from primroseturn.requestpath.services import Services
 
@@ -37,8 +37,8 @@
 class Race:
     """Lets exactly one of the attempts of a hedged request answer the caller."""
 
-    def __init__(self, passage: Passage) -> None:
-        self.passage = passage
+    def __init__(self, context: RequestContext) -> None:
+        self.context = context
         self.scopes: list[CancelScope] = []
         self.winner: CancelScope | None = None
         self.failure: Exception | None = None
@@ -48,7 +48,7 @@
     def win(self, scope: CancelScope) -> None:
         """Let one attempt answer and end the others."""
         self.winner = scope
-        self.passage.outrun = True
+        self.context.superseded = True
         for other in self.scopes:
             if other is not scope:
                 other.cancel()
@@ -62,9 +62,9 @@
             self.changed.set()
 
 
-def check_key(services: Services, passage: Passage) -> None:
+def check_key(services: Services, context: RequestContext) -> None:
     """Refuse a request whose key was withdrawn while it waited."""
-    key_id = passage.caller.key_id
+    key_id = context.caller.key_id
     if key_id is None:
         return
     if services.replica.is_withdrawn(key_id):
@@ -87,7 +87,7 @@
     def __init__(self, services: Services) -> None:
         self.services = services
 
-    async def forward(self, passage: Passage) -> None:
+    async def forward(self, context: RequestContext) -> None:
         """Forward a request until the caller has a whole answer.
 
         Raises
@@ -102,76 +102,76 @@
         for number in range(ATTEMPT_LIMIT):
             final = number == ATTEMPT_LIMIT - 1
             try:
-                await self.attempt_hedged(passage, excluded, last, final)
+                await self.attempt_hedged(context, excluded, last, final)
             except AttemptFailed as failure:
-                if passage.answer_started:
+                if context.answer_started:
                     raise AnswerBroken(failure.outcome.value) from failure
-                if final or not self.may_retry(passage, failure):
+                if final or not self.may_retry(context, failure):
                     raise refuse_failure(failure) from failure
-                excluded |= {passage.target_name}
+                excluded |= {context.target_name}
                 last = failure
                 continue
-            route = passage.route
-            if passage.status < 500:
+            route = context.route
+            if context.status < 500:
                 self.services.retries.note_success(route.service, current_time())
             return
 
-    def may_retry(self, passage: Passage, failure: AttemptFailed) -> bool:
+    def may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
         """Return whether the request may be sent once more."""
-        if not passage.body.repeatable or passage.expired():
+        if not context.body.repeatable or context.expired():
             return False
-        return failure.free or self.take_retry(passage)
+        return failure.free or self.take_retry(context)
 
-    def take_retry(self, passage: Passage) -> bool:
+    def take_retry(self, context: RequestContext) -> bool:
         """Take a retry from the budget."""
-        return self.services.retries.take(passage.route.service, current_time())
+        return self.services.retries.take(context.route.service, current_time())
 
     async def attempt_hedged(
         self,
-        passage: Passage,
+        context: RequestContext,
         excluded: frozenset[str],
         last: AttemptFailed | None,
         final: bool,
     ) -> None:
         """Make one attempt, with a second one if the first is late."""
-        route = passage.route
+        route = context.route
         delay_s = None
-        if route.hedge and last is None and passage.body.is_whole():
+        if route.hedge and last is None and context.body.is_whole():
             delay_s = self.services.hedging.delay_s(route.service, route.route_class)
         if delay_s is None:
-            await self.attempt(passage, excluded, last, final)
+            await self.attempt(context, excluded, last, final)
             return
-        race = Race(passage)
+        race = Race(context)
         async with create_task_group() as tasks:
-            tasks.start_soon(self.run_racer, race, passage, excluded, False)
+            tasks.start_soon(self.run_racer, race, context, excluded, False)
             with move_on_after(delay_s):
                 await race.changed.wait()
-            if not race.changed.is_set() and self.take_retry(passage):
-                self.services.events.emit(REQUEST_HEDGED, request=passage.request_id)
-                others = excluded | {passage.target_name}
-                tasks.start_soon(self.run_racer, race, passage, others, True)
-        passage.outrun = False
+            if not race.changed.is_set() and self.take_retry(context):
+                self.services.events.emit(REQUEST_HEDGED, request=context.request_id)
+                others = excluded | {context.target_name}
+                tasks.start_soon(self.run_racer, race, context, others, True)
+        context.superseded = False
         if race.failure is not None and (
             race.winner is None or race.winner is race.failed
         ):
             raise race.failure
 
     async def run_racer(
-        self, race: Race, passage: Passage, excluded: frozenset[str], hedge: bool
+        self, race: Race, context: RequestContext, excluded: frozenset[str], hedge: bool
     ) -> None:
         """Run one attempt of a hedged request."""
         with CancelScope() as scope:
             race.scopes.append(scope)
             try:
                 await self.attempt(
-                    passage, excluded, None, False, hedge, lambda: race.win(scope)
+                    context, excluded, None, False, hedge, lambda: race.win(scope)
                 )
             except Exception as failure:  # Raised again by the task that waits.
                 race.lose(scope, failure)
 
     async def attempt(
         self,
-        passage: Passage,
+        context: RequestContext,
         excluded: frozenset[str],
         last: AttemptFailed | None,
         final: bool,
@@ -188,20 +188,20 @@
                 failure = AttemptFailed(
                     exchange.outcome, f"status {exchange.status}", True, False
                 )
-                if not hedge and self.may_retry(passage, failure):
+                if not hedge and self.may_retry(context, failure):
                     failure.free = True
                     raise failure
             win()
-            extent = await deliver(passage, exchange)
+            extent = await deliver(context, exchange)
 
         extent: Extent | None = None
-        await self.with_target(passage, excluded, use, last, hedge)
+        await self.with_target(context, excluded, use, last, hedge)
         if extent is not None:
-            await self.resume(passage, extent)
+            await self.resume(context, extent)
 
     async def with_target(
         self,
-        passage: Passage,
+        context: RequestContext,
         excluded: frozenset[str],
         use: Use,
         last: AttemptFailed | None,
@@ -212,7 +212,7 @@
 
         Where no other target is left, the excluded ones are tried again.
         """
-        demand = passage.demand(excluded, deadline_at)
+        demand = context.demand(excluded, deadline_at)
         async with AsyncExitStack() as stack:
             slot = self.services.dispatcher.acquire(demand)
             choice = None
@@ -222,26 +222,28 @@
             else:
                 choice = await stack.enter_async_context(slot)
             if choice is not None and choice.is_ok():
-                await self.use_target(passage, choice.ok, use)
+                await self.use_target(context, choice.ok, use)
                 return
         if hedge:
             return
         if excluded:
             await self.with_target(
-                passage, frozenset(), use, last, deadline_at=deadline_at
+                context, frozenset(), use, last, deadline_at=deadline_at
             )
             return
         if last is not None:
             raise refuse_failure(last)
         raise RequestRefused(refuse(choice.error))
 
-    async def use_target(self, passage: Passage, target: Target, use: Use) -> None:
+    async def use_target(
+        self, context: RequestContext, target: Target, use: Use
+    ) -> None:
         """Run `use` with an exchange with a target whose slot is held."""
-        check_key(self.services, passage)
-        async with run_exchange(self.services, passage, target) as exchange:
+        check_key(self.services, context)
+        async with run_exchange(self.services, context, target) as exchange:
             await use(exchange)
 
-    async def resume(self, passage: Passage, extent: Extent) -> None:
+    async def resume(self, context: RequestContext, extent: Extent) -> None:
         """Fetch the rest of a cut download from other targets.
 
         Raises
@@ -252,21 +254,21 @@
 
         async def use(exchange: Exchange) -> None:
             await exchange.start(new=True, extra_headers=extent.resume_headers())
-            await deliver_rest(passage, exchange, extent)
+            await deliver_rest(context, exchange, extent)
 
         fruitless = 0
         for _ in range(RESUME_LIMIT):
             before = extent.received
-            excluded = frozenset((passage.target_name,))
-            deadline_at = current_time() + passage.route.deadline_s
+            excluded = frozenset((context.target_name,))
+            deadline_at = current_time() + context.route.deadline_s
             try:
                 await self.with_target(
-                    passage, excluded, use, None, deadline_at=deadline_at
+                    context, excluded, use, None, deadline_at=deadline_at
                 )
                 self.services.events.emit(
                     ANSWER_RESUMED,
-                    request=passage.request_id,
-                    target=passage.target_name,
+                    request=context.request_id,
+                    target=context.target_name,
                     from_byte=extent.first + before,
                 )
                 return
--- a/primroseturn/requestpath/once.py
+++ b/primroseturn/requestpath/once.py
@@ -17,6 +17,7 @@
     send_whole,
     WHOLE_ANSWER_LIMIT_BYTES,
 )
+from primroseturn.requestpath.context import AnswerBroken, RequestContext
 from primroseturn.requestpath.events import OUTCOME_NOT_RECORDED
 from primroseturn.requestpath.exchange import AttemptFailed, Exchange, run_exchange
 from primroseturn.requestpath.forward import ATTEMPT_LIMIT, check_key, refuse_failure
@@ -26,7 +27,6 @@
     IDEMPOTENCY_KEY,
     values_of,
 )
-from primroseturn.requestpath.passage import AnswerBroken, Passage
 from primroseturn.requestpath.refusals import refuse, RequestRefused, unwrap
 from primroseturn.requestpath.services import Services
 
@@ -35,7 +35,7 @@
 KEY_LIMIT_BYTES = 256
 
 
-def operation_of(passage: Passage, headers: HeaderList) -> Operation:
+def operation_of(context: RequestContext, headers: HeaderList) -> Operation:
     """Return the operation that a request names.
 
     Raises
@@ -47,11 +47,11 @@
     if len(keys) != 1 or not keys[0] or len(keys[0]) > KEY_LIMIT_BYTES:
         detail = "the route needs one Idempotency-Key"
         raise RequestRefused(Refusal("idempotency-key-missing", 400, detail))
-    line = passage.method.encode() + b" " + passage.target + b"\0"
-    fingerprint = sha256(line + passage.body.kept).hexdigest()[:16]
-    workspace = passage.caller.workspace.name
+    line = context.method.encode() + b" " + context.target + b"\0"
+    fingerprint = sha256(line + context.body.kept).hexdigest()[:16]
+    workspace = context.caller.workspace.name
     key = keys[0].decode("latin-1")
-    return Operation(workspace, key, passage.request_id, fingerprint)
+    return Operation(workspace, key, context.request_id, fingerprint)
 
 
 class OnceForwarder:
@@ -60,7 +60,7 @@
     def __init__(self, services: Services) -> None:
         self.services = services
 
-    async def forward(self, passage: Passage, headers: HeaderList) -> None:
+    async def forward(self, context: RequestContext, headers: HeaderList) -> None:
         """Run an operation, or answer with what is recorded of it.
 
         Raises
@@ -69,77 +69,77 @@
             If the caller gets no whole answer.
         """
         claims = self.services.claims
-        operation = operation_of(passage, headers)
+        operation = operation_of(context, headers)
         claim = unwrap(await claims.claim(operation))
         if isinstance(claim, RecordedOutcome):
-            await send_outcome(passage, claim)
+            await send_outcome(context, claim)
             return
         try:
-            await self.run(passage, operation)
+            await self.run(context, operation)
         finally:
-            if not passage.sent:
+            if not context.sent:
                 await self.release(operation)
 
-    async def run(self, passage: Passage, operation: Operation) -> None:
+    async def run(self, context: RequestContext, operation: Operation) -> None:
         """Forward a claimed operation. It is sent again only if it did not run."""
         excluded: frozenset[str] = frozenset()
         last: RequestRefused | None = None
         for number in range(ATTEMPT_LIMIT):
-            demand = passage.demand(excluded)
+            demand = context.demand(excluded)
             async with self.services.dispatcher.acquire(demand) as choice:
                 if choice.is_error():
                     if last is None:
                         raise RequestRefused(refuse(choice.error))
                     raise last
-                check_key(self.services, passage)
-                last = await self.attempt(passage, operation, choice.ok, number > 0)
+                check_key(self.services, context)
+                last = await self.attempt(context, operation, choice.ok, number > 0)
             if last is None:
                 return
-            if passage.sent or not self.may_retry(passage, last):
+            if context.sent or not self.may_retry(context, last):
                 raise last
-            excluded |= {passage.target_name}
+            excluded |= {context.target_name}
         assert last is not None
         raise last
 
-    def may_retry(self, passage: Passage, refused: RequestRefused) -> bool:
+    def may_retry(self, context: RequestContext, refused: RequestRefused) -> bool:
         """Return whether an operation that did not run may be sent once more."""
-        if not passage.body.repeatable or passage.expired():
+        if not context.body.repeatable or context.expired():
             return False
         if refused.refusal.kind != "upstream-shed":
             return True
-        service = passage.route.service
+        service = context.route.service
         return self.services.retries.take(service, current_time())
 
     async def attempt(
-        self, passage: Passage, operation: Operation, target: Any, new: bool
+        self, context: RequestContext, operation: Operation, target: Any, new: bool
     ) -> RequestRefused | None:
         """Make one exchange and answer the caller.
 
         Returns
         -------
         RequestRefused
-            Why there is no answer; `passage.sent` tells whether it may have run.
+            Why there is no answer; `context.sent` tells whether it may have run.
         """
         try:
-            async with run_exchange(self.services, passage, target) as exchange:
+            async with run_exchange(self.services, context, target) as exchange:
                 await exchange.start(new)
                 if exchange.not_run:
-                    passage.sent = False
+                    context.sent = False
                     exchange.conclude()
                     detail = "the upstream sheds load and did not run the request"
                     return RequestRefused(Refusal("upstream-shed", 503, detail))
-                await self.answer(passage, operation, exchange)
+                await self.answer(context, operation, exchange)
         except AttemptFailed as failure:
-            if passage.answer_started:
+            if context.answer_started:
                 raise AnswerBroken(failure.outcome.value) from failure
             return refuse_failure(failure)
-        service = passage.route.service
-        if passage.status < 500:
+        service = context.route.service
+        if context.status < 500:
             self.services.retries.note_success(service, current_time())
         return None
 
     async def answer(
-        self, passage: Passage, operation: Operation, exchange: Exchange
+        self, context: RequestContext, operation: Operation, exchange: Exchange
     ) -> None:
         """Record the outcome, then answer the caller.
 
@@ -161,14 +161,14 @@
         body = bytes(start)
         await self.record(operation, outcome_of(exchange, body if whole else None))
         if whole:
-            await send_whole(passage, exchange, body)
+            await send_whole(context, exchange, body)
             return
         headers = forwarded_response_headers(exchange.headers)
-        await passage.start_answer(exchange.status, headers)
-        await passage.send_part(body)
-        await pass_parts(passage, parts, None)
+        await context.start_answer(exchange.status, headers)
+        await context.send_part(body)
+        await pass_parts(context, parts, None)
         exchange.conclude()
-        await passage.end_answer()
+        await context.end_answer()
 
     async def record(self, operation: Operation, outcome: RecordedOutcome) -> None:
         """Record an outcome, whether or not the caller still waits."""
@@ -202,7 +202,7 @@
     return RecordedOutcome(exchange.status, content_type, kept, truncated)
 
 
-async def send_outcome(passage: Passage, outcome: RecordedOutcome) -> None:
+async def send_outcome(context: RequestContext, outcome: RecordedOutcome) -> None:
     """Answer a repeat with the recorded outcome."""
     if outcome.truncated:
         raise RequestRefused(refuse(OutcomeNotKept(outcome.status)))
@@ -212,4 +212,4 @@
     ]
     if outcome.content_type:
         headers.append((b"content-type", outcome.content_type.encode("latin-1")))
-    await passage.send_whole(outcome.status, headers, outcome.body)
+    await context.send_whole(outcome.status, headers, outcome.body)
--- a/primroseturn/routing/assembly.py
+++ b/primroseturn/routing/assembly.py
@@ -12,12 +12,12 @@
 from primroseturn.routing.balancer import Balancer
 from primroseturn.routing.dispatcher import Dispatcher
 from primroseturn.routing.link import MeteredLink
-from primroseturn.routing.subset import Place
+from primroseturn.routing.subset import Locality
 
 
 def assemble_dispatcher(
     listing: Listing,
-    place: Place,
+    place: Locality,
     profile: Profile,
     floor: float,
     link_bytes_per_s: float,
--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -19,7 +19,7 @@
 from primroseturn.membership.listing import Listing
 from primroseturn.routing.link import MeteredLink
 from primroseturn.routing.slots import assign_slots, BorrowLimit
-from primroseturn.routing.subset import choose_subset, Place, Tiers
+from primroseturn.routing.subset import choose_subset, Locality, Tiers
 
 DEFAULT_SLOTS = 6
 # A reported load loses its weight with this time constant, because it lags.
@@ -90,7 +90,7 @@
         self,
         listing: Listing,
         ejector: Ejector,
-        place: Place,
+        place: Locality,
         link: MeteredLink,
         random: Random,
     ) -> None:
--- a/primroseturn/routing/service.py
+++ b/primroseturn/routing/service.py
@@ -25,7 +25,7 @@
 from primroseturn.routing.dispatcher import Demand, Dispatcher
 from primroseturn.routing.loads import LoadPoller, PROBE_LIMIT_S
 from primroseturn.routing.router import Router
-from primroseturn.routing.subset import Place
+from primroseturn.routing.subset import Locality
 
 TICK_S = 0.05
 
@@ -62,7 +62,7 @@
     preset = replica.state.preset_in_force
     dispatcher = assemble_dispatcher(
         listing,
-        Place(identity.vm, identity.data_center, identity.region),
+        Locality(identity.vm, identity.data_center, identity.region),
         profiles_by_name[preset.profile],
         preset.floor,
         preset.paid_link_bytes_per_s,
--- a/primroseturn/routing/subset.py
+++ b/primroseturn/routing/subset.py
@@ -15,7 +15,7 @@
 LOCAL_TARGETS = 8
 
 
-class Place(NamedTuple):
+class Locality(NamedTuple):
     """Where this VM stands."""
 
     vm: str
@@ -38,7 +38,7 @@
 
 
 def choose_subset(
-    place: Place, targets: Iterable[Target], assigned: Collection[str] = ()
+    place: Locality, targets: Iterable[Target], assigned: Collection[str] = ()
 ) -> Tiers:
     """Return the targets that a VM uses, with all whose slots are its own."""
     ranked = sorted(
--- a/primroseturn/standins/fleet.py
+++ b/primroseturn/standins/fleet.py
@@ -53,7 +53,7 @@
         return await self.inner.handle_async_request(request)
 
 
-class Place:
+class Locality:
     """Names of the data centre and region of the n-th VM of a fleet."""
 
     def __init__(self, number: int, regions: int, centers: int) -> None:
@@ -85,7 +85,7 @@
         self.starts = 0
         self.version = 0
 
-    async def add(self, vm: str, place: Place, **sections: dict) -> Kernel:
+    async def add(self, vm: str, place: Locality, **sections: dict) -> Kernel:
         """Start the control plane of a VM; it is not listed by that."""
         document = {
             "identity": {
@@ -143,7 +143,7 @@
         """Start and list VMs spread over regions and data centres."""
         for number in range(count):
             name = f"vm{number + 1:03d}"
-            await self.add(name, Place(number, regions, centers), **sections)
+            await self.add(name, Locality(number, regions, centers), **sections)
         self.list_entry_vms()
 
     async def remove(self, vm: str) -> None:
