--- a/primroseturn/replay/trace.py
+++ b/primroseturn/replay/trace.py
@@ -29,13 +29,13 @@
         self.line = line
 
 
-class Fleet(
-    Struct,
-    tag="fleet",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
+class TraceLine(
+    Struct, tag_field="kind", forbid_unknown_fields=True, omit_defaults=True
 ):
+    """Base of all lines of a trace."""
+
+
+class Fleet(TraceLine, tag="fleet"):
     """The entry VMs and the preset. Must be the first line.
 
     Attributes
@@ -56,13 +56,7 @@
     ends_with_lines: bool = False
 
 
-class ServiceLine(
-    Struct,
-    tag="service",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class ServiceLine(TraceLine, tag="service"):
     """A service, its targets and their healthy answers (lognormal latency).
 
     Attributes
@@ -91,13 +85,7 @@
         return self.names or [f"{self.name}-{n}" for n in range(self.targets)]
 
 
-class RouteLine(
-    Struct,
-    tag="route",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class RouteLine(TraceLine, tag="route"):
     """A route class of a service."""
 
     service: Name
@@ -107,13 +95,7 @@
     deadline_s: Positive = 2.0
 
 
-class Arrivals(
-    Struct,
-    tag="arrivals",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Arrivals(TraceLine, tag="arrivals"):
     """From `at_s` on, a workspace sends `rate` requests/s over all VMs."""
 
     at_s: NotNegative
@@ -124,13 +106,7 @@
     share: Positive = 1.0
 
 
-class Arrival(
-    Struct,
-    tag="arrival",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Arrival(TraceLine, tag="arrival"):
     """One recorded request."""
 
     at_s: NotNegative
@@ -140,13 +116,7 @@
     share: Positive = 1.0
 
 
-class Exchange(
-    Struct,
-    tag="exchange",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Exchange(TraceLine, tag="exchange"):
     """One recorded exchange; requests near it in time end in the same way."""
 
     at_s: NotNegative
@@ -157,13 +127,7 @@
     latency_s: NotNegative
 
 
-class Behaviour(
-    Struct,
-    tag="behaviour",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Behaviour(TraceLine, tag="behaviour"):
     """From `at_s` on, targets behave in this way; the defaults are healthy.
 
     Attributes
@@ -188,13 +152,7 @@
     cold_s: NotNegative = 0.0
 
 
-class ListingLine(
-    Struct,
-    tag="listing",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class ListingLine(TraceLine, tag="listing"):
     """Targets change their state in the VM list. VMs hear of it after `lag_s`."""
 
     at_s: NotNegative
@@ -204,26 +162,14 @@
     lag_s: NotNegative = 1.0
 
 
-class StoreLine(
-    Struct,
-    tag="store",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class StoreLine(TraceLine, tag="store"):
     """The store stops or resumes answering; listing changes wait for it."""
 
     at_s: NotNegative
     available: bool
 
 
-class NetworkLine(
-    Struct,
-    tag="network",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class NetworkLine(TraceLine, tag="network"):
     """Faults of the control network and of single VMs' paths to targets.
 
     Attributes
@@ -242,9 +188,7 @@
     blind_vms: list[Name] = field(default_factory=list)
 
 
-class LoadLine(
-    Struct, tag="load", tag_field="kind", forbid_unknown_fields=True, omit_defaults=True
-):
+class LoadLine(TraceLine, tag="load"):
     """Targets report their load every `every_s`, as it was `lag_s` before."""
 
     at_s: NotNegative
@@ -263,13 +207,7 @@
 ]
 
 
-class Expect(
-    Struct,
-    tag="expect",
-    tag_field="kind",
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Expect(TraceLine, tag="expect"):
     """A stated outcome.
 
     Attributes
