--- a/primroseturn/routing/balancer.py
+++ b/primroseturn/routing/balancer.py
@@ -4,8 +4,7 @@
 2001.
 """
 
-from collections.abc import Collection, Iterator
-from contextlib import contextmanager
+from collections.abc import Collection
 from math import exp
 from random import Random
 from typing import NamedTuple
@@ -257,15 +256,6 @@
         """Return this VM's requests in flight at a target."""
         return self.in_flight_by_target.get(target, 0)
 
-    @contextmanager
-    def occupy(self, target: str) -> Iterator[None]:
-        """Count a request in flight at a target."""
-        self.start(target)
-        try:
-            yield
-        finally:
-            self.finish(target)
-
     def start(self, target: str) -> None:
         """Count one more request in flight."""
         self.in_flight_by_target[target] = self.in_flight_of(target) + 1
--- a/primroseturn/serving/readiness.py
+++ b/primroseturn/serving/readiness.py
@@ -45,10 +45,6 @@
             found.append("isolated")
         return found
 
-    def is_ready(self) -> bool:
-        """Return whether this VM should get requests."""
-        return not self.reasons()
-
 
 @service("readiness", needs=("replica",))
 @asynccontextmanager
