Let the VMs exchange digests, vouch for views and share quotas

Change: the speaker of a data centre sums up digests of outcomes, loads and usage; it vouches for the age of the configuration; quotas follow a model of the fleet's bucket. Ruled out: digests between all VMs over ZeroMQ. Configurations and lists still go over ZeroMQ.

--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -176,7 +176,7 @@
         """
         if request.workspace is None:
             return
-        wait_s = self.quota.admit(request.workspace, current_time())
+        wait_s = self.quota.admit(request.workspace.name, current_time())
         if wait_s > 0:
             detail = "the workspace is over its rate"
             delay = retry_after_s(wait_s, request.left_s(), self.random)
--- /dev/null
+++ b/primroseturn/entry/digests.py
@@ -0,0 +1,314 @@
+"""Digests in which VMs tell each other what they saw and admitted.
+
+Each VM sends its digest to the speaker of its data centre, at once after a failure and
+otherwise at a fixed interval. The speaker adds them up, sends each VM what the others
+saw, and exchanges sums with the other data centres. Messages grow with the number of
+VMs, and the bytes between data centres do not.
+"""
+
+from typing import NamedTuple
+
+from anyio import current_time, Event, move_on_after, sleep
+
+from primroseturn.control.bus import Bus, Sender
+from primroseturn.control.messages import Message, message
+from primroseturn.limits.quota import FleetQuota, Usage
+from primroseturn.membership.fleet import Fleet
+from primroseturn.routing.placement import Placement
+
+# Interval of digests in seconds; rates of workspaces are shared with this delay.
+DIGEST_INTERVAL_S = 0.2
+# An empty digest shows that the VM lives.
+HEARTBEAT_S = 0.4
+# Interval of the digests between regions, whose link is paid by volume.
+REGION_INTERVAL_S = 0.3
+# Shortest time in seconds between two digests that failures bring forward.
+LEAST_GAP_S = 0.03
+# Requests of one workspace that bring a digest forward.
+URGENT_REQUESTS = 4
+# Interval in seconds at which due digests are looked for.
+LOOK_S = 0.1
+# Items of each kind in one digest, so that it fits a datagram.
+PART_ITEMS = 20
+
+
+class OutcomeCount(NamedTuple):
+    """Requests at a target that failed and that were served."""
+
+    target: str
+    failed: int
+    succeeded: int
+
+
+class LoadReport(NamedTuple):
+    """Requests that a target reported to run or hold."""
+
+    target: str
+    held: int
+
+
+@message("entry-digest")
+class Digest(Message, frozen=True, array_like=True):
+    """What one VM, or one data centre, saw since its last digest.
+
+    Attributes
+    ----------
+    center
+        The data centre that it sums up; empty for that of one VM.
+    live
+        VMs of the sender's data centre that the sender hears.
+    """
+
+    center: str = ""
+    live: tuple[str, ...] = ()
+    outcomes: tuple[OutcomeCount, ...] = ()
+    loads: tuple[LoadReport, ...] = ()
+    usage: tuple[Usage, ...] = ()
+
+
+class Collection:
+    """Counts that wait for the next digest."""
+
+    def __init__(self) -> None:
+        self.outcomes_by_target: dict[str, list[int]] = {}
+        self.held_by_target: dict[str, int] = {}
+        self.usage_by_workspace: dict[str, list[int]] = {}
+        self.urgent = False
+
+    def has_content(self) -> bool:
+        """Return whether anything was collected."""
+        return bool(
+            self.outcomes_by_target or self.held_by_target or self.usage_by_workspace
+        )
+
+    def add_outcome(self, target: str, failed: int, succeeded: int) -> None:
+        """Add outcomes; a failure makes the digest urgent."""
+        counts = self.outcomes_by_target.setdefault(target, [0, 0])
+        counts[0] += failed
+        counts[1] += succeeded
+        self.urgent = self.urgent or failed > 0
+
+    def add_usage(self, usage: tuple[Usage, ...]) -> None:
+        """Add what was asked and admitted."""
+        for item in usage:
+            counts = self.usage_by_workspace.setdefault(item.workspace, [0, 0])
+            counts[0] += item.asked
+            counts[1] += item.admitted
+            self.urgent = self.urgent or counts[0] >= URGENT_REQUESTS
+
+    def add_digest(self, digest: Digest) -> None:
+        """Add all that another digest says."""
+        for outcome in digest.outcomes:
+            self.add_outcome(*outcome)
+        for load in digest.loads:
+            self.held_by_target[load.target] = load.held
+        self.add_usage(digest.usage)
+
+    def add_collection(self, other: "Collection") -> None:
+        """Add all that another collection holds."""
+        for target, counts in other.outcomes_by_target.items():
+            self.add_outcome(target, *counts)
+        self.held_by_target.update(other.held_by_target)
+        for name, counts in other.usage_by_workspace.items():
+            self.add_usage((Usage(name, *counts),))
+
+    def without(self, other: "Collection") -> "Collection":
+        """Return what is left when another collection is taken out."""
+        left = Collection()
+        left.held_by_target = self.held_by_target
+        left.outcomes_by_target = subtract(
+            self.outcomes_by_target, other.outcomes_by_target
+        )
+        left.usage_by_workspace = subtract(
+            self.usage_by_workspace, other.usage_by_workspace
+        )
+        return left
+
+    def digests(self, center: str = "", live: tuple[str, ...] = ()) -> list[Digest]:
+        """Return what was collected, in digests that fit a datagram."""
+        outcomes = [
+            OutcomeCount(target, *counts)
+            for target, counts in self.outcomes_by_target.items()
+        ]
+        loads = [LoadReport(*item) for item in self.held_by_target.items()]
+        usage = [
+            Usage(name, *counts) for name, counts in self.usage_by_workspace.items()
+        ]
+        found = []
+        while True:
+            found.append(
+                Digest(
+                    center,
+                    live[:PART_ITEMS] if not found else (),
+                    tuple(outcomes[:PART_ITEMS]),
+                    tuple(loads[:PART_ITEMS]),
+                    tuple(usage[:PART_ITEMS]),
+                )
+            )
+            outcomes, loads = outcomes[PART_ITEMS:], loads[PART_ITEMS:]
+            usage = usage[PART_ITEMS:]
+            if not (outcomes or loads or usage):
+                return found
+
+
+def subtract(
+    whole: dict[str, list[int]], part: dict[str, list[int]]
+) -> dict[str, list[int]]:
+    """Return the counts of `whole` without those of `part`; zeros are left out."""
+    left = {}
+    for name, counts in whole.items():
+        taken = part.get(name, (0, 0))
+        counts = [counts[0] - taken[0], counts[1] - taken[1]]
+        if any(counts):
+            left[name] = counts
+    return left
+
+
+class Channel:
+    """A flow of digests: what waits for it and when the last one was sent."""
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+        self.waiting = Collection()
+        self.sent_at = 0.0
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a digest should go out now."""
+        if self.waiting.urgent:
+            return now - self.sent_at >= LEAST_GAP_S
+        content = self.waiting.has_content()
+        return now - self.sent_at >= (self.interval_s if content else HEARTBEAT_S)
+
+    def drain(self, now: float) -> Collection:
+        """Return what waited and start anew."""
+        drained, self.waiting = self.waiting, Collection()
+        self.sent_at = now
+        return drained
+
+
+class DigestExchange:
+    """Sends and receives digests.
+
+    Attributes
+    ----------
+    own
+        What this VM saw, on its way to the speaker.
+    center
+        What the VMs of this data centre and the other data centres saw, on its way
+        from the speaker to its VMs.
+    parts_by_vm
+        What each VM has added to `center`; it needs no copy of that.
+    sums_by_region
+        What this data centre saw, on its way to data centres of the same region
+        (True) and of others.
+    """
+
+    def __init__(
+        self, bus: Bus, fleet: Fleet, placement: Placement, quota: FleetQuota
+    ) -> None:
+        self.bus = bus
+        self.fleet = fleet
+        self.placement = placement
+        self.quota = quota
+        self.own = Channel(DIGEST_INTERVAL_S)
+        self.center = Channel(DIGEST_INTERVAL_S)
+        self.parts_by_vm: dict[str, Collection] = {}
+        self.sums_by_region = {
+            True: Channel(DIGEST_INTERVAL_S),
+            False: Channel(REGION_INTERVAL_S),
+        }
+        self.woken = Event()
+        bus.handle(Digest, self.receive)
+
+    def note_outcome(self, target: str, failed: bool) -> None:
+        """Count an outcome that this VM saw."""
+        self.own.waiting.add_outcome(target, int(failed), int(not failed))
+        if failed:
+            self.woken.set()
+
+    def note_load(self, target: str, held: int) -> None:
+        """Keep the load that a target reported to this VM."""
+        self.own.waiting.held_by_target[target] = held
+
+    async def send_forever(self) -> None:
+        """Send digests when they are due."""
+        while True:
+            with move_on_after(LOOK_S):
+                await self.woken.wait()
+            self.woken = Event()
+            now = current_time()
+            self.own.waiting.add_usage(self.quota.drain_usage())
+            speaker = self.fleet.speaker(now)
+            if speaker == self.fleet.own.name:
+                await self.speak(now)
+            elif self.own.is_due(now):
+                for digest in self.own.drain(now).digests():
+                    await self.bus.send(speaker, digest)
+            await sleep(LEAST_GAP_S)
+
+    async def speak(self, now: float) -> None:
+        """Send what this data centre and the others saw."""
+        own = self.own.drain(now)
+        self.add_part(self.fleet.own.name, own)
+        for channel in self.sums_by_region.values():
+            channel.waiting.add_collection(own)
+        if self.center.is_due(now):
+            await self.send_center(now)
+        contacts = self.fleet.contacts(now).values()
+        for same_region, channel in self.sums_by_region.items():
+            if not same_region:
+                # Other regions seldom send requests here; they need the rates only.
+                channel.waiting.outcomes_by_target.clear()
+                channel.waiting.held_by_target.clear()
+                channel.waiting.urgent = False
+            if not channel.is_due(now):
+                continue
+            digests = channel.drain(now).digests(self.fleet.own.data_center)
+            for vm in contacts:
+                if (vm.region == self.fleet.own.region) == same_region:
+                    for digest in digests:
+                        await self.bus.send(vm.name, digest)
+
+    async def send_center(self, now: float) -> None:
+        """Send each VM of this data centre what all others saw."""
+        whole = self.center.drain(now)
+        parts, self.parts_by_vm = self.parts_by_vm, {}
+        live = self.fleet.live(now)
+        for vm in self.fleet.neighbours():
+            left = whole.without(parts.get(vm.name, Collection()))
+            for digest in left.digests(live=live):
+                await self.bus.send(vm.name, digest)
+
+    def add_part(self, vm: str, part: Collection) -> None:
+        """Add what a VM saw to what goes to all of them."""
+        self.center.waiting.add_collection(part)
+        self.parts_by_vm.setdefault(vm, Collection()).add_collection(part)
+
+    async def receive(self, sender: Sender, body: Message) -> None:
+        """Take in a digest of a VM, of the speaker or of another data centre."""
+        assert isinstance(body, Digest)
+        now = current_time()
+        if body.center:
+            self.fleet.note_center_heard(body.center, sender.vm, now)
+            self.center.waiting.add_digest(body)
+        else:
+            self.fleet.note_heard(sender.vm, now, body.live)
+            if self.fleet.is_speaker(now):
+                part = Collection()
+                part.add_digest(body)
+                self.add_part(sender.vm, part)
+                for channel in self.sums_by_region.values():
+                    channel.waiting.add_collection(part)
+        if self.center.waiting.urgent:
+            self.woken.set()
+        self.learn(body.center or sender.vm, body, now)
+
+    def learn(self, party: str, digest: Digest, now: float) -> None:
+        """Use what a digest says."""
+        for outcome in digest.outcomes:
+            self.placement.note_others(
+                outcome.target, outcome.failed, outcome.succeeded, now
+            )
+        for load in digest.loads:
+            self.placement.note_load(load.target, load.held, now)
+        self.quota.take_usage(party, digest.usage, now)
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -15,6 +15,10 @@
 TARGET_UNLISTED = define_event(1104, "target-unlisted", "A target left the list.")
 STORE_LOST = define_event(1105, "store-lost", "The store stopped answering this VM.")
 STORE_REGAINED = define_event(1106, "store-regained", "The store answers again.")
+VM_REGISTERED = define_event(1107, "vm-registered", "The VM is listed in the store.")
+VM_UNREADABLE = define_event(
+    1108, "vm-unreadable", "An object in the store names no usable VM."
+)
 REQUEST_SERVED = define_event(1110, "entry-served", "A request got a target's answer.")
 REQUEST_REFUSED = define_event(1111, "entry-refused", "A request was refused.")
 REQUEST_FAILED = define_event(
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import uniform
 
-from anyio import current_time, sleep
+from anyio import current_time, Event, sleep
 
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.events import (
@@ -96,7 +96,9 @@
         self.may_rest = may_rest
         self.contact = StoreContact(events)
         store.failure_listeners.append(self.contact.note_failure)
+        # Revision of the running watch; 0 asks for a new list.
         self.revision = 0
+        self.news = Event()
         self.missing_by_id: dict[str, Target] = {}
 
     async def follow_configuration(self) -> None:
@@ -129,14 +131,25 @@
         if decoded.is_error():
             self.events.emit(CONFIGURATION_UNREADABLE, reason=str(decoded.error))
             return False
-        configuration = decoded.ok
-        if self.view.learn_configuration(configuration):
-            self.events.emit(
-                CONFIGURATION_APPLIED, version=configuration.version, source="store"
-            )
-        self.view.confirm(configuration.version, asked_at)
+        version = decoded.ok.version
+        if self.view.learn_configuration(decoded.ok, spec):
+            self.events.emit(CONFIGURATION_APPLIED, version=version, source="store")
+        self.view.confirm(version, asked_at)
         return True
 
+    def learn_stored(self, spec: object) -> bool:
+        """Put a configuration in force that another VM read."""
+        decoded = decode_configuration(spec)
+        if decoded.is_error():
+            self.events.emit(CONFIGURATION_UNREADABLE, reason=str(decoded.error))
+            return False
+        return self.view.learn_configuration(decoded.ok, spec)
+
+    async def wait_news(self) -> None:
+        """Wait until the configuration or the list has changed."""
+        await self.news.wait()
+        self.news = Event()
+
     async def follow_targets(self) -> None:
         """List the targets, then watch them."""
         while True:
@@ -167,7 +180,7 @@
         for target_id, target in self.view.targets_by_id.items():
             if target_id not in listed:
                 self.note_missing(listed, target, now)
-        self.apply(listed)
+        self.apply(listed, revision)
         self.revision = revision
 
     async def watch_targets(self) -> None:
@@ -179,7 +192,7 @@
         for change in changes:
             self.apply_change(listed, change, now)
         self.drop_lapsed(listed, now)
-        self.apply(listed)
+        self.apply(listed, revision)
         self.revision = revision
 
     def apply_change(
@@ -217,7 +230,7 @@
                 listed.pop(target_id, None)
             self.missing_by_id.clear()
 
-    def apply(self, listed: dict[str, Target]) -> None:
+    def apply(self, listed: dict[str, Target], revision: int) -> None:
         """Put a list in force and log what changed."""
         known = self.view.targets_by_id
         for target_id, target in listed.items():
@@ -230,4 +243,4 @@
                 )
         for target_id in known.keys() - listed.keys():
             self.events.emit(TARGET_UNLISTED, target=target_id)
-        self.view.learn_targets(listed)
+        self.view.learn_targets(listed, revision)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -14,6 +14,7 @@
 
 from primroseturn.entry.attempt import Attempt, AttemptEnd, AttemptResult, RAN_ENDS
 from primroseturn.entry.connections import TargetPools
+from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_ENDED
 from primroseturn.entry.request import EntryRequest
 from primroseturn.observation.events import EventLog
@@ -48,12 +49,14 @@
         placement: Placement,
         pools: TargetPools,
         budget: ArrivalBudget,
+        digests: DigestExchange,
         events: EventLog,
         may_run: Callable[[EntryRequest], bool],
     ) -> None:
         self.placement = placement
         self.pools = pools
         self.budget = budget
+        self.digests = digests
         self.events = events
         self.may_run = may_run
 
@@ -173,16 +176,21 @@
         if result is None:
             # The caller left, time was up or another attempt won.
             if took_s > LATE_FACTOR * placement.usual_s(request.work):
-                placement.note_overdue(target_id, now)
+                placement.note_missing(target_id, now)
             return
         if result.head is not None and result.head.load is not None:
             placement.note_load(target_id, result.head.load, now)
+            self.digests.note_load(target_id, result.head.load)
         match result.end:
             case AttemptEnd.ANSWERED:
                 placement.note_answer(target_id, request.work, took_s, now)
+                self.digests.note_outcome(target_id, False)
                 return
-            case AttemptEnd.FAILED | AttemptEnd.BROKEN:
+            case AttemptEnd.FAILED:
                 placement.note_failure(target_id, now)
+                self.digests.note_outcome(target_id, True)
+            case AttemptEnd.BROKEN:
+                placement.note_missing(target_id, now)
             case AttemptEnd.NOT_RUN:
                 placement.note_full(target_id, now)
             case AttemptEnd.UNREACHABLE:
--- /dev/null
+++ b/primroseturn/entry/registry.py
@@ -0,0 +1,96 @@
+"""Registers this VM in the store and learns of the others."""
+
+from collections.abc import Callable
+from typing import Any
+
+from anyio import sleep
+from expression import Error, Ok, Result
+from msgspec import convert, to_builtins, ValidationError
+
+from primroseturn.entry.events import VM_REGISTERED, VM_UNREADABLE
+from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.membership.fleet import EntryVm, Fleet
+from primroseturn.observation.events import EventLog
+from primroseturn.platform.objects import ObjectClient, StoredValue
+
+# Kind of the objects by which VMs find each other.
+VMS_KIND = "primroseturn-vms"
+# Interval of lists in seconds, and while nobody else is known. A list may be seconds
+# old, which costs a tenth of a call.
+LIST_INTERVAL_S = 5.0
+FIRST_INTERVAL_S = 0.8
+RETRY_S = 0.5
+
+
+class VmInvalid(Failure):
+    """An object names no usable VM."""
+
+    code = "vm-invalid"
+
+
+class VmRegistry:
+    """Keeps the fleet's members up to date."""
+
+    def __init__(
+        self,
+        store: ObjectClient,
+        fleet: Fleet,
+        events: EventLog,
+        use_vms: Callable[[list[EntryVm]], None],
+    ) -> None:
+        self.store = store
+        self.fleet = fleet
+        self.events = events
+        self.use_vms = use_vms
+
+    async def register(self) -> None:
+        """Write this VM's object until the store has taken it."""
+        while True:
+            try:
+                # A restarted VM replaces its object, so that their number is bounded.
+                own = self.fleet.own
+                await self.store.put(VMS_KIND, own.name, to_builtins(own._asdict()))
+            except StoreUnavailable:
+                await sleep(RETRY_S)
+            else:
+                self.events.emit(VM_REGISTERED, host=own.host, port=own.port)
+                return
+
+    async def follow(self) -> None:
+        """List the registered VMs again and again."""
+        while True:
+            try:
+                _, values = await self.store.list_values(VMS_KIND, stale=True)
+            except StoreUnavailable:
+                await sleep(RETRY_S)
+                continue
+            self.use_vms(self.read_vms(values))
+            known = self.fleet.size > 1
+            await sleep(LIST_INTERVAL_S if known else FIRST_INTERVAL_S)
+
+    def read_vms(self, values: list[StoredValue]) -> list[EntryVm]:
+        """Return the VMs of a list; objects that cannot be read are skipped."""
+        found = []
+        for value in values:
+            decoded = read_vm(value.value)
+            if decoded.is_error():
+                self.events.emit(VM_UNREADABLE, reason=str(decoded.error))
+            else:
+                found.append(decoded.ok)
+        return found
+
+    async def unregister(self) -> None:
+        """Remove this VM's object; failure leaves it to the next start."""
+        try:
+            await self.store.delete(VMS_KIND, self.fleet.own.name)
+        except StoreUnavailable:
+            # The store's failure is logged; the object is replaced or ignored later.
+            return
+
+
+def read_vm(value: Any) -> Result[EntryVm, VmInvalid]:
+    """Return the VM that an object holds."""
+    try:
+        return Ok(EntryVm(**convert(value, dict[str, str | int])))
+    except (ValidationError, TypeError) as error:
+        return Error(VmInvalid(str(error)))
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -7,8 +7,11 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from primroseturn.clock import time_since_boot
+from primroseturn.control.datagrams import DatagramBus, run_datagram_bus
+from primroseturn.control.zeromq import PeerAddress, run_bus, ZeromqBus
 from primroseturn.entry.application import EntryApplication
 from primroseturn.entry.connections import run_target_pools
+from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.events import (
     ENTRY_STARTED,
     ENTRY_STOPPED,
@@ -17,10 +20,14 @@
 )
 from primroseturn.entry.following import StoreFollower
 from primroseturn.entry.forwarding import Forwarder
+from primroseturn.entry.models import Configuration
+from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.view import FleetView
+from primroseturn.entry.vouching import ViewSharing
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.limits.quota import FleetQuota
+from primroseturn.membership.fleet import EntryVm, Fleet
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.objects import ObjectClient, open_objects
 from primroseturn.platform.wire import READY_PATH
@@ -136,11 +143,126 @@
     )
 
 
-@service("quota", needs=("settings",))
+@service("quota", needs=("view",))
 @asynccontextmanager
 async def provide_quota(kernel: Kernel) -> AsyncIterator[FleetQuota]:
-    """Provide the rates of workspaces."""
-    yield FleetQuota()
+    """Provide the rates of workspaces, fed with the configuration."""
+    quota = FleetQuota()
+
+    def use_configuration(configuration: Configuration) -> None:
+        quota.use_workspaces(configuration.workspaces_by_name, current_time())
+
+    kernel.find("view").configuration_listeners.append(use_configuration)
+    yield quota
+
+
+@service("peers", needs=("settings", "events"))
+@asynccontextmanager
+async def provide_peers(kernel: Kernel) -> AsyncIterator[ZeromqBus]:
+    """Provide the bus between the VMs."""
+    settings, events = kernel.find("settings"), kernel.find("events")
+    async with run_bus(
+        settings.identity.vm,
+        events.incarnation,
+        settings.peers.host,
+        settings.peers.port,
+    ) as bus:
+        yield bus
+
+
+@service("datagrams", needs=("settings", "peers", "events"))
+@asynccontextmanager
+async def provide_datagrams(kernel: Kernel) -> AsyncIterator[DatagramBus]:
+    """Provide the bus for small messages, on the port of the other one."""
+    settings, events = kernel.find("settings"), kernel.find("events")
+    async with run_datagram_bus(
+        settings.identity.vm,
+        events.incarnation,
+        settings.peers.host,
+        kernel.find("peers").port,
+    ) as bus:
+        yield bus
+
+
+@service("fleet", needs=("settings", "peers"))
+@asynccontextmanager
+async def provide_fleet(kernel: Kernel) -> AsyncIterator[Fleet]:
+    """Provide what is known of the other VMs."""
+    settings = kernel.find("settings")
+    identity, peers = settings.identity, settings.peers
+    yield Fleet(
+        EntryVm(
+            identity.vm,
+            peers.host,
+            kernel.find("peers").port,
+            identity.data_center,
+            identity.region,
+        )
+    )
+
+
+@service("digest-exchange", needs=("datagrams", "fleet", "placement", "quota"))
+@asynccontextmanager
+async def provide_digests(kernel: Kernel) -> AsyncIterator[DigestExchange]:
+    """Exchange digests for the life of the context."""
+    exchange = DigestExchange(
+        kernel.find("datagrams"),
+        kernel.find("fleet"),
+        kernel.find("placement"),
+        kernel.find("quota"),
+    )
+    async with create_task_group() as tasks:
+        tasks.start_soon(exchange.send_forever)
+        yield exchange
+        tasks.cancel_scope.cancel()
+
+
+@service("sharing", needs=("datagrams", "peers", "fleet", "view", "follower", "events"))
+@asynccontextmanager
+async def provide_sharing(kernel: Kernel) -> AsyncIterator[ViewSharing]:
+    """Share what the store says within the data centre."""
+    sharing = ViewSharing(
+        kernel.find("datagrams"),
+        kernel.find("peers"),
+        kernel.find("fleet"),
+        kernel.find("view"),
+        kernel.find("follower"),
+        kernel.find("events"),
+    )
+    async with create_task_group() as tasks:
+        tasks.start_soon(sharing.ask_forever)
+        tasks.start_soon(sharing.push_forever)
+        yield sharing
+        tasks.cancel_scope.cancel()
+
+
+@service(
+    "vm-registry",
+    needs=("objects", "fleet", "peers", "datagrams", "quota", "arrivals"),
+)
+@asynccontextmanager
+async def provide_registry(kernel: Kernel) -> AsyncIterator[VmRegistry]:
+    """Register this VM and follow the list of the others."""
+    buses = (kernel.find("peers"), kernel.find("datagrams"))
+    fleet = kernel.find("fleet")
+    quota, arrivals = kernel.find("quota"), kernel.find("arrivals")
+
+    def use_vms(vms: list[EntryVm]) -> None:
+        for name in fleet.use(vms):
+            quota.forget(name)
+            for bus in buses:
+                bus.forget_address(name)
+        for vm in fleet.vms_by_name.values():
+            for bus in buses:
+                bus.learn_address(vm.name, PeerAddress(vm.host, vm.port))
+        quota.fleet_size = arrivals.fleet_size = fleet.size
+
+    registry = VmRegistry(kernel.find("objects"), fleet, kernel.find("events"), use_vms)
+    async with create_task_group() as tasks:
+        tasks.start_soon(registry.register)
+        tasks.start_soon(registry.follow)
+        yield registry
+        tasks.cancel_scope.cancel()
 
 
 @service("entry-readiness", needs=("view", "events", "settings"))
@@ -172,6 +294,9 @@
         "placement",
         "arrivals",
         "quota",
+        "digest-exchange",
+        "sharing",
+        "vm-registry",
         "entry-readiness",
         "entry-metrics",
     ),
@@ -191,6 +316,7 @@
             kernel.find("placement"),
             pools,
             kernel.find("arrivals"),
+            kernel.find("digest-exchange"),
             events,
             lambda request: application.may_run(request),
         )
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -1,6 +1,7 @@
 """The configuration and the targets that are in force on this VM, and their age."""
 
 from collections.abc import Callable
+from typing import Any
 
 from primroseturn.entry.models import Configuration, Target
 
@@ -15,8 +16,12 @@
     ----------
     configuration
         The newest known version, or None before the first.
+    stored_configuration
+        The same version as stored, for other VMs.
     targets_by_id
         The listed targets.
+    revision
+        Revision of the store at which they were listed.
     confirmed_at
         Latest time since boot in seconds at which the configuration is known to have
         been the newest one: the time of the question, not that of the answer.
@@ -25,8 +30,9 @@
     def __init__(self, revoked_key_limit_s: float) -> None:
         self.key_age_limit_s = revoked_key_limit_s - KEY_MARGIN_S
         self.configuration: Configuration | None = None
+        self.stored_configuration: Any = None
         self.targets_by_id: dict[str, Target] = {}
-        self.listed_at: float | None = None
+        self.revision = 0
         self.confirmed_at: float | None = None
         self.configuration_listeners: list[Callable[[Configuration], None]] = []
         self.target_listeners: list[Callable[[dict[str, Target]], None]] = []
@@ -36,7 +42,7 @@
         """Return the version in force, 0 before the first."""
         return self.configuration.version if self.configuration else 0
 
-    def learn_configuration(self, configuration: Configuration) -> bool:
+    def learn_configuration(self, configuration: Configuration, stored: Any) -> bool:
         """Put a configuration in force unless a newer one is.
 
         Returns
@@ -47,6 +53,7 @@
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
+        self.stored_configuration = stored
         for listener in self.configuration_listeners:
             listener(configuration)
         return True
@@ -66,8 +73,9 @@
         """Return whether a key that is valid here can be taken to be valid."""
         return self.age_s(now) <= self.key_age_limit_s
 
-    def learn_targets(self, targets_by_id: dict[str, Target]) -> None:
+    def learn_targets(self, targets_by_id: dict[str, Target], revision: int) -> None:
         """Replace the listed targets."""
+        self.revision = revision
         if targets_by_id == self.targets_by_id:
             return
         self.targets_by_id = targets_by_id
--- /dev/null
+++ b/primroseturn/entry/vouching.py
@@ -0,0 +1,195 @@
+"""VMs of a data centre share what its speaker learns from the store.
+
+The speaker asks the store; the others ask the speaker. An answer vouches for the age of
+the configuration: its age counts from the speaker's question to the store, and on the
+receiver's clock from its own question to the speaker, so that no delay on the way makes
+a view look younger than it is. A VM without an answer asks the store itself.
+"""
+
+from typing import Any
+
+from anyio import current_time, sleep
+
+from primroseturn.clock import time_since_boot
+from primroseturn.control.bus import Bus, Sender
+from primroseturn.control.messages import Message, message
+from primroseturn.entry.events import CONFIGURATION_APPLIED
+from primroseturn.entry.following import StoreFollower
+from primroseturn.entry.models import Target
+from primroseturn.entry.view import FleetView
+from primroseturn.membership.fleet import Fleet
+from primroseturn.observation.events import EventLog
+
+# Interval of questions to the speaker in seconds.
+ASK_INTERVAL_S = 0.5
+# Longest wait for its answer in seconds; the speaker is a millisecond away.
+ASK_LIMIT_S = 0.25
+# Longest wait for a configuration or a list, whose connection may have to be opened.
+CONTENT_LIMIT_S = 0.5
+# An answer is of use while its age is below this many seconds.
+USEFUL_AGE_S = 2.0
+# After this many seconds without a useful answer a VM follows the store itself.
+REST_S = 1.0
+
+
+@message("view-question")
+class ViewQuestion(Message, frozen=True, array_like=True):
+    """Asks for the versions that the receiver knows."""
+
+
+@message("view-voucher")
+class ViewVoucher(Message, frozen=True, array_like=True):
+    """The versions that the sender knows.
+
+    Attributes
+    ----------
+    version
+        Version of its configuration.
+    age_s
+        Time in seconds since that was known to be the newest one.
+    revision
+        Revision of its target list.
+    """
+
+    version: int
+    age_s: float
+    revision: int
+
+
+@message("content-question")
+class ContentQuestion(Message, frozen=True, array_like=True):
+    """Asks for what is newer than the stated versions."""
+
+    version: int
+    revision: int
+
+
+@message("content-answer")
+class ContentAnswer(Message, frozen=True, array_like=True):
+    """What is newer than the versions of a question.
+
+    Attributes
+    ----------
+    configuration
+        The configuration as stored, or None if the question's is as new.
+    targets
+        The target list of `revision`, or None.
+    """
+
+    configuration: Any
+    revision: int
+    targets: tuple[Target, ...] | None
+
+
+class ViewSharing:
+    """Answers the other VMs of this data centre and asks their speaker.
+
+    Parameters
+    ----------
+    datagrams
+        Carries questions and vouchers.
+    bus
+        Carries configurations and lists.
+    """
+
+    def __init__(
+        self,
+        datagrams: Bus,
+        bus: Bus,
+        fleet: Fleet,
+        view: FleetView,
+        follower: StoreFollower,
+        events: EventLog,
+    ) -> None:
+        self.datagrams = datagrams
+        self.bus = bus
+        self.fleet = fleet
+        self.view = view
+        self.follower = follower
+        self.events = events
+        self.rested_at = -REST_S
+        datagrams.handle(ViewQuestion, self.answer)
+        datagrams.handle(ViewVoucher, self.take_news)
+        bus.handle(ContentQuestion, self.send_content)
+        follower.may_rest = self.may_rest
+        view.configuration_listeners.append(lambda _: self.follower.news.set())
+        view.target_listeners.append(lambda _: self.follower.news.set())
+
+    def may_rest(self) -> bool:
+        """Return whether the speaker's answers spare this VM its own questions."""
+        now = current_time()
+        return not self.fleet.is_speaker(now) and now - self.rested_at < REST_S
+
+    async def ask_forever(self) -> None:
+        """Ask the speaker again and again."""
+        while True:
+            speaker = self.fleet.speaker(current_time())
+            if speaker != self.fleet.own.name:
+                await self.ask(speaker)
+            await sleep(ASK_INTERVAL_S)
+
+    async def ask(self, speaker: str) -> None:
+        """Ask the speaker once."""
+        asked_at = time_since_boot()
+        reply = await self.datagrams.request(speaker, ViewQuestion(), ASK_LIMIT_S)
+        if reply.is_error() or not isinstance(reply.ok, ViewVoucher):
+            return
+        voucher = reply.ok
+        await self.fetch(speaker, voucher)
+        if voucher.version != self.view.version or voucher.revision == 0:
+            return
+        self.view.confirm(voucher.version, asked_at - voucher.age_s)
+        if voucher.age_s <= USEFUL_AGE_S and self.view.revision >= voucher.revision:
+            self.rested_at = current_time()
+
+    async def answer(self, sender: Sender, body: Message) -> ViewVoucher:
+        """Vouch for what this VM knows."""
+        view = self.view
+        age_s = min(1e6, view.age_s(time_since_boot()))
+        return ViewVoucher(view.version, age_s, view.revision)
+
+    async def take_news(self, sender: Sender, body: Message) -> None:
+        """Fetch what the speaker says is new."""
+        assert isinstance(body, ViewVoucher)
+        await self.fetch(sender.vm, body)
+
+    async def fetch(self, peer: str, voucher: ViewVoucher) -> None:
+        """Fetch what a peer has that is newer."""
+        view = self.view
+        if voucher.version <= view.version and voucher.revision <= view.revision:
+            return
+        question = ContentQuestion(view.version, view.revision)
+        reply = await self.bus.request(peer, question, CONTENT_LIMIT_S)
+        if reply.is_ok() and isinstance(reply.ok, ContentAnswer):
+            self.learn(reply.ok)
+
+    async def send_content(self, sender: Sender, body: Message) -> ContentAnswer:
+        """Answer with what is newer than the stated versions."""
+        assert isinstance(body, ContentQuestion)
+        view = self.view
+        newer, listed = view.version > body.version, view.revision > body.revision
+        return ContentAnswer(
+            view.stored_configuration if newer else None,
+            view.revision,
+            tuple(view.targets_by_id.values()) if listed else None,
+        )
+
+    def learn(self, body: ContentAnswer) -> None:
+        """Use a newer configuration and a newer list."""
+        stored = body.configuration
+        if stored is not None and self.follower.learn_stored(stored):
+            version = self.view.version
+            self.events.emit(CONFIGURATION_APPLIED, version=version, source="speaker")
+        if body.targets is not None and body.revision > self.view.revision:
+            listed = {target.id: target for target in body.targets}
+            self.follower.apply(listed, body.revision)
+
+    async def push_forever(self) -> None:
+        """Tell the rest of the data centre of changes as soon as they are known."""
+        while True:
+            await self.follower.wait_news()
+            if not self.fleet.is_speaker(current_time()):
+                continue
+            voucher = ViewVoucher(self.view.version, 1e6, self.view.revision)
+            for vm in self.fleet.neighbours():
+                await self.datagrams.send(vm.name, voucher)
--- /dev/null
+++ b/primroseturn/membership/fleet.py
@@ -0,0 +1,135 @@
+"""The entry VMs of the fleet, which of them are heard, and who speaks for a centre.
+
+The VMs of a data centre talk to its speaker, which is the first by name of those that
+are heard. It is no leader: two VMs that both take themselves for the
+speaker only send more, and nothing depends on there being one.
+"""
+
+from typing import NamedTuple
+
+# A VM counts as live this many seconds after it was last heard.
+LIVE_S = 1.2
+# A VM that is taken for the speaker has this many seconds to be heard.
+PATIENCE_S = 0.8
+
+
+class EntryVm(NamedTuple):
+    """A registered entry VM."""
+
+    name: str
+    host: str
+    port: int
+    data_center: str
+    region: str
+
+
+class Fleet:
+    """The registered VMs and when each was heard.
+
+    Attributes
+    ----------
+    own
+        This VM.
+    vms_by_name
+        All registered VMs but this one.
+    heard_by_vm
+        Monotonic time in seconds at which each VM of this data centre was heard.
+    tried_by_vm
+        Since when VMs that are not heard have been taken for the speaker.
+    heard_by_center
+        The VM that last spoke for each other data centre, and when.
+    """
+
+    def __init__(self, own: EntryVm) -> None:
+        self.own = own
+        self.vms_by_name: dict[str, EntryVm] = {}
+        self.heard_by_vm: dict[str, float] = {}
+        self.heard_by_center: dict[str, tuple[str, float]] = {}
+        self.tried_by_vm: dict[str, float] = {}
+        self.turns_by_center: dict[str, int] = {}
+
+    @property
+    def size(self) -> int:
+        """Return the number of VMs, with this one."""
+        return len(self.vms_by_name) + 1
+
+    def use(self, vms: list[EntryVm]) -> set[str]:
+        """Take over the registered VMs and return the names of those that left."""
+        listed = {vm.name: vm for vm in vms if vm.name != self.own.name}
+        gone = self.vms_by_name.keys() - listed.keys()
+        self.vms_by_name = listed
+        for name in gone:
+            self.heard_by_vm.pop(name, None)
+            self.tried_by_vm.pop(name, None)
+        return set(gone)
+
+    def note_heard(self, name: str, now: float, live: tuple[str, ...] = ()) -> None:
+        """Note that a VM of this data centre was heard.
+
+        Parameters
+        ----------
+        live
+            Other VMs that it hears.
+        """
+        for vm in (name, *live):
+            self.heard_by_vm[vm] = now
+        self.tried_by_vm.pop(name, None)
+
+    def live(self, now: float) -> tuple[str, ...]:
+        """Return the other VMs of this data centre that are heard."""
+        return tuple(
+            vm.name
+            for vm in self.neighbours()
+            if now - self.heard_by_vm.get(vm.name, -LIVE_S) < LIVE_S
+        )
+
+    def note_center_heard(self, center: str, speaker: str, now: float) -> None:
+        """Note that a VM spoke for another data centre."""
+        self.heard_by_center[center] = (speaker, now)
+
+    def neighbours(self) -> list[EntryVm]:
+        """Return the other VMs of this data centre."""
+        center = self.own.data_center
+        return [vm for vm in self.vms_by_name.values() if vm.data_center == center]
+
+    def speaker(self, now: float) -> str:
+        """Return the name of the VM that speaks for this data centre.
+
+        A VM that is not heard although it was taken for the speaker is passed over
+        until it is heard again.
+        """
+        for name in sorted(vm.name for vm in self.neighbours()):
+            if name > self.own.name:
+                break
+            if now - self.heard_by_vm.get(name, -LIVE_S) < LIVE_S:
+                self.tried_by_vm.pop(name, None)
+                return name
+            if now - self.tried_by_vm.setdefault(name, now) < PATIENCE_S:
+                return name
+        return self.own.name
+
+    def is_speaker(self, now: float) -> bool:
+        """Return whether this VM speaks for its data centre."""
+        return self.speaker(now) == self.own.name
+
+    def contacts(self, now: float) -> dict[str, EntryVm]:
+        """Return the VM to talk to in each other data centre.
+
+        It is the one that spoke last for it. While none is heard, the registered ones
+        take turns.
+        """
+        vms_by_center: dict[str, list[EntryVm]] = {}
+        for vm in self.vms_by_name.values():
+            if vm.data_center != self.own.data_center:
+                vms_by_center.setdefault(vm.data_center, []).append(vm)
+        found = {}
+        for center, vms in vms_by_center.items():
+            name, heard_at = self.heard_by_center.get(center, ("", -LIVE_S))
+            if now - heard_at < LIVE_S and name in self.vms_by_name:
+                found[center] = self.vms_by_name[name]
+                continue
+            turn = self.turns_by_center.get(center, 0)
+            self.turns_by_center[center] = turn + 1
+            vms.sort()
+            found[center] = vms[turn % len(vms)]
+        return found
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -152,6 +152,28 @@
         changes = [ValueChange(stored_of(e.object), e.deleted) for e in page.events]
         return page.store_revision, changes
 
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        """Write a value whether it exists or not.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the value may not be written.
+        """
+        body = {"metadata": {"name": name}, "spec": value}
+        path = f"{OBJECTS_PATH}/{kind}"
+        response = await self.call("PUT", f"{path}/{name}", json=body)
+        if response.status_code == 404:
+            response = await self.call("POST", path, json=body)
+        if response.status_code not in (200, 201, 409):
+            raise self.failed(response, f"status {response.status_code}")
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete a value if it exists."""
+        response = await self.call("DELETE", f"{OBJECTS_PATH}/{kind}/{name}")
+        if response.status_code not in (200, 204, 404):
+            raise self.failed(response, f"status {response.status_code}")
+
     def parse(self, response: Response, kind: type[Any]) -> Any:
         """Decode an answer, which may come from something else than the store."""
         if response.status_code != 200:
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -11,7 +11,11 @@
 from random import Random
 from typing import NamedTuple
 
-from primroseturn.ejection.suspicion import Suspicion
+from primroseturn.ejection.suspicion import (
+    MISSING_ANSWERS,
+    STATED_FAILURES,
+    Suspicion,
+)
 from primroseturn.entry.models import Target
 
 # Time in seconds that a failed attempt is taken to cost. Work that must not repeat is
@@ -28,8 +32,6 @@
 REPORT_LIFE_S = 1.0
 # Attempts that are late by this factor of the usual time count as overdue.
 OVERDUE_FACTOR = 2.5
-# Added cost of an overdue attempt that is still in flight at the target.
-OVERDUE_S = 0.5
 # Targets whose cost exceeds the lowest one by less are equally good.
 TOLERANCE_S = 0.04
 # Share of slots in use from which a target is taken to slow down, and by how much of
@@ -93,6 +95,10 @@
 
     Attributes
     ----------
+    failures
+        Suspicion that it fails requests, from the outcomes that all VMs see.
+    way
+        Suspicion that its answers stay away, from this VM's attempts.
     started_by_attempt
         Start and usual time in seconds of this VM's attempts in flight.
     others, others_at
@@ -103,12 +109,14 @@
 
     def __init__(self, target: Target, now: float) -> None:
         self.target = target
-        self.suspicion = Suspicion(now)
+        self.failures = Suspicion(STATED_FAILURES, now)
+        self.way = Suspicion(MISSING_ANSWERS, now)
         self.started_by_attempt: dict[int, tuple[float, float]] = {}
         self.others = 0.0
         self.others_at = now
-        self.slowness = COLD_SLOWNESS if target.cold_s > 0 else 1.0
+        self.slowness = 1.0
         self.slowness_at = now
+        self.cold_until = now + target.cold_s
         self.unreachable_until = 0.0
         self.unreachable_s = 0.0
 
@@ -120,15 +128,33 @@
     def relative_time(self, now: float) -> float:
         """Return the expected multiple of the usual time."""
         kept = exp((self.slowness_at - now) / SLOWNESS_LIFE_S)
-        return 1.0 + (self.slowness - 1.0) * kept
+        cold = COLD_SLOWNESS if now < self.cold_until else 1.0
+        return cold * (1.0 + (self.slowness - 1.0) * kept)
 
     def note_time(self, ratio: float, now: float) -> None:
         """Add the time of an answer as a multiple of the usual time."""
+        if now < self.cold_until:
+            return
         ratio = min(SLOWNESS_LIMIT, ratio)
         current = self.relative_time(now)
         self.slowness = current + SLOWNESS_WEIGHT * (ratio - current)
         self.slowness_at = now
 
+    def loss_probability(self, now: float) -> float:
+        """Return the probability that the target is in a spell of any kind."""
+        missing = self.way.with_overdue(self.overdue(now), now)
+        return 1.0 - (1.0 - self.failures.advance(now)) * (1.0 - missing)
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a repeatable request should try the target."""
+        seen_at = self.failures.evidence_at
+        if self.started_by_attempt:
+            return False
+        if seen_at is None:
+            return True
+        suspected = self.loss_probability(now) >= TRIAL_SUSPICION
+        return suspected and now - seen_at >= TRIAL_GAP_S
+
     def overdue(self, now: float) -> int:
         """Return the number of this VM's attempts that are late."""
         return sum(
@@ -212,9 +238,7 @@
         due = [
             state
             for state in states
-            if now - state.suspicion.evidence_at >= TRIAL_GAP_S
-            and not state.started_by_attempt
-            and state.suspicion.advance(now) >= TRIAL_SUSPICION
+            if state.is_due(now)
             and self.distance_s(state.target, work) < OTHER_REGION_S
         ]
         if not due or self.random.random() >= TRIAL_SHARE:
@@ -230,8 +254,7 @@
             usual * (1.0 + CROWDED_COST * crowded)
             + self.wait_s(state, work, now)
             + self.distance_s(state.target, work)
-            + loss * state.suspicion.advance(now)
-            + OVERDUE_S * state.overdue(now)
+            + loss * state.loss_probability(now)
         )
 
     def wait_s(self, state: TargetState, work: Work, now: float) -> float:
@@ -274,20 +297,33 @@
         state = self.states_by_id.get(target_id)
         if state is not None:
             state.note_time(took_s / usual, now)
-            state.suspicion.note(False, now)
+            state.failures.note(False, now)
+            state.way.note(False, now)
             state.unreachable_s = 0.0
 
     def note_failure(self, target_id: str, now: float) -> None:
-        """Take note of a failed request at a target."""
+        """Take note that a target answered with a failure of its own."""
         state = self.states_by_id.get(target_id)
         if state is not None:
-            state.suspicion.note(True, now)
+            state.failures.note(True, now)
+            state.way.note(False, now)
 
-    def note_overdue(self, target_id: str, now: float) -> None:
-        """Take note of an attempt that is late."""
+    def note_missing(self, target_id: str, now: float) -> None:
+        """Take note that a whole answer stayed away."""
+        state = self.states_by_id.get(target_id)
+        if state is not None:
+            state.way.note(True, now)
+
+    def note_others(
+        self, target_id: str, failed: int, succeeded: int, now: float
+    ) -> None:
+        """Take note of outcomes that other VMs saw."""
         state = self.states_by_id.get(target_id)
         if state is not None:
-            state.suspicion.note_overdue(now)
+            if succeeded:
+                state.failures.note(False, now, succeeded)
+            if failed:
+                state.failures.note(True, now, failed)
 
     def note_unreachable(self, target_id: str, now: float) -> None:
         """Take note that a target accepted no connection."""
