Speak the platform's object API in the store client and its stand-in

The process features write through the same client. Found on the way: ObjectClient.put failed when two writers created the same object (features/whole_system.feature); it now replaces what the other created.

--- a/features/steps/configuration_table.py
+++ b/features/steps/configuration_table.py
@@ -25,6 +25,7 @@
     ObjectTable,
 )
 from primroseturn.observation.events import EventLog
+from primroseturn.platform.objects import ObjectClient
 from primroseturn.standins.fleet import Locality
 from primroseturn.standins.store import ObjectStore
 from primroseturn.store.client import StoreClient
@@ -98,7 +99,7 @@
     async def write():
         transport = ASGITransport(context.store)
         async with AsyncClient(base_url="http://store", transport=transport) as http:
-            client = StoreClient(http, 2.0)
+            client = StoreClient(ObjectClient(http, 2.0))
             writer = SnapshotWriter(client, "vm1", EventLog("vm1"))
             assert await writer.write(context.state, 0, None)
             context.loaded = await load_snapshot(client)
--- a/primroseturn/bench/processes.py
+++ b/primroseturn/bench/processes.py
@@ -18,6 +18,7 @@
 from primroseturn.configuration.log import log_key
 from primroseturn.configuration.models import Change, Target
 from primroseturn.membership.listing import TargetList
+from primroseturn.platform.objects import ObjectClient
 from primroseturn.store.client import StoreClient
 
 START_LIMIT_S = 20.0
@@ -94,7 +95,7 @@
         ("key", stored.key_id, key_body),
     )
     async with AsyncClient(base_url=store_url, trust_env=False) as http:
-        store = StoreClient(http, START_LIMIT_S)
+        store = StoreClient(ObjectClient(http, START_LIMIT_S))
         for version, (kind, name, body) in enumerate(bodies, start=1):
             change = Change(version, f"bench-{version}", "bench", kind, name, body)
             await store.create(log_key(version), encode(change))
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -26,8 +26,6 @@
 LEAST_GAP_S = 0.03
 # Requests of one workspace that bring a digest forward.
 URGENT_REQUESTS = 4
-# Interval in seconds at which due digests are looked for.
-LOOK_S = 0.1
 # Items of each kind in one digest, so that it fits a datagram.
 PART_ITEMS = 20
 
@@ -176,8 +174,9 @@
         """Return whether a digest should go out now."""
         if self.waiting.urgent:
             return now - self.sent_at >= LEAST_GAP_S
-        content = self.waiting.has_content()
-        return now - self.sent_at >= (self.interval_s if content else HEARTBEAT_S)
+        interval_s = self.interval_s if self.waiting.has_content() else HEARTBEAT_S
+        # The sender wakes up once in an interval and a little late.
+        return now - self.sent_at >= interval_s - LEAST_GAP_S
 
     def drain(self, now: float) -> Collection:
         """Return what waited and start anew."""
@@ -233,7 +232,7 @@
     async def send_forever(self) -> None:
         """Send digests when they are due."""
         while True:
-            with move_on_after(LOOK_S):
+            with move_on_after(DIGEST_INTERVAL_S):
                 await self.woken.wait()
             self.woken = Event()
             now = current_time()
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 from anyio import CancelScope, create_task_group, current_time, sleep
+from httpx import AsyncClient, Limits
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from primroseturn.clock import time_since_boot
@@ -29,7 +30,7 @@
 from primroseturn.limits.quota import FleetQuota
 from primroseturn.membership.fleet import EntryVm, Fleet
 from primroseturn.observation.events import EventLog
-from primroseturn.platform.objects import ObjectClient, open_objects
+from primroseturn.platform.objects import ObjectClient
 from primroseturn.platform.wire import READY_PATH
 from primroseturn.retries.arrivals import ArrivalBudget
 from primroseturn.routing.placement import Placement
@@ -92,10 +93,10 @@
 @asynccontextmanager
 async def provide_objects(kernel: Kernel) -> AsyncIterator[ObjectClient]:
     """Provide the client of the object API."""
-    async with open_objects(
-        kernel.find("settings").store_url, STORE_CALL_LIMIT_S
-    ) as client:
-        yield client
+    url = kernel.find("settings").store_url
+    limits = Limits(max_connections=8, max_keepalive_connections=4)
+    async with AsyncClient(base_url=url, limits=limits) as http:
+        yield ObjectClient(http, STORE_CALL_LIMIT_S)
 
 
 @service("view", needs=("settings",))
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -1,19 +1,24 @@
 """Client of the platform's object API."""
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from contextlib import suppress
+from time import perf_counter
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 from anyio import fail_after
-from httpx import AsyncClient, HTTPError, Limits, Response
+from httpx import AsyncClient, HTTPError, Response
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode
 
-from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
 from primroseturn.platform.wire import OBJECTS_PATH
-from primroseturn.store.metrics import STORE_CALLS
+from primroseturn.store.budget import CallBudget
+from primroseturn.store.metrics import STORE_CALLS, STORE_SECONDS
 
+CONFLICT_STATUS = 409
 GONE_STATUS = 410
+UNLIMITED_CALLS_PER_S = 1e9
 
 
 class HistoryLost(Failure):
@@ -83,26 +88,41 @@
 class ObjectClient:
     """Calls the object API over HTTP.
 
+    Parameters
+    ----------
+    call_limit_s
+        Longest time of a call in seconds; a watch may wait longer.
+    reads, writes
+        Calls that this process may make; without them it counts none.
+
     Attributes
     ----------
     failure_listeners
         Called with each failed call.
     """
 
-    def __init__(self, http: AsyncClient, call_limit_s: float) -> None:
+    def __init__(
+        self,
+        http: AsyncClient,
+        call_limit_s: float,
+        reads: CallBudget | None = None,
+        writes: CallBudget | None = None,
+    ) -> None:
         self.http = http
         self.call_limit_s = call_limit_s
+        self.reads = reads or CallBudget(UNLIMITED_CALLS_PER_S)
+        self.writes = writes or CallBudget(UNLIMITED_CALLS_PER_S)
         self.failure_listeners: list[Callable[[StoreUnavailable], None]] = []
 
     async def read(self, kind: str, name: str) -> StoredValue | None:
         """Return a value, or None if it does not exist."""
-        response = await self.call("GET", f"{OBJECTS_PATH}/{kind}/{name}")
+        response = await self.call("GET", path_of(kind, name))
         if response.status_code == 404:
             return None
         return stored_of(self.parse(response, ObjectWire))
 
     async def list_values(
-        self, kind: str, stale: bool = False
+        self, kind: str, stale: bool = False, after: str = ""
     ) -> tuple[int, list[StoredValue]]:
         """Return the revision to watch from and all values of a kind.
 
@@ -113,19 +133,22 @@
         ----------
         stale
             Whether values that are seconds old will do.
+        after
+            Name after which the list starts.
         """
         found: list[StoredValue] = []
         revision = None
         query: dict[str, Any] = {"serializable": 1} if stale else {}
         while True:
-            path = f"{OBJECTS_PATH}/{kind}"
-            response = await self.call("GET", path, params=query)
+            if after:
+                query["after"] = after
+            response = await self.call("GET", path_of(kind), params=query)
             page = self.parse(response, PageWire)
             revision = page.store_revision if revision is None else revision
             found.extend(stored_of(item) for item in page.items)
             if not page.more or not page.items:
                 return revision, found
-            query["after"] = found[-1].name
+            after = found[-1].name
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
@@ -143,15 +166,48 @@
             If a new list is needed.
         """
         query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
-        path = f"{OBJECTS_PATH}/{kind}"
         limit_s = wait_s + self.call_limit_s
-        response = await self.call("GET", path, limit_s, params=query)
+        response = await self.call("GET", path_of(kind), limit_s, params=query)
         if response.status_code == GONE_STATUS:
             raise HistoryLost(revision)
         page = self.parse(response, EventsWire)
         changes = [ValueChange(stored_of(e.object), e.deleted) for e in page.events]
         return page.store_revision, changes
 
+    async def create(self, kind: str, name: str, value: Any) -> int:
+        """Create a value and return its revision.
+
+        Raises
+        ------
+        VersionConflict
+            If it exists.
+        """
+        body = {"metadata": {"name": name}, "spec": value}
+        response = await self.call("POST", path_of(kind), json=body)
+        return self.written(response, name, 0)
+
+    async def replace(
+        self, kind: str, name: str, value: Any, revision: int | None = None
+    ) -> int:
+        """Replace a value and return its new revision.
+
+        Parameters
+        ----------
+        revision
+            The revision that it must be at; None replaces any.
+
+        Raises
+        ------
+        VersionConflict
+            If it is at another revision or does not exist.
+        """
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": value}
+        response = await self.call("PUT", path_of(kind, name), json=body)
+        return self.written(response, name, revision or 0)
+
     async def put(self, kind: str, name: str, value: Any) -> None:
         """Write a value whether it exists or not.
 
@@ -160,23 +216,39 @@
         StoreUnavailable
             If the value may not be written.
         """
-        body = {"metadata": {"name": name}, "spec": value}
-        path = f"{OBJECTS_PATH}/{kind}"
-        response = await self.call("PUT", f"{path}/{name}", json=body)
-        if response.status_code == 404:
-            response = await self.call("POST", path, json=body)
-        if response.status_code not in (200, 201, 409):
-            raise self.failed(response, f"status {response.status_code}")
+        while True:
+            with suppress(VersionConflict):
+                await self.replace(kind, name, value)
+                return
+            # Another writer may create it first; then it can be replaced.
+            with suppress(VersionConflict):
+                await self.create(kind, name, value)
+                return
+
+    async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
+        """Delete a value.
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Delete a value if it exists."""
-        response = await self.call("DELETE", f"{OBJECTS_PATH}/{kind}/{name}")
+        Raises
+        ------
+        VersionConflict
+            If it is at another revision.
+        """
+        query = {} if revision is None else {"revision": revision}
+        response = await self.call("DELETE", path_of(kind, name), params=query)
+        if response.status_code == CONFLICT_STATUS:
+            raise VersionConflict(name, revision or 0)
         if response.status_code not in (200, 204, 404):
             raise self.failed(response, f"status {response.status_code}")
 
+    def written(self, response: Response, name: str, expected: int) -> int:
+        """Return the revision that a write has given."""
+        if response.status_code in (404, CONFLICT_STATUS):
+            raise VersionConflict(name, expected)
+        return self.parse(response, ObjectWire).metadata.revision
+
     def parse(self, response: Response, kind: type[Any]) -> Any:
         """Decode an answer, which may come from something else than the store."""
-        if response.status_code != 200:
+        if response.status_code not in (200, 201):
             raise self.failed(response, f"status {response.status_code}")
         try:
             return decode(response.content, type=kind)
@@ -199,9 +271,17 @@
         self, method: str, path: str, limit_s: float | None = None, **options: Any
     ) -> Response:
         """Send one call and return its answer if that is not a server error."""
-        limit_s = limit_s or self.call_limit_s
         operation = f"{method} {path}"
         write = method != "GET"
+        budget = self.writes if write else self.reads
+        if not await budget.acquire(self.call_limit_s):
+            STORE_CALLS.labels(method, "over-budget").inc()
+            failure = StoreUnavailable(operation, "over the budget of calls", False)
+            self.announce(failure)
+            raise failure
+        started = perf_counter()
+        waits = limit_s is not None
+        limit_s = limit_s or self.call_limit_s
         try:
             # httpx limits the time between bytes only, hence the limit on the whole.
             with fail_after(limit_s):
@@ -213,7 +293,10 @@
             failure = StoreUnavailable(operation, type(error).__name__, write)
             self.announce(failure)
             raise failure from error
+        if not waits:
+            STORE_SECONDS.observe(perf_counter() - started)
         refused = response.status_code == 429
+        budget.note_answer(refused)
         failed = refused or response.status_code >= 500
         STORE_CALLS.labels(method, "failed" if failed else "answered").inc()
         if failed:
@@ -226,14 +309,13 @@
         return response
 
 
+def path_of(kind: str, name: str | None = None) -> str:
+    """Return the path of a kind or of one object."""
+    if name is None:
+        return f"{OBJECTS_PATH}/{kind}"
+    return f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}"
+
+
 def stored_of(wire: ObjectWire) -> StoredValue:
     """Return the value of a decoded object."""
     return StoredValue(wire.metadata.name, wire.metadata.revision, wire.spec)
-
-
-@asynccontextmanager
-async def open_objects(url: str, call_limit_s: float) -> AsyncIterator[ObjectClient]:
-    """Provide a client for the life of the context."""
-    limits = Limits(max_connections=8, max_keepalive_connections=4)
-    async with AsyncClient(base_url=url, limits=limits) as http:
-        yield ObjectClient(http, call_limit_s)
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -6,21 +6,20 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from time import perf_counter
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from anyio import fail_after
-from httpx import AsyncClient, HTTPError, Limits, Response
+from httpx import AsyncClient, Limits
 
-from primroseturn.failures import StoreUnavailable, VersionConflict
+from primroseturn.failures import StoreUnavailable
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
+from primroseturn.platform.objects import HistoryLost, ObjectClient, StoredValue
 from primroseturn.settings.models import StoreSettings
 from primroseturn.store.budget import CallBudget
-from primroseturn.store.metrics import STORE_CALLS, STORE_SECONDS
 
 WATCH_LIMIT_S = 30.0
-UNLIMITED_CALLS_PER_S = 1e9
+# Values are bytes; the object API keeps text.
+TEXT = "latin-1"
 
 
 class StoredObject(NamedTuple):
@@ -41,33 +40,28 @@
 
 
 class StoreClient:
-    """Calls the object API over HTTP."""
-
-    def __init__(
-        self,
-        http: AsyncClient,
-        call_limit_s: float,
-        reads: CallBudget | None = None,
-        writes: CallBudget | None = None,
-    ) -> None:
-        self.http = http
-        self.call_limit_s = call_limit_s
-        self.failure_listeners: list[Callable[[StoreUnavailable], None]] = []
-        self.reads = reads or CallBudget(UNLIMITED_CALLS_PER_S)
-        self.writes = writes or CallBudget(UNLIMITED_CALLS_PER_S)
+    """Objects by key, kept in the platform's object API.
+
+    The first part of a key is the kind of its object, the rest is the name.
+    """
+
+    def __init__(self, objects: ObjectClient) -> None:
+        self.objects = objects
+
+    @property
+    def failure_listeners(self) -> list[Callable[[StoreUnavailable], None]]:
+        """Return what is called with each failed call."""
+        return self.objects.failure_listeners
 
     def set_fleet_size(self, daemons: int) -> None:
         """Share the fleet's budget of calls among so many daemons."""
-        self.reads.set_fleet_size(daemons)
-        self.writes.set_fleet_size(daemons)
+        self.objects.reads.set_fleet_size(daemons)
+        self.objects.writes.set_fleet_size(daemons)
 
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
-        response = await self.call("GET", f"/objects/{key}")
-        if response.status_code == 404:
-            return None
-        version = int(response.headers["etag"].strip('"'))
-        return StoredObject(key, version, response.content)
+        found = await self.objects.read(*split_key(key))
+        return None if found is None else stored_object(key, found)
 
     async def create(self, key: str, value: bytes) -> int:
         """Create an object and return its version.
@@ -77,7 +71,7 @@
         VersionConflict
             If it exists.
         """
-        return await self.put(key, value, 0, {"if-none-match": "*"})
+        return await self.objects.create(*split_key(key), value.decode(TEXT))
 
     async def update(self, key: str, value: bytes, version: int) -> int:
         """Replace the object that is at `version` and return its new version.
@@ -87,14 +81,11 @@
         VersionConflict
             If it is at another version.
         """
-        return await self.put(key, value, version, {"if-match": f'"{version}"'})
+        return await self.objects.replace(*split_key(key), value.decode(TEXT), version)
 
     async def delete(self, key: str, version: int) -> None:
         """Delete the object that is at `version`."""
-        headers = {"if-match": f'"{version}"'}
-        response = await self.call("DELETE", f"/objects/{key}", headers=headers)
-        if response.status_code == 412:
-            raise VersionConflict(key, version)
+        await self.objects.delete(*split_key(key), version)
 
     async def list_objects(self, prefix: str, after: str = "") -> list[StoredObject]:
         """Return all objects below a prefix whose key sorts after `after`."""
@@ -108,19 +99,15 @@
         The revision is that of the first page, so that a watch shows all that
         changed while later pages were read.
         """
-        found: list[StoredObject] = []
-        revision = None
-        while True:
-            query = {"prefix": prefix, "after": after}
-            response = await self.call("GET", "/list", params=query)
-            page = response.json()
-            revision = page["revision"] if revision is None else revision
-            for item in page["objects"]:
-                value = item["value"].encode("latin-1")
-                found.append(StoredObject(item["key"], item["version"], value))
-            if not page["more"]:
-                return revision, found
-            after = found[-1].key
+        kind, start = split_key(prefix)
+        first = split_key(after)[1] if after else ""
+        revision, values = await self.objects.list_values(kind, after=first)
+        found = [
+            stored_object(f"{kind}/{value.name}", value)
+            for value in values
+            if value.name.startswith(start)
+        ]
+        return revision, found
 
     async def watch(
         self, prefix: str, revision: int, limit_s: float = WATCH_LIMIT_S
@@ -131,78 +118,50 @@
         -------
         tuple
             The new revision and the events, which may be none after `limit_s`.
+
+        Raises
+        ------
+        StoreUnavailable
+            Also if the store has dropped its history; the caller lists again.
         """
-        query = {"prefix": prefix, "revision": revision, "wait_s": limit_s}
-        limit_s = limit_s + self.call_limit_s
-        response = await self.call("GET", "/watch", limit_s=limit_s, params=query)
-        page = response.json()
+        kind, start = split_key(prefix)
+        try:
+            revision, changes = await self.objects.watch(kind, revision, limit_s)
+        except HistoryLost as failure:
+            raise StoreUnavailable(f"watch {prefix}", str(failure), False) from failure
         events = [
-            WatchEvent(item["key"], item["version"], item["revision"], item["deleted"])
-            for item in page["events"]
+            WatchEvent(
+                f"{kind}/{change.stored.name}",
+                change.stored.revision,
+                change.stored.revision,
+                change.deleted,
+            )
+            for change in changes
+            if change.stored.name.startswith(start)
         ]
-        return page["revision"], events
-
-    async def put(
-        self, key: str, value: bytes, expected: int, headers: dict[str, str]
-    ) -> int:
-        """Send a conditional write."""
-        response = await self.call(
-            "PUT", f"/objects/{key}", headers=headers, content=value
-        )
-        if response.status_code == 412:
-            raise VersionConflict(key, expected)
-        return int(response.headers["etag"].strip('"'))
+        return revision, events
 
-    async def call(self, method: str, path: str, **options: Any) -> Response:
-        """Send one call and tell the listeners if it fails."""
-        try:
-            return await self.send_call(method, path, **options)
-        except StoreUnavailable as failure:
-            for listener in self.failure_listeners:
-                listener(failure)
-            raise
-
-    async def send_call(
-        self, method: str, path: str, limit_s: float | None = None, **options: Any
-    ) -> Response:
-        """Send one call and return its answer if that is not a server error."""
-        write = method in ("PUT", "DELETE")
-        operation = f"{method} {path}"
-        budget = self.writes if write else self.reads
-        if not await budget.acquire(self.call_limit_s):
-            STORE_CALLS.labels(method, "over-budget").inc()
-            raise StoreUnavailable(operation, "over the budget of calls", False)
-        timeout = limit_s or self.call_limit_s
-        started = perf_counter()
-        try:
-            # httpx limits the time between bytes only, hence the limit on the whole.
-            with fail_after(timeout):
-                response = await self.http.request(
-                    method, path, timeout=timeout, **options
-                )
-        except (HTTPError, TimeoutError) as error:
-            STORE_CALLS.labels(method, "lost").inc()
-            detail = type(error).__name__
-            raise StoreUnavailable(operation, detail, write) from error
-        if limit_s is None:
-            STORE_SECONDS.observe(perf_counter() - started)
-        refused = response.status_code == 429
-        budget.note_answer(refused)
-        failed = refused or response.status_code >= 500
-        STORE_CALLS.labels(method, "failed" if failed else "answered").inc()
-        if failed:
-            detail = f"status {response.status_code}"
-            raise StoreUnavailable(operation, detail, write and not refused)
-        return response
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return the kind and the name of an object's key."""
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def stored_object(key: str, value: StoredValue) -> StoredObject:
+    """Return an object for a value of the object API."""
+    return StoredObject(key, value.revision, str(value.value).encode(TEXT))
 
 
 def create_client(http: AsyncClient, settings: StoreSettings) -> StoreClient:
     """Return a client that calls the store through `http`."""
     return StoreClient(
-        http,
-        settings.call_limit_s,
-        CallBudget(settings.fleet_reads_per_s),
-        CallBudget(settings.fleet_writes_per_s),
+        ObjectClient(
+            http,
+            settings.call_limit_s,
+            CallBudget(settings.fleet_reads_per_s),
+            CallBudget(settings.fleet_writes_per_s),
+        )
     )
 
 
