Follow the store directly as soon as the speaker loses it

Change: the speaker says at once that the store stopped answering; vouchers older than 1.3 s are of no use; a VM whose own view is older than 1 s asks any other VM.

--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -36,6 +36,9 @@
 # Longest time in seconds between two questions for the configuration; a version must
 # be in force within 2 s.
 CONFIGURATION_INTERVAL_S = 0.7
+# Interval in seconds at which a VM that relies on another one looks whether it still
+# may.
+LOOK_INTERVAL_S = 0.1
 # Time in seconds after which a watch ends; a silent connection shows by then.
 WATCH_S = 1.5
 # Pause in seconds after a failed call, drawn between the two.
@@ -54,10 +57,13 @@
         Monotonic time in seconds of the first failed call of the current loss.
     regained_at
         Monotonic time of the first answer after the last loss.
+    loss_listeners
+        Called when the store stops answering.
     """
 
     def __init__(self, events: EventLog) -> None:
         self.events = events
+        self.loss_listeners: list[Callable[[], None]] = []
         self.lost_at: float | None = None
         self.regained_at = -LAPSE_S
 
@@ -66,6 +72,8 @@
         if self.lost_at is None:
             self.lost_at = current_time()
             self.events.emit(STORE_LOST, reason=str(failure))
+            for listener in self.loss_listeners:
+                listener()
 
     def note_answer(self) -> None:
         """Take note of an answered call."""
@@ -105,7 +113,7 @@
         """Ask for the configuration again and again."""
         while True:
             if self.may_rest():
-                await sleep(CONFIGURATION_INTERVAL_S / 4)
+                await sleep(LOOK_INTERVAL_S)
             elif await self.ask_configuration():
                 await sleep(CONFIGURATION_INTERVAL_S)
             else:
@@ -155,7 +163,7 @@
         while True:
             if self.may_rest():
                 self.revision = 0
-                await sleep(CONFIGURATION_INTERVAL_S / 4)
+                await sleep(LOOK_INTERVAL_S)
                 continue
             try:
                 if not self.revision:
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -37,7 +37,7 @@
 from primroseturn.serving.asgi import serve_application
 from primroseturn.serving.http import answer
 
-STORE_CALL_LIMIT_S = 1.0
+STORE_CALL_LIMIT_S = 0.8
 HEADER_LIMIT_BYTES = 65_536
 # Parts of the time until SIGKILL. New connections are taken while the load balancer
 # still sends them; the rest is for requests in flight.
@@ -233,6 +233,7 @@
     async with create_task_group() as tasks:
         tasks.start_soon(sharing.ask_forever)
         tasks.start_soon(sharing.push_forever)
+        tasks.start_soon(sharing.warn_forever)
         yield sharing
         tasks.cancel_scope.cancel()
 
--- a/primroseturn/entry/vouching.py
+++ b/primroseturn/entry/vouching.py
@@ -6,9 +6,10 @@
 a view look younger than it is. A VM without an answer asks the store itself.
 """
 
+from random import Random
 from typing import Any
 
-from anyio import current_time, sleep
+from anyio import current_time, Event, sleep
 
 from primroseturn.clock import time_since_boot
 from primroseturn.control.bus import Bus, Sender
@@ -26,8 +27,12 @@
 ASK_LIMIT_S = 0.25
 # Longest wait for a configuration or a list, whose connection may have to be opened.
 CONTENT_LIMIT_S = 0.5
-# An answer is of use while its age is below this many seconds.
-USEFUL_AGE_S = 2.0
+# An answer is of use while its age is below this many seconds: the interval of the
+# speaker's questions to the store, with a slow answer.
+USEFUL_AGE_S = 1.3
+# A VM whose own view is older than this many seconds asks any other VM.
+STALE_S = 1.0
+STALE_INTERVAL_S = 0.2
 # After this many seconds without a useful answer a VM follows the store itself.
 REST_S = 1.0
 
@@ -49,11 +54,14 @@
         Time in seconds since that was known to be the newest one.
     revision
         Revision of its target list.
+    connected
+        Whether the store answers it.
     """
 
     version: int
     age_s: float
     revision: int
+    connected: bool
 
 
 @message("content-question")
@@ -108,6 +116,9 @@
         self.follower = follower
         self.events = events
         self.rested_at = -REST_S
+        self.random = Random()
+        self.lost = Event()
+        follower.contact.loss_listeners.append(lambda: self.lost.set())
         datagrams.handle(ViewQuestion, self.answer)
         datagrams.handle(ViewVoucher, self.take_news)
         bus.handle(ContentQuestion, self.send_content)
@@ -121,12 +132,22 @@
         return not self.fleet.is_speaker(now) and now - self.rested_at < REST_S
 
     async def ask_forever(self) -> None:
-        """Ask the speaker again and again."""
+        """Ask the speaker again and again, and anybody while the view is stale."""
         while True:
             speaker = self.fleet.speaker(current_time())
             if speaker != self.fleet.own.name:
                 await self.ask(speaker)
-            await sleep(ASK_INTERVAL_S)
+            if self.view.age_s(time_since_boot()) < STALE_S:
+                await sleep(ASK_INTERVAL_S)
+            else:
+                await self.ask_anybody()
+                await sleep(STALE_INTERVAL_S)
+
+    async def ask_anybody(self) -> None:
+        """Ask a VM that may still reach the store when others don't."""
+        vms = self.fleet.neighbours() or list(self.fleet.vms_by_name.values())
+        if vms:
+            await self.ask(self.random.choice(vms).name)
 
     async def ask(self, speaker: str) -> None:
         """Ask the speaker once."""
@@ -139,18 +160,26 @@
         if voucher.version != self.view.version or voucher.revision == 0:
             return
         self.view.confirm(voucher.version, asked_at - voucher.age_s)
-        if voucher.age_s <= USEFUL_AGE_S and self.view.revision >= voucher.revision:
+        useful = voucher.age_s <= USEFUL_AGE_S
+        if useful and self.view.revision >= voucher.revision and voucher.connected:
             self.rested_at = current_time()
 
     async def answer(self, sender: Sender, body: Message) -> ViewVoucher:
         """Vouch for what this VM knows."""
+        return self.vouch()
+
+    def vouch(self) -> ViewVoucher:
+        """Return the versions that this VM knows."""
         view = self.view
         age_s = min(1e6, view.age_s(time_since_boot()))
-        return ViewVoucher(view.version, age_s, view.revision)
+        connected = self.follower.contact.lost_at is None
+        return ViewVoucher(view.version, age_s, view.revision, connected)
 
     async def take_news(self, sender: Sender, body: Message) -> None:
-        """Fetch what the speaker says is new."""
+        """Fetch what the speaker says is new, or follow the store in its place."""
         assert isinstance(body, ViewVoucher)
+        if not body.connected:
+            self.rested_at = -REST_S
         await self.fetch(sender.vm, body)
 
     async def fetch(self, peer: str, voucher: ViewVoucher) -> None:
@@ -188,8 +217,18 @@
         """Tell the rest of the data centre of changes as soon as they are known."""
         while True:
             await self.follower.wait_news()
-            if not self.fleet.is_speaker(current_time()):
-                continue
-            voucher = ViewVoucher(self.view.version, 1e6, self.view.revision)
+            await self.tell()
+
+    async def warn_forever(self) -> None:
+        """Tell the rest of the data centre as soon as the store stops answering."""
+        while True:
+            await self.lost.wait()
+            self.lost = Event()
+            await self.tell()
+
+    async def tell(self) -> None:
+        """Send a voucher to the VMs that rely on this one."""
+        if self.fleet.is_speaker(current_time()):
+            voucher = self.vouch()
             for vm in self.fleet.neighbours():
                 await self.datagrams.send(vm.name, voucher)
