--- /dev/null
+++ b/features/entry_target.py
@@ -0,0 +1,189 @@
+"""A target that speaks the platform's protocol, with scripted faults."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import h11
+from anyio import create_task_group, create_tcp_listener, EndOfStream, sleep
+from anyio.abc import SocketAttribute, SocketStream
+from anyio.streams.stapled import MultiListener
+
+READ_BYTES = 65_536
+# Longer than any request of a scenario.
+HANG_S = 30.0
+
+
+class EntryTarget:
+    """Answers requests as told.
+
+    Attributes
+    ----------
+    modes
+        What happens to the next requests, one each; "ok" afterwards.
+    runs
+        Ids of the attempts that it ran, in order.
+    heads
+        Method, path and headers of all requests.
+    cut_runs
+        Ids of the attempts whose connection closed before the answer.
+    """
+
+    def __init__(self, target_id: str) -> None:
+        self.id = target_id
+        self.modes: list[str] = []
+        self.usual_mode = "ok"
+        self.work_s = 0.01
+        self.body = b"whole body of " + target_id.encode()
+        self.runs: list[str] = []
+        self.heads: list[tuple[str, str, dict[str, str]]] = []
+        self.bodies: list[bytes] = []
+        self.cut_runs: list[str] = []
+        self.port = 0
+
+    async def serve_connection(self, stream: SocketStream) -> None:
+        """Serve the requests of one connection."""
+        state = h11.Connection(h11.SERVER)
+        async with stream:
+            while True:
+                request, body = await self.read_request(stream, state)
+                if request is None:
+                    return
+                keep = await self.answer(stream, state, request, body)
+                if not keep or state.our_state is not h11.DONE:
+                    return
+                state.start_next_cycle()
+
+    async def read_request(self, stream, state):
+        """Return the next request and its body, or None at the end."""
+        request, body = None, b""
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    state.receive_data(await stream.receive(READ_BYTES))
+                except (EndOfStream, OSError):
+                    return None, b""
+                except Exception:
+                    return None, b""
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return request, body
+            else:
+                return None, b""
+
+    async def answer(self, stream, state, request, body) -> bool:
+        """Answer one request as the next mode says."""
+        headers = {k.decode(): v.decode() for k, v in request.headers}
+        path = request.target.decode()
+        self.heads.append((request.method.decode(), path, headers))
+        self.bodies.append(body)
+        attempt = headers.get("attempt-id", "")
+        mode = self.modes.pop(0) if self.modes else self.usual_mode
+        if headers.get("expect-instance") != self.id:
+            await self.send(stream, state, 421, [("instance-id", self.id)], b"")
+            return True
+        if mode == "full":
+            await self.send(stream, state, 503, [("not-executed", "1")], b"")
+            return True
+        self.runs.append(attempt)
+        if not await self.work(stream, mode):
+            self.cut_runs.append(attempt)
+            return False
+        return await self.finish(stream, state, mode, attempt)
+
+    async def work(self, stream, mode: str) -> bool:
+        """Take the time of the work; return False if the caller left."""
+        limit_s = HANG_S if mode == "hang" else self.work_s
+        left = []
+
+        async with create_task_group() as tasks:
+
+            async def watch() -> None:
+                try:
+                    await stream.receive(1)
+                except Exception:
+                    left.append(True)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            await sleep(limit_s)
+            tasks.cancel_scope.cancel()
+        return not left
+
+    async def finish(self, stream, state, mode: str, attempt: str) -> bool:
+        """Send the answer of a request that ran."""
+        good = [("attempt-id", attempt), ("response-signature", f"s-{attempt}")]
+        load = ("instance-load", "1,0,6")
+        if mode == "reset":
+            return False
+        if mode == "error":
+            await self.send(stream, state, 500, [*good, load], b"failed")
+        elif mode == "unsigned":
+            await self.send(stream, state, 200, good[:1], self.body)
+        elif mode == "encoded":
+            extra = [("content-encoding", "gzip")]
+            await self.send(stream, state, 200, [*good, *extra], self.body)
+        elif mode == "garbage":
+            await stream.send(b"\x00\x01 not http\r\n\r\n")
+            return False
+        elif mode == "cut":
+            head = answer_bytes(200, good, len(self.body) + 10)
+            await stream.send(head + self.body)
+            return False
+        elif mode == "unframed":
+            head = b"HTTP/1.1 200 OK\r\n" + header_bytes(good) + b"\r\n"
+            await stream.send(head + self.body)
+            return False
+        elif mode == "foreign-first":
+            foreign = [("attempt-id", "another"), ("response-signature", "s-x")]
+            await stream.send(answer_bytes(200, foreign, 5) + b"other")
+            await self.send(stream, state, 200, [*good, load], self.body)
+        elif mode == "extra-after":
+            await self.send(stream, state, 200, [*good, load], self.body)
+            foreign = [("attempt-id", attempt), ("response-signature", "s-x")]
+            await stream.send(answer_bytes(200, foreign, 5) + b"other")
+        else:
+            await self.send(stream, state, 200, [*good, load], self.body)
+        return True
+
+    async def send(self, stream, state, status, headers, body: bytes) -> None:
+        """Send a whole answer."""
+        headers = [*headers, ("content-length", str(len(body)))]
+        data = state.send(h11.Response(status_code=status, headers=headers))
+        data += state.send(h11.Data(data=body)) + state.send(h11.EndOfMessage())
+        await stream.send(data)
+
+
+def header_bytes(headers) -> bytes:
+    """Return header lines."""
+    return b"".join(f"{name}: {value}\r\n".encode() for name, value in headers)
+
+
+def answer_bytes(status: int, headers, length: int) -> bytes:
+    """Return the head of an answer."""
+    lines = header_bytes([*headers, ("content-length", str(length))])
+    return f"HTTP/1.1 {status} OK\r\n".encode() + lines + b"\r\n"
+
+
+@asynccontextmanager
+async def run_target(target_id: str) -> AsyncIterator[EntryTarget]:
+    """Serve a target on loopback for the life of the context."""
+    target = EntryTarget(target_id)
+    listener: MultiListener = await create_tcp_listener(local_host="127.0.0.1")
+    target.port = listener.extra(SocketAttribute.local_port)
+
+    async def handle(stream: SocketStream) -> None:
+        try:
+            await target.serve_connection(stream)
+        except (OSError, Exception):
+            # The proxy may close at any time; what it must not do is checked by the
+            # scenarios.
+            return
+
+    async with listener, create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        yield target
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/features/steps/entry_requests.py
@@ -0,0 +1,250 @@
+"""Steps for the requests of an entry VM."""
+
+from anyio import create_task_group, current_time, fail_after, move_on_after, sleep
+from behave import given, then, when
+from httpx import HTTPError
+
+from features.entry_fleet import run_entry_fleet
+
+
+def start_fleet(context):
+    """Run the scenario's fleet until its end."""
+    manager = context.portal.wrap_async_context_manager(run_entry_fleet())
+    context.entries = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    return context.entries
+
+
+def build(context, targets, modes):
+    """Start a VM with targets whose modes are given by their number."""
+    fleet = start_fleet(context)
+
+    async def run():
+        for number in range(1, targets + 1):
+            target = await fleet.add_entry_target(f"t{number}")
+            target.usual_mode = modes.get(number, "ok")
+        await fleet.add_entry("vm1")
+        await fleet.wait_entries()
+
+    context.portal.call(run)
+
+
+@given("an entry VM with {count:d} target")
+@given("an entry VM with {count:d} targets")
+def step_targets(context, count):
+    build(context, count, {})
+
+
+@given('an entry VM with {count:d} targets of which the first answers "{mode}"')
+def step_first_mode(context, count, mode):
+    build(context, count, {1: mode})
+
+
+@given('an entry VM with {count:d} targets that answer "{mode}"')
+@given('an entry VM with {count:d} target that answers "{mode}"')
+def step_all_modes(context, count, mode):
+    build(context, count, dict.fromkeys(range(1, count + 1), mode))
+
+
+@given("an entry VM with 2 targets of which the first has the address of another")
+def step_reused(context):
+    build(context, 2, {})
+    first = context.entries.entry_targets_by_id["t1"]
+    first.id = "another"
+
+
+@given("an entry VM whose store is away")
+def step_no_store(context):
+    fleet = start_fleet(context)
+    fleet.store.faults.outage = True
+    context.portal.call(fleet.add_entry, "vm1")
+
+
+@given("its answers have {size:d} bytes")
+def step_size(context, size):
+    for target in context.entries.entry_targets_by_id.values():
+        target.body = bytes(range(256)) * (size // 256)
+
+
+@given("its work takes {seconds:g} s")
+def step_work(context, seconds):
+    for target in context.entries.entry_targets_by_id.values():
+        target.work_s = seconds
+
+
+@when("a caller sends {count:d} times {method} {path}")
+def step_send_many(context, count, method, path):
+    async def run():
+        return [
+            await context.entries.ask(path, method=method, wait_ms=3000)
+            for _ in range(count)
+        ]
+
+    context.responses = context.portal.call(run)
+
+
+@when("a caller sends {method:w} {path:S}")
+def step_send(context, method, path):
+    send(context, method, path, {})
+
+
+@when('a caller sends GET {path:S} with the key "{key}"')
+def step_send_key(context, path, key):
+    send(context, "GET", path, {"key": key})
+
+
+@when("a caller that waits {seconds:d} s sends {method:w} {path:S}")
+def step_send_long(context, seconds, method, path):
+    send(context, method, path, {"wait_ms": seconds * 1000})
+
+
+def send(context, method, path, options):
+    """Send one request and keep the answer or the error, and the time."""
+
+    async def run():
+        started = current_time()
+        try:
+            return [await context.entries.ask(path, method=method, **options)], None
+        except HTTPError as error:
+            return [], error
+        finally:
+            context.took_s = current_time() - started
+
+    context.responses, context.error = context.portal.call(run)
+
+
+@when("a caller sends {method:w} {path:S} and leaves after {seconds:g} s")
+def step_leave(context, method, path, seconds):
+    async def run():
+        with move_on_after(seconds):
+            await context.entries.ask(path, method=method)
+
+    context.portal.call(run)
+
+
+@then("the caller gets {status:d}")
+@then("the caller gets {status:d} each time")
+def step_status(context, status):
+    found = [response.status_code for response in context.responses]
+    assert found and all(item == status for item in found), found
+
+
+@then("the caller gets {status:d} and the whole body")
+@then("the caller gets {status:d} and the whole body each time")
+def step_whole(context, status):
+    step_status(context, status)
+    bodies = {item.body for item in context.entries.entry_targets_by_id.values()}
+    for response in context.responses:
+        assert response.content in bodies, len(response.content)
+        assert response.headers["response-signature"].startswith("s-attempt-")
+
+
+@then("the caller gets {status:d} with a time to come back")
+def step_retry_after(context, status):
+    step_status(context, status)
+    assert float(context.responses[0].headers["retry-after"]) > 0
+
+
+@then("the caller gets {status:d} after {least:g} to {most:g} s")
+def step_after(context, status, least, most):
+    step_status(context, status)
+    assert least <= context.took_s <= most, context.took_s
+
+
+@then('the target got the caller\'s id, the workspace "{name}" and no key')
+def step_head(context, name):
+    (target,) = context.entries.entry_targets_by_id.values()
+    method, path, headers = target.heads[0]
+    assert (method, path) == ("GET", "/lookup/7?x=1"), (method, path)
+    assert headers["attempt-id"].startswith("attempt-")
+    assert headers["tenant"] == name and headers["host"] == "shop.example"
+    assert headers["expect-instance"] == target.id
+    assert 0 < int(headers["deadline-ms"]) <= 1500
+    assert "key-of-shop" not in str(headers), headers
+
+
+def runs_of(context):
+    """Return the attempts that any target ran."""
+    targets = context.entries.entry_targets_by_id.values()
+    return [attempt for target in targets for attempt in target.runs]
+
+
+@then("each request ran exactly once")
+def step_once(context):
+    runs = runs_of(context)
+    assert len(runs) == len(set(runs)) == len(context.responses), runs
+
+
+@then("each request ran at most {limit:d} times")
+def step_at_most(context, limit):
+    runs = runs_of(context)
+    assert max(runs.count(item) for item in runs) <= limit, runs
+
+
+@then("no request ran")
+def step_none(context):
+    assert not runs_of(context), runs_of(context)
+
+
+@then("the caller sees a broken answer")
+def step_broken(context):
+    assert context.error is not None, context.responses
+
+
+@then("the target sees the end of the work within {seconds:g} s")
+def step_work_ends(context, seconds):
+    (target,) = context.entries.entry_targets_by_id.values()
+
+    async def run():
+        with fail_after(seconds):
+            while not target.cut_runs:
+                await sleep(0.01)
+
+    context.portal.call(run)
+
+
+@then("the target finishes the work")
+def step_work_finishes(context):
+    (target,) = context.entries.entry_targets_by_id.values()
+    context.portal.call(sleep, 2 * target.work_s)
+    assert target.runs and not target.cut_runs, (target.runs, target.cut_runs)
+
+
+@when("the VM is stopped while callers send GET {path:S}")
+def step_stop(context, path):
+    fleet = context.entries
+    context.cut, context.statuses = [], []
+    readiness = fleet.kernels_by_vm["vm1"].find("entry-readiness")
+
+    async def call():
+        try:
+            response = await fleet.ask(path)
+            context.statuses.append(response.status_code)
+        except HTTPError as error:
+            # A refused connection was never read; any other end is a cut.
+            if "connect" not in type(error).__name__.lower():
+                context.cut.append(repr(error))
+
+    async def run():
+        async with create_task_group() as tasks:
+            for number in range(40):
+                tasks.start_soon(call)
+                await sleep(0.05)
+                if number == 5:
+                    tasks.start_soon(fleet.stop, "vm1")
+                if number == 7:
+                    context.reason = readiness.reason()
+
+    context.portal.call(run)
+
+
+@then("no request was cut")
+def step_not_cut(context):
+    assert not context.cut, context.cut
+    assert len(context.statuses) >= 20, context.statuses
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@then("the VM was not ready as soon as its stop began")
+def step_not_ready(context):
+    assert context.reason == "stopping", context.reason
