--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import uniform
 
-from anyio import current_time, Event, sleep
+from anyio import current_time, Event, move_on_after, sleep
 
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.events import (
@@ -36,9 +36,6 @@
 # Longest time in seconds between two questions for the configuration; a version must
 # be in force within 2 s.
 CONFIGURATION_INTERVAL_S = 0.7
-# Interval in seconds at which a VM that relies on another one looks whether it still
-# may.
-LOOK_INTERVAL_S = 0.1
 # Time in seconds after which a watch ends; a silent connection shows by then.
 WATCH_S = 1.5
 # Pause in seconds after a failed call, drawn between the two.
@@ -88,6 +85,34 @@
         return self.lost_at is not None or now - self.regained_at < LAPSE_S
 
 
+class Rest:
+    """Time in which another VM's answers spare this one its own questions."""
+
+    def __init__(self) -> None:
+        self.ends_at = 0.0
+        self.ended = Event()
+
+    def lasts(self) -> bool:
+        """Return whether the rest goes on."""
+        return current_time() < self.ends_at
+
+    def extend(self, seconds: float) -> None:
+        """Rest for some time from now."""
+        self.ends_at = current_time() + seconds
+
+    def end(self) -> None:
+        """End the rest at once."""
+        self.ends_at = 0.0
+        self.ended.set()
+        self.ended = Event()
+
+    async def wait_end(self) -> None:
+        """Wait until the rest is over."""
+        while (left_s := self.ends_at - current_time()) > 0:
+            with move_on_after(left_s):
+                await self.ended.wait()
+
+
 class StoreFollower:
     """Keeps the view up to date from the store."""
 
@@ -96,12 +121,11 @@
         store: ObjectClient,
         view: FleetView,
         events: EventLog,
-        may_rest: Callable[[], bool] = lambda: False,
     ) -> None:
         self.store = store
         self.view = view
         self.events = events
-        self.may_rest = may_rest
+        self.rest = Rest()
         self.contact = StoreContact(events)
         store.failure_listeners.append(self.contact.note_failure)
         # Revision of the running watch; 0 asks for a new list.
@@ -112,9 +136,8 @@
     async def follow_configuration(self) -> None:
         """Ask for the configuration again and again."""
         while True:
-            if self.may_rest():
-                await sleep(LOOK_INTERVAL_S)
-            elif await self.ask_configuration():
+            await self.rest.wait_end()
+            if await self.ask_configuration():
                 await sleep(CONFIGURATION_INTERVAL_S)
             else:
                 await sleep(uniform(RETRY_LEAST_S, RETRY_MOST_S))
@@ -161,10 +184,9 @@
     async def follow_targets(self) -> None:
         """List the targets, then watch them."""
         while True:
-            if self.may_rest():
+            if self.rest.lasts():
                 self.revision = 0
-                await sleep(LOOK_INTERVAL_S)
-                continue
+                await self.rest.wait_end()
             try:
                 if not self.revision:
                     await self.list_targets()
--- a/primroseturn/entry/vouching.py
+++ b/primroseturn/entry/vouching.py
@@ -22,7 +22,7 @@
 from primroseturn.observation.events import EventLog
 
 # Interval of questions to the speaker in seconds.
-ASK_INTERVAL_S = 0.5
+ASK_INTERVAL_S = 0.7
 # Longest wait for its answer in seconds; the speaker is a millisecond away.
 ASK_LIMIT_S = 0.25
 # Longest wait for a configuration or a list, whose connection may have to be opened.
@@ -33,8 +33,10 @@
 # A VM whose own view is older than this many seconds asks any other VM.
 STALE_S = 1.0
 STALE_INTERVAL_S = 0.2
-# After this many seconds without a useful answer a VM follows the store itself.
-REST_S = 1.0
+# After this many seconds without a useful answer, or that many failed questions, a VM
+# follows the store itself.
+REST_S = 1.5
+FAILED_QUESTIONS = 2
 
 
 @message("view-question")
@@ -115,28 +117,28 @@
         self.view = view
         self.follower = follower
         self.events = events
-        self.rested_at = -REST_S
+        self.failed = 0
         self.random = Random()
         self.lost = Event()
         follower.contact.loss_listeners.append(lambda: self.lost.set())
         datagrams.handle(ViewQuestion, self.answer)
         datagrams.handle(ViewVoucher, self.take_news)
         bus.handle(ContentQuestion, self.send_content)
-        follower.may_rest = self.may_rest
         view.configuration_listeners.append(lambda _: self.follower.news.set())
         view.target_listeners.append(lambda _: self.follower.news.set())
 
-    def may_rest(self) -> bool:
-        """Return whether the speaker's answers spare this VM its own questions."""
-        now = current_time()
-        return not self.fleet.is_speaker(now) and now - self.rested_at < REST_S
-
     async def ask_forever(self) -> None:
         """Ask the speaker again and again, and anybody while the view is stale."""
         while True:
             speaker = self.fleet.speaker(current_time())
-            if speaker != self.fleet.own.name:
-                await self.ask(speaker)
+            if speaker == self.fleet.own.name:
+                self.follower.rest.end()
+            elif not await self.ask(speaker):
+                self.failed += 1
+                if self.failed < FAILED_QUESTIONS:
+                    continue
+                self.follower.rest.end()
+            self.failed = 0
             if self.view.age_s(time_since_boot()) < STALE_S:
                 await sleep(ASK_INTERVAL_S)
             else:
@@ -149,20 +151,21 @@
         if vms:
             await self.ask(self.random.choice(vms).name)
 
-    async def ask(self, speaker: str) -> None:
-        """Ask the speaker once."""
+    async def ask(self, speaker: str) -> bool:
+        """Ask a VM once and return whether it answered."""
         asked_at = time_since_boot()
         reply = await self.datagrams.request(speaker, ViewQuestion(), ASK_LIMIT_S)
         if reply.is_error() or not isinstance(reply.ok, ViewVoucher):
-            return
+            return False
         voucher = reply.ok
         await self.fetch(speaker, voucher)
         if voucher.version != self.view.version or voucher.revision == 0:
-            return
+            return True
         self.view.confirm(voucher.version, asked_at - voucher.age_s)
-        useful = voucher.age_s <= USEFUL_AGE_S
-        if useful and self.view.revision >= voucher.revision and voucher.connected:
-            self.rested_at = current_time()
+        useful = voucher.age_s <= USEFUL_AGE_S and voucher.connected
+        if useful and self.view.revision >= voucher.revision:
+            self.follower.rest.extend(REST_S)
+        return True
 
     async def answer(self, sender: Sender, body: Message) -> ViewVoucher:
         """Vouch for what this VM knows."""
@@ -179,7 +182,7 @@
         """Fetch what the speaker says is new, or follow the store in its place."""
         assert isinstance(body, ViewVoucher)
         if not body.connected:
-            self.rested_at = -REST_S
+            self.follower.rest.end()
         await self.fetch(sender.vm, body)
 
     async def fetch(self, peer: str, voucher: ViewVoucher) -> None:
