Start entry VMs without the libraries of the command line

Change: python -m primroseturn.entry reads the settings without cappa and rich; a stale VM is woken when its speaker loses the store; questions to the store have an adaptive limit, so that silence shows after 0.4 s instead of 0.8 s.

--- /dev/null
+++ b/primroseturn/entry/__main__.py
@@ -0,0 +1,28 @@
+"""Starts an entry VM without the command line, whose libraries a VM does not need."""
+
+import os
+import sys
+from pathlib import Path
+
+from anyio import run
+
+from primroseturn.entry.process import run_entry
+from primroseturn.platform.boot import read_boot
+from primroseturn.platform.wire import METRICS_VARIABLE, SETTINGS_VARIABLE
+
+# As `primroseturn.cli.exits.ExitCode.USAGE`.
+USAGE_EXIT = 2
+
+
+def main() -> None:
+    """Load the settings that the platform names and serve until a signal."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    port = os.environ.get(METRICS_VARIABLE, "0")
+    result = read_boot(path, int(port) if port.isdigit() else 0)
+    if result.is_error():
+        print(f"{path}: {result.error}", file=sys.stderr)
+        raise SystemExit(USAGE_EXIT)
+    run(run_entry, result.ok)
+
+
+main()
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -234,6 +234,7 @@
         while True:
             with move_on_after(DIGEST_INTERVAL_S):
                 await self.woken.wait()
+                await sleep(LEAST_GAP_S)
             self.woken = Event()
             now = current_time()
             self.own.waiting.add_usage(self.quota.drain_usage(now))
@@ -243,7 +244,6 @@
             elif self.own.is_due(now):
                 for digest in self.own.drain(now).digests():
                     await self.bus.send(speaker, digest)
-            await sleep(LEAST_GAP_S)
 
     async def speak(self, now: float) -> None:
         """Send what this data centre and the others saw."""
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -36,6 +36,10 @@
 # Longest time in seconds between two questions for the configuration; a version must
 # be in force within 2 s.
 CONFIGURATION_INTERVAL_S = 0.7
+# Time in seconds that a question for the configuration may take: long enough for a
+# store in another region, and more after slow answers.
+READ_LEAST_S, READ_MOST_S = 0.4, 1.6
+READ_FACTOR = 3.0
 # Time in seconds after which a watch ends; a silent connection shows by then.
 WATCH_S = 1.5
 # Pause in seconds after a failed call, drawn between the two.
@@ -128,6 +132,7 @@
         self.rest = Rest()
         self.contact = StoreContact(events)
         store.failure_listeners.append(self.contact.note_failure)
+        self.read_limit_s = READ_LEAST_S
         # Revision of the running watch; 0 asks for a new list.
         self.revision = 0
         self.news = Event()
@@ -147,11 +152,16 @@
         # The answer shows what was in force at some time after the question.
         asked_at = time_since_boot()
         try:
-            stored = await self.store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
+            stored = await self.store.read(
+                CONFIGURATION_KIND, CONFIGURATION_NAME, self.read_limit_s
+            )
         except StoreUnavailable:
             # The contact has logged the loss.
+            self.read_limit_s = min(READ_MOST_S, 2 * self.read_limit_s)
             return False
         self.contact.note_answer()
+        took_s = time_since_boot() - asked_at
+        self.read_limit_s = max(READ_LEAST_S, READ_FACTOR * took_s)
         if stored is None:
             return False
         return self.use_configuration(stored.value, asked_at)
--- a/primroseturn/entry/vouching.py
+++ b/primroseturn/entry/vouching.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from anyio import current_time, Event, sleep
+from anyio import current_time, Event, move_on_after
 
 from primroseturn.clock import time_since_boot
 from primroseturn.control.bus import Bus, Sender
@@ -120,6 +120,7 @@
         self.failed = 0
         self.random = Random()
         self.lost = Event()
+        self.warned = Event()
         follower.contact.loss_listeners.append(lambda: self.lost.set())
         datagrams.handle(ViewQuestion, self.answer)
         datagrams.handle(ViewVoucher, self.take_news)
@@ -139,11 +140,11 @@
                     continue
                 self.follower.rest.end()
             self.failed = 0
-            if self.view.age_s(time_since_boot()) < STALE_S:
-                await sleep(ASK_INTERVAL_S)
-            else:
+            stale = self.view.age_s(time_since_boot()) >= STALE_S
+            if stale:
                 await self.ask_anybody()
-                await sleep(STALE_INTERVAL_S)
+            with move_on_after(STALE_INTERVAL_S if stale else ASK_INTERVAL_S):
+                await self.warned.wait()
 
     async def ask_anybody(self) -> None:
         """Ask a VM that may still reach the store when others don't."""
@@ -183,6 +184,8 @@
         assert isinstance(body, ViewVoucher)
         if not body.connected:
             self.follower.rest.end()
+            self.warned.set()
+            self.warned = Event()
         await self.fetch(sender.vm, body)
 
     async def fetch(self, peer: str, voucher: ViewVoucher) -> None:
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -114,9 +114,11 @@
         self.writes = writes or CallBudget(UNLIMITED_CALLS_PER_S)
         self.failure_listeners: list[Callable[[StoreUnavailable], None]] = []
 
-    async def read(self, kind: str, name: str) -> StoredValue | None:
+    async def read(
+        self, kind: str, name: str, limit_s: float | None = None
+    ) -> StoredValue | None:
         """Return a value, or None if it does not exist."""
-        response = await self.call("GET", path_of(kind, name))
+        response = await self.call("GET", path_of(kind, name), limit_s)
         if response.status_code == 404:
             return None
         return stored_of(self.parse(response, ObjectWire))
--- a/primroseturn/platform/wire.py
+++ b/primroseturn/platform/wire.py
@@ -2,6 +2,8 @@
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "PRIMROSETURN_BOOT"
+# Environment variable by which the deploy file states the port of the metrics.
+METRICS_VARIABLE = "PRIMROSETURN_METRICS_PORT"
 
 READY_PATH = "/primroseturn/ready"
 OBJECTS_PATH = "/primroseturn/objects"
