--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -32,4 +32,7 @@
 CLOCK_PROBE_RECEIVED = define_event(
     111, "clock-probe-received", "A probe of another VM arrived."
 )
+LINES_LEFT_OUT = define_event(
+    120, "log-lines-left-out", "Lines of an event were left out to bound the volume."
+)
 STORE_CALL_FAILED = define_event(300, "store-call-failed", "A store call failed.")
--- a/primroseturn/observation/events.py
+++ b/primroseturn/observation/events.py
@@ -7,7 +7,8 @@
 
 from eliot import log_message
 
-from primroseturn.observation.catalogue import Event
+from primroseturn.observation.catalogue import Event, LINES_LEFT_OUT
+from primroseturn.observation.volume import LogVolume
 
 
 class EventLog:
@@ -18,17 +19,35 @@
     vm, incarnation
         The VM's name and the id of this start of its process.
     listeners
-        Called with each event and its fields.
+        Called with each event and its fields, also if its line is left out.
     """
 
-    def __init__(self, vm: str, incarnation: str | None = None) -> None:
+    def __init__(
+        self,
+        vm: str,
+        incarnation: str | None = None,
+        volume: LogVolume | None = None,
+    ) -> None:
         self.vm = vm
+        self.volume = volume
         self.incarnation = incarnation or uuid4().hex[:12]
         self.sequence = 0
         self.listeners: list[Callable[[Event, dict[str, Any]], None]] = []
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Write an event with its fields. Fields must hold no secrets."""
+        for listener in self.listeners:
+            listener(event, fields)
+        if self.volume is not None:
+            now = monotonic()
+            for number, lines in self.volume.drain_left_out(now).items():
+                self.write(LINES_LEFT_OUT, {"left_out": number, "lines": lines})
+            if not self.volume.admit(event.number, now):
+                return
+        self.write(event, fields)
+
+    def write(self, event: Event, fields: dict[str, Any]) -> None:
+        """Write the line of an event."""
         self.sequence += 1
         log_message(
             message_type=event.name,
@@ -40,5 +59,3 @@
             wall_s=time(),
             **fields,
         )
-        for listener in self.listeners:
-            listener(event, fields)
--- /dev/null
+++ b/primroseturn/observation/output.py
@@ -0,0 +1,87 @@
+"""Writes log lines without ever waiting for their reader."""
+
+import os
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from anyio import create_task_group, Event, sleep
+from eliot import add_destinations, remove_destination
+from msgspec.json import encode
+from prometheus_client import Counter
+
+# Lines that wait for a slow reader; beyond that the oldest are dropped.
+WAITING_LIMIT_LINES = 2_000
+# Pause in seconds before a full pipe is tried again.
+RETRY_S = 0.05
+WRITE_LIMIT_BYTES = 65_536
+
+LINES = Counter("primroseturn_log_lines_total", "Log lines written.")
+DROPPED = Counter(
+    "primroseturn_log_lines_dropped_total", "Log lines that a slow reader lost."
+)
+
+
+class LogWriter:
+    """Keeps lines until the file descriptor takes them."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.lines: deque[bytes] = deque()
+        self.rest = b""
+        self.waiting = Event()
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Take in a message of eliot."""
+        if len(self.lines) >= WAITING_LIMIT_LINES:
+            self.lines.popleft()
+            DROPPED.inc()
+        self.lines.append(encode(message, enc_hook=str) + b"\n")
+        self.waiting.set()
+
+    def write_some(self) -> bool:
+        """Write what the descriptor takes and return whether all was taken."""
+        while self.rest or self.lines:
+            if not self.rest:
+                self.rest = self.take_lines()
+            try:
+                written = os.write(self.descriptor, self.rest)
+            except BlockingIOError:
+                return False
+            self.rest = self.rest[written:]
+        return True
+
+    def take_lines(self) -> bytes:
+        """Return waiting lines up to the limit of one write."""
+        taken: list[bytes] = []
+        size = 0
+        while self.lines and size < WRITE_LIMIT_BYTES:
+            taken.append(self.lines.popleft())
+            size += len(taken[-1])
+        LINES.inc(len(taken))
+        return b"".join(taken)
+
+    async def write_forever(self) -> None:
+        """Write lines as they come."""
+        while True:
+            await self.waiting.wait()
+            self.waiting = Event()
+            while not self.write_some():
+                await sleep(RETRY_S)
+
+
+@asynccontextmanager
+async def write_logs(descriptor: int) -> AsyncIterator[LogWriter]:
+    """Send eliot's messages to a descriptor for the life of the context."""
+    os.set_blocking(descriptor, False)
+    writer = LogWriter(descriptor)
+    add_destinations(writer)
+    async with create_task_group() as tasks:
+        tasks.start_soon(writer.write_forever)
+        try:
+            yield writer
+        finally:
+            remove_destination(writer)
+            writer.write_some()
+            tasks.cancel_scope.cancel()
--- a/primroseturn/observation/service.py
+++ b/primroseturn/observation/service.py
@@ -1,36 +1,43 @@
 """Kernel service that emits events."""
 
+import os
 import sys
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from typing import BinaryIO
-
-from eliot import add_destinations, FileDestination, remove_destination
 
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.observation.events import EventLog
+from primroseturn.observation.output import write_logs
+from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
+from primroseturn.settings.models import LogSettings
+
+EVENTS_FILE_MODE = 0o644
+# Number of the event of a served request of an entry VM.
+REQUEST_SERVED = 1110
 
 
 @contextmanager
-def open_stream(path: str | None) -> Iterator[BinaryIO]:
-    """Yield the unbuffered events file, or standard error without a path."""
-    if path is None:
-        yield sys.stderr.buffer
+def open_descriptor(settings: LogSettings) -> Iterator[int]:
+    """Yield the descriptor of the events file, or that of a standard stream."""
+    if settings.events_file is None:
+        stream = sys.stdout if settings.standard_output else sys.stderr
+        yield stream.fileno()
         return
-    with open(path, "ab", buffering=0) as stream:
-        yield stream
+    flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+    descriptor = os.open(settings.events_file, flags, EVENTS_FILE_MODE)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
 
 
 @service("events", needs=("settings",))
 @asynccontextmanager
 async def provide_events(kernel: Kernel) -> AsyncIterator[EventLog]:
-    """Write events as JSON lines to the file of the settings or standard error."""
+    """Write events as JSON lines to the file of the settings or a standard stream."""
     settings = kernel.find("settings")
-    with open_stream(settings.logs.events_file) as stream:
-        destination = FileDestination(file=stream)
-        add_destinations(destination)
-        try:
-            yield EventLog(settings.identity.vm)
-        finally:
-            remove_destination(destination)
+    volume = LogVolume({REQUEST_SERVED: SERVED_LINES_PER_S})
+    with open_descriptor(settings.logs) as descriptor:
+        async with write_logs(descriptor):
+            yield EventLog(settings.identity.vm, volume=volume)
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -124,7 +124,7 @@
     own = boot.own
     return EntrySettings(
         identity=Identity(own.node, own.zone, own.region),
-        logs=LogSettings(),
+        logs=LogSettings(standard_output=True),
         callers=split_address(boot.network.listen.front),
         readiness=split_address(boot.network.listen.readiness),
         peers=Address(own.ip, boot.network.internal_ports[0]),
--- a/primroseturn/settings/models.py
+++ b/primroseturn/settings/models.py
@@ -276,17 +276,21 @@
 
 
 class LogSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Event log and trace recording. Without a file, events go to standard error.
+    """Event log and trace recording.
 
     Attributes
     ----------
     events_file
-        File of events (JSON lines); null writes to standard error.
+        File of events (JSON lines); null writes to a standard stream.
+    standard_output
+        Whether events without a file go to standard output instead of
+        standard error.
     record_file
         File of a trace for `primroseturn replay`; null records nothing.
     """
 
     events_file: str | None = None
+    standard_output: bool = False
     record_file: str | None = None
 
 
