Count the fleet before it is listed, and remove objects of VMs that are gone

Cause: found on reading: a VM that had not read the list of VMs yet took the whole extra of repeats for itself; stopped VMs left their objects; connection limits ignored the number of VMs. Change: 40 VMs are assumed before the first list; a VM removes its object at its stop, and the speaker removes those of VMs that were silent for 120 s; a VM uses at most twice its part of a target's connections. Measured: features/entry_fleet.feature (9 scenarios) and platform_adapter.feature (23).

--- /dev/null
+++ b/features/entry_fleet.feature
@@ -0,0 +1,50 @@
+Feature: Entry VMs find each other through the store and agree on who speaks
+
+  Scenario: The first VM that is heard speaks for its data centre
+    Given VM "vm2" of a fleet with "vm1, vm3"
+    Then "vm1" speaks
+    When 1 s pass for the fleet
+    Then "vm2" speaks
+    When "vm1" is heard
+    Then "vm1" speaks
+    When 1.3 s pass for the fleet
+    And "vm1" stays silent for its patience
+    Then "vm2" speaks
+
+  Scenario: A fleet of unknown size is taken to be of the usual size
+    Given VM "vm2" before the first list
+    Then its fleet has 40 VMs
+
+  Scenario: Objects of VMs that are gone for good are removed, others are not
+    Given VM "vm2" of a fleet with "vm1, vm3"
+    When "vm3" is heard
+    And 119 s pass for the fleet
+    Then no VM is lost
+    When 2 s pass for the fleet
+    Then "vm1, vm3" are lost
+
+  Scenario: A contact of another data centre is replaced while it is silent
+    Given VM "vm2" of a fleet with "b:x1, b:x2"
+    Then its contacts in "b" take turns
+    When "x2" speaks for "b"
+    Then its contact in "b" is "x2"
+
+  Scenario: A stopped VM leaves no object behind
+    Given 2 entry VMs with 1 target
+    When the VM "vm2" is stopped
+    Then the store lists the VMs "vm1"
+
+  Scenario: Outcomes and usage of each VM reach all others once
+    Given 3 VMs of data centre "a" and 2 of "b" that exchange digests
+    When "a2" sees a failure of a target and admits 3 requests
+    Then every other VM counts 1 failure of it and 3 admitted requests within 1 s
+
+  Scenario: Repeats of all VMs together stay within the bound
+    Then in any sequence of requests 30 VMs send at most their ratio and extra repeats
+
+  Scenario: VMs that each take the whole extra are caught
+    Then 30 VMs that each take the whole extra break the bound
+
+  Scenario: Refused callers come back spread over time and while they can be served
+    Then any time to come back is within a third of the time that the caller has left
+    And 200 callers that expect room in 0.5 s come back at 50 times
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from itertools import count
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any
 
 from anyio import create_task_group, fail_after, sleep
@@ -42,12 +44,14 @@
 class EntryFleet(Fleet):
     """Holds the parts of a scenario by name."""
 
-    def __init__(self, tasks) -> None:
+    def __init__(self, tasks, directory: Path) -> None:
         super().__init__(tasks)
         self.entry_targets_by_id: dict[str, EntryTarget] = {}
         self.entry_ports_by_vm: dict[str, int] = {}
         self.settings_by_vm: dict[str, EntrySettings] = {}
         self.numbers = count(1)
+        self.directory = directory
+        self.log_files_by_vm: dict[str, Path] = {}
         self.configuration: dict[str, Any] = {
             "version": "r1",
             "services": [{"name": "core", "max_conns": 100}],
@@ -110,9 +114,10 @@
             "repeat_window_s": 10.0,
             "repeat_extra": 58.0,
         }
+        self.log_files_by_vm[vm] = self.directory / f"{vm}.jsonl"
         settings = EntrySettings(
             identity=Identity(vm, center, "r"),
-            logs=LogSettings(events_file="/dev/null"),
+            logs=LogSettings(events_file=str(self.log_files_by_vm[vm])),
             callers=Address(LOOPBACK, 0),
             readiness=Address(LOOPBACK, 0),
             peers=Address(LOOPBACK, 0),
@@ -174,8 +179,16 @@
 @asynccontextmanager
 async def run_entry_fleet() -> AsyncIterator[EntryFleet]:
     """Run a store for entry VMs and stop all parts at the end."""
+    with TemporaryDirectory() as name:
+        async with run_fleet_in(Path(name)) as fleet:
+            yield fleet
+
+
+@asynccontextmanager
+async def run_fleet_in(directory: Path) -> AsyncIterator[EntryFleet]:
+    """Run a fleet that writes its logs to a directory."""
     async with create_task_group() as tasks:
-        fleet = EntryFleet(tasks)
+        fleet = EntryFleet(tasks, directory)
         async with serve_application(fleet.store) as port:
             fleet.store_port = port
             fleet.publish()
--- /dev/null
+++ b/features/entry_logs.feature
@@ -0,0 +1,52 @@
+Feature: The logs explain each failed request, in bounded volume
+
+  Scenario: A refusal under load leads to full targets
+    Given an entry VM with 2 targets that answer "full"
+    When a caller sends POST /order/1
+    Then the caller gets 503
+    And the logs explain the request by "had no room"
+    And they show the events "entry-attempt-ended, entry-refused"
+
+  Scenario: A 502 leads to the target that broke off
+    Given an entry VM with 1 target that answers "reset"
+    When a caller sends POST /order/1
+    Then the caller gets 502
+    And the logs explain the request by "broke off"
+    And they name the target "t1" with the end "broken"
+
+  Scenario: A refusal of a key leads to the configuration that withdrew it
+    Given 1 entry VMs with 1 target
+    When the configuration withdraws the key of a caller
+    And 1.5 s pass
+    And a caller sends GET /lookup/1
+    Then the caller gets 401
+    And the logs explain the request by "does not hold the caller's key"
+    And they show the state "entry-configuration-applied"
+
+  Scenario: A refusal while the store is away leads to the lost store
+    Given 1 entry VMs with 1 target
+    When the store is away for 5.5 s
+    And a caller sends GET /lookup/1
+    Then the caller gets 503
+    And the logs explain the request by "store was out of its reach"
+    And they show the state "store-lost"
+
+  Scenario: A request that nobody logged is not explained
+    Given an entry VM with 1 target
+    When a caller sends GET /lookup/1
+    Then "primroseturn explain" exits with code 1 for another request
+
+  Scenario: Lines per second are bounded and what is left out is counted
+    Given 10 times the usual lines of a served request in one second
+    Then 20 lines of it are written and 180 are counted as left out
+
+  Scenario: A reader that stops reading delays no log line and loses the oldest
+    Given a log that nobody reads
+    When 20000 events are emitted
+    Then emitting them took at most 2 s
+    And at most 2000 lines wait
+
+  Scenario: A VM serves its metrics
+    Given an entry VM with 1 target
+    When a caller sends GET /lookup/1
+    Then its metrics count a served request and a store call
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,65 @@
+Feature: The adapter translates the platform's formats, and refuses wrong ones
+
+  Scenario: A settings file becomes the settings of an entry VM
+    Given the platform's settings file
+    Then it is read as VM "edge-1" of data centre "a-1" with callers on port 8689
+    And its bounds are 5 s for withdrawn keys and 6 s for a stop
+
+  Scenario: Unknown fields are ignored and missing bounds have defaults
+    Given the platform's settings file with an unknown table and without its terms
+    Then its bounds are 5 s for withdrawn keys and 6 s for a stop
+
+  Scenario Outline: A wrong settings file is refused by the name of the field
+    Given the platform's settings file with <change>
+    Then it is refused with "<text>"
+
+    Examples:
+      | change                     | text                  |
+      | no name of the VM          | node                  |
+      | ports that are no numbers  | internal_ports        |
+      | a callers' address of "x"  | HOST:PORT             |
+      | text that is no TOML       | valid TOML            |
+
+  Scenario: The command exits with code 2 for a wrong settings file
+    When "primroseturn entry" runs with a settings file that does not exist
+    Then it exits with code 2
+
+  Scenario: A configuration becomes routes, the longest prefix first
+    Given a stored configuration with two routes, a split, a key and no limits
+    Then its version is 12 and the first route has the longer prefix
+    And a route of an unknown type must not repeat
+    And the key belongs to workspace "shop" with a rate of 64
+
+  Scenario Outline: A configuration of a wrong type is refused
+    Given a stored configuration of which "<field>" is <value>
+    Then it is refused as not valid
+
+    Examples:
+      | field         | value       |
+      | version       | "newest"    |
+      | virtual_hosts | 7           |
+      | tenants       | [{}]        |
+
+  Scenario: Any bytes in the target list are a target or a typed failure
+    Then any JSON value as an entry gives a target or a failure that names the entry
+
+  Scenario: Headers of one connection, keys and forged headers reach no target
+    Given a caller's headers with a key, a forged workspace, target and hop-by-hop field
+    Then the target gets none of them but the VM's own
+
+  Scenario Outline: The object API is spoken as published
+    Given the store's stand-in
+    Then <call> gives <result>
+
+    Examples:
+      | call                                   | result                 |
+      | a read of an absent object             | nothing                |
+      | a create of an existing object         | a version conflict     |
+      | a replace at another revision          | a version conflict     |
+      | a delete at another revision           | a version conflict     |
+      | a watch from a dropped revision        | a lost history         |
+      | a list of 1200 objects                 | all of them            |
+      | a call above the rate                  | an unavailable store   |
+      | a write whose answer is lost           | an unknown outcome     |
+      | a write that was refused with 429      | a known outcome        |
+      | a PUT that changes nothing             | the same revision      |
--- /dev/null
+++ b/features/steps/entry_fleet.py
@@ -0,0 +1,248 @@
+"""Steps for the fleet of entry VMs: speakers, digests and budgets."""
+
+from random import Random
+
+from anyio import create_task_group, current_time, sleep
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+from primroseturn.entry.digests import DigestExchange
+from primroseturn.entry.models import Target, Workspace
+from primroseturn.limits.quota import FleetQuota
+from primroseturn.membership.fleet import EntryVm, Fleet, LIVE_S, PATIENCE_S
+from primroseturn.queueing.refusing import LEAST_RETRY_S, retry_after_s
+from primroseturn.retries.arrivals import ArrivalBudget
+from primroseturn.routing.placement import Placement
+from primroseturn.standins.network import MemoryNetwork
+
+RATIO, WINDOW_S, EXTRA = 0.2, 10.0, 58.0
+VMS = 30
+
+
+def entry_vm(name, center="a"):
+    """Return a VM; the name may state its data centre."""
+    if ":" in name:
+        center, name = name.split(":")
+    return EntryVm(name, "h", 1, center, "r")
+
+
+@given('VM "{own}" of a fleet with "{names}"')
+def step_fleet(context, own, names):
+    context.now = 1000.0
+    context.fleet = Fleet(entry_vm(own))
+    context.fleet.use([entry_vm(name) for name in names.split(", ")], context.now)
+
+
+@given('VM "{own}" before the first list')
+def step_unlisted(context, own):
+    context.fleet = Fleet(entry_vm(own))
+
+
+@then("its fleet has {size:d} VMs")
+def step_size(context, size):
+    assert context.fleet.size == size
+
+
+@then('"{name}" speaks')
+def step_speaks(context, name):
+    found = context.fleet.speaker(context.now)
+    assert found == name, found
+
+
+@when("{seconds:g} s pass for the fleet")
+def step_pass(context, seconds):
+    context.now += seconds
+
+
+@when('"{name}" is heard')
+def step_heard(context, name):
+    context.fleet.note_heard(name, context.now)
+
+
+@when('"{name}" stays silent for its patience')
+def step_patience(context, name):
+    assert context.fleet.speaker(context.now) == name
+    context.now += PATIENCE_S + 0.01
+
+
+@then("no VM is lost")
+def step_none_lost(context):
+    assert not context.fleet.lost(context.now)
+
+
+@then('"{names}" are lost')
+def step_lost(context, names):
+    found = context.fleet.lost(context.now)
+    assert found == names.split(", "), found
+
+
+@then('its contacts in "{center}" take turns')
+def step_turns(context, center):
+    found = {context.fleet.contacts(context.now)[center].name for _ in range(4)}
+    assert len(found) == 2, found
+
+
+@when('"{name}" speaks for "{center}"')
+def step_center(context, name, center):
+    context.fleet.note_center_heard(center, name, context.now)
+
+
+@then('its contact in "{center}" is "{name}"')
+def step_contact(context, center, name):
+    found = {context.fleet.contacts(context.now)[center].name for _ in range(4)}
+    assert found == {name}, found
+    later = context.now + LIVE_S + 0.1
+    found = {context.fleet.contacts(later)[center].name for _ in range(4)}
+    assert len(found) == 2, found
+
+
+@when('the VM "{name}" is stopped')
+def step_stop(context, name):
+    context.portal.call(context.entries.stop, name)
+
+
+@then('the store lists the VMs "{names}"')
+def step_listed(context, names):
+    keys = context.entries.store.keys_of("primroseturn-vms")
+    assert keys == [f"primroseturn-vms/{name}" for name in names.split(", ")], keys
+
+
+@given('{first:d} VMs of data centre "a" and {second:d} of "b" that exchange digests')
+def step_exchange(context, first, second):
+    names = [f"a{number}" for number in range(1, first + 1)]
+    names += [f"b{number}" for number in range(1, second + 1)]
+    context.vms = [EntryVm(name, "h", 1, name[0], "r") for name in names]
+
+
+@when('"{name}" sees a failure of a target and admits {count:d} requests')
+def step_sees(context, name, count):
+    async def run():
+        found = {}
+        async with create_task_group() as tasks:
+            network = MemoryNetwork(tasks, 1)
+            for vm in context.vms:
+                found[vm.name] = start_exchange(network, vm, context.vms)
+                tasks.start_soon(found[vm.name].send_forever)
+            await sleep(1.0)
+            exchange = found[name]
+            exchange.placement.note_failure("t1", current_time())
+            exchange.note_outcome("t1", True)
+            for _ in range(count):
+                assert exchange.quota.admit("shop", current_time()) == 0
+            await sleep(1.0)
+            tasks.cancel_scope.cancel()
+        return found
+
+    context.sender = name
+    context.exchanges = context.portal.call(run)
+
+
+class CountingPlacement(Placement):
+    """Counts the failures that other VMs report."""
+
+    failures = 0
+
+    def note_others(self, target_id, failed, succeeded, now):
+        self.failures += failed
+        super().note_others(target_id, failed, succeeded, now)
+
+
+class CountingQuota(FleetQuota):
+    """Counts the requests that other VMs admitted."""
+
+    others = 0
+
+    def take_usage(self, party, usage, now):
+        self.others += sum(item.admitted for item in usage)
+        super().take_usage(party, usage, now)
+
+
+def start_exchange(network, own, vms):
+    """Return the exchange of a VM on a network in memory."""
+    fleet = Fleet(own)
+    fleet.use(vms, current_time())
+    placement = CountingPlacement(own.data_center, {"a": "r", "b": "r"}, Random(1))
+    target = Target("t1", "core", "h", 1, "a", 6, False, 0, 1)
+    placement.use_targets([target], current_time())
+    quota = CountingQuota()
+    quota.fleet_size = len(vms)
+    shop = {"shop": Workspace("shop", 100, 100, None)}
+    quota.use_workspaces(shop, current_time())
+    return DigestExchange(network.join(own.name, "1"), fleet, placement, quota)
+
+
+@then(
+    "every other VM counts {failures:d} failure of it and {count:d} admitted requests "
+    "within 1 s"
+)
+def step_counts(context, failures, count):
+    for name, exchange in context.exchanges.items():
+        expected = (0, 0) if name == context.sender else (failures, count)
+        found = (exchange.placement.failures, exchange.quota.others)
+        assert found == expected, (name, found)
+
+
+def play_repeats(steps, extra_of):
+    """Return the worst excess over the bound in any window of repeats of all VMs."""
+    budgets = [ArrivalBudget(RATIO, WINDOW_S, EXTRA) for _ in range(VMS)]
+    for budget in budgets:
+        budget.fleet_size = extra_of
+    now, requests, repeats = 0.0, [], []
+    for vm, count, gap in steps:
+        now += gap
+        for _ in range(count):
+            budgets[vm].note_request("core", now)
+            requests.append(now)
+            if budgets[vm].take("core", now):
+                repeats.append(now)
+    worst = float("-inf")
+    for at in repeats:
+        sent = sum(at - WINDOW_S < time <= at for time in repeats)
+        asked = sum(at - WINDOW_S < time <= at for time in requests)
+        worst = max(worst, sent - RATIO * asked - EXTRA)
+    return worst
+
+
+STEPS = st.lists(
+    st.tuples(st.integers(0, VMS - 1), st.integers(1, 20), st.floats(0, 1)),
+    min_size=1,
+    max_size=80,
+)
+
+
+@then(
+    "in any sequence of requests {vms:d} VMs send at most their ratio and extra repeats"
+)
+def step_budget(context, vms):
+    assert vms == VMS
+
+    @settings(max_examples=150, derandomize=True, database=None, deadline=None)
+    @for_all(STEPS)
+    def check(steps):
+        assert play_repeats(steps, VMS) <= 0
+
+    check()
+
+
+@then("{vms:d} VMs that each take the whole extra break the bound")
+def step_budget_broken(context, vms):
+    steps = [(vm, 20, 0.0) for vm in range(vms)]
+    assert play_repeats(steps, 1) > 0
+
+
+@then("any time to come back is within a third of the time that the caller has left")
+def step_retry(context):
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @for_all(st.floats(0, 100), st.floats(0, 10), st.integers(0, 1000))
+    def check(wait_s, left_s, seed):
+        found = retry_after_s(wait_s, left_s, Random(seed))
+        assert LEAST_RETRY_S <= found <= max(LEAST_RETRY_S, left_s / 3) + 1e-3
+
+    check()
+
+
+@then("{count:d} callers that expect room in {wait:g} s come back at {times:d} times")
+def step_spread(context, count, wait, times):
+    random = Random(3)
+    found = {retry_after_s(wait, 5.0, random) for _ in range(count)}
+    assert len(found) >= times, len(found)
--- /dev/null
+++ b/features/steps/entry_logs.py
@@ -0,0 +1,136 @@
+"""Steps for the logs and the metrics of an entry VM."""
+
+import io
+import os
+import re
+from contextlib import redirect_stderr, redirect_stdout
+from time import monotonic
+
+from anyio import sleep
+from behave import given, then, when
+from httpx import AsyncClient
+
+from primroseturn.cli.main import main
+from primroseturn.entry.events import REQUEST_SERVED
+from primroseturn.observation.events import EventLog
+from primroseturn.observation.output import LogWriter, WAITING_LIMIT_LINES
+from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
+
+
+def explain(context, request):
+    """Run the command on the logs of all VMs and return code and output."""
+    files = [str(path) for path in context.entries.log_files_by_vm.values()]
+    output, code = io.StringIO(), 0
+    with redirect_stdout(output), redirect_stderr(output):
+        try:
+            main(["explain", request, *files])
+        except SystemExit as end:
+            code = end.code
+    return code, output.getvalue()
+
+
+@then('the logs explain the request by "{text}"')
+def step_explain(context, text):
+    context.portal.call(sleep, 0.2)
+    request = context.responses[0].request.headers["attempt-id"]
+    code, context.explanation = explain(context, request)
+    assert code == 0, context.explanation
+    cause = context.explanation.partition("cause: ")[2]
+    assert text in cause, context.explanation
+
+
+@then('they show the events "{names}"')
+def step_events(context, names):
+    part = context.explanation.partition("state of its VM")[0]
+    found = re.findall(r"\d+ (entry-[a-z-]+)", part)
+    assert all(name in found for name in names.split(", ")), context.explanation
+
+
+@then('they show the state "{name}"')
+def step_state(context, name):
+    part = context.explanation.partition("state of its VM")[2].partition("targets:")[0]
+    assert name in part, context.explanation
+
+
+@then('they name the target "{target}" with the end "{end}"')
+def step_target(context, target, end):
+    assert f"target={target} end={end}" in context.explanation, context.explanation
+
+
+@then('"primroseturn explain" exits with code {code:d} for another request')
+def step_unknown(context, code):
+    found, output = explain(context, "attempt-of-nobody")
+    assert found == code, output
+
+
+@given("{factor:d} times the usual lines of a served request in one second")
+def step_many(context, factor):
+    volume = LogVolume({REQUEST_SERVED.number: SERVED_LINES_PER_S})
+    number = REQUEST_SERVED.number
+    lines = factor * SERVED_LINES_PER_S
+    context.written = sum(volume.admit(number, 7.5) for _ in range(lines))
+    context.left_out = volume.drain_left_out(8.1)
+
+
+@then("{written:d} lines of it are written and {left_out:d} are counted as left out")
+def step_bounded(context, written, left_out):
+    assert context.written == written, context.written
+    assert context.left_out == {REQUEST_SERVED.number: left_out}, context.left_out
+
+
+@given("a log that nobody reads")
+def step_unread(context):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    context.cleanups += [lambda: os.close(reader), lambda: os.close(writer)]
+
+    async def start():
+        context.writer = LogWriter(writer)
+
+    context.portal.call(start)
+
+
+@when("{count:d} events are emitted")
+def step_emit(context, count):
+    started = monotonic()
+    log = EventLog("vm1")
+
+    async def run():
+        for number in range(count):
+            context.writer({"vm": log.vm, "number": number, "text": "x" * 100})
+            if number % 500 == 0:
+                context.writer.write_some()
+
+    context.portal.call(run)
+    context.took_s = monotonic() - started
+
+
+@then("emitting them took at most {limit:g} s")
+def step_took(context, limit):
+    assert context.took_s <= limit, context.took_s
+
+
+@then("at most {limit:d} lines wait")
+def step_waiting(context, limit):
+    assert limit == WAITING_LIMIT_LINES
+    assert len(context.writer.lines) <= limit, len(context.writer.lines)
+    # The newest are kept.
+    assert b'"number":19999' in context.writer.lines[-1]
+
+
+@then("its metrics count a served request and a store call")
+def step_metrics(context):
+    kernel = context.entries.kernels_by_vm["vm1"]
+    port = kernel.find("entry-metrics")
+
+    async def read():
+        async with AsyncClient(trust_env=False) as http:
+            return (await http.get(f"http://127.0.0.1:{port}/metrics")).text
+
+    text = context.portal.call(read)
+    for pattern in (
+        r'primroseturn_entry_requests_total\{outcome="served",service="core"\} [1-9]',
+        r"primroseturn_store_calls_total\{[^}]*answered[^}]*\} [1-9]",
+        r'primroseturn_entry_request_seconds_bucket\{le="0.05",service="core"\}',
+    ):
+        assert re.search(pattern, text), (pattern, text)
--- a/primroseturn/entry/connections.py
+++ b/primroseturn/entry/connections.py
@@ -7,6 +7,7 @@
 
 from primroseturn.entry.models import Target
 from primroseturn.entry.view import FleetView
+from primroseturn.membership.fleet import Fleet
 from primroseturn.requestpath.pool import DEFAULT_CONNECTIONS_PER_TARGET, TargetPool
 from primroseturn.settings.models import UpstreamSettings
 
@@ -17,6 +18,8 @@
 PROVEN_LIMIT_S = 2.5
 # Connections of this VM to one target, whatever its part of them is.
 LEAST_CONNECTIONS = 4
+# VMs of other data centres seldom use theirs, so a VM may use a multiple of its part.
+USED_FACTOR = 2
 
 Place = tuple[str, str, int]
 
@@ -24,9 +27,9 @@
 class TargetPools:
     """The pools of this VM by target and address."""
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, fleet: Fleet) -> None:
         self.view = view
-        self.fleet_size = 1
+        self.fleet = fleet
         self.settings = UpstreamSettings(
             idle_limit_s=IDLE_LIMIT_S, old_connection_s=PROVEN_LIMIT_S
         )
@@ -47,7 +50,7 @@
         configuration = self.view.configuration
         if configuration is not None:
             limit = configuration.connections_by_service.get(target.service, limit)
-        return max(LEAST_CONNECTIONS, limit // max(1, self.fleet_size))
+        return max(LEAST_CONNECTIONS, USED_FACTOR * limit // self.fleet.size)
 
     async def prune_forever(self) -> None:
         """Close idle connections in time and forget targets that left."""
@@ -77,9 +80,9 @@
 
 
 @asynccontextmanager
-async def run_target_pools(view: FleetView) -> AsyncIterator[TargetPools]:
+async def run_target_pools(view: FleetView, fleet: Fleet) -> AsyncIterator[TargetPools]:
     """Prune the pools for the life of the context, then close them."""
-    pools = TargetPools(view)
+    pools = TargetPools(view, fleet)
     async with create_task_group() as tasks:
         tasks.start_soon(pools.prune_forever)
         try:
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -19,6 +19,9 @@
 VM_UNREADABLE = define_event(
     1108, "vm-unreadable", "An object in the store names no usable VM."
 )
+VM_REMOVED = define_event(
+    1109, "vm-removed", "The object of a VM that was silent for long was removed."
+)
 REQUEST_SERVED = define_event(1110, "entry-served", "A request got a target's answer.")
 REQUEST_REFUSED = define_event(1111, "entry-refused", "A request was refused.")
 REQUEST_FAILED = define_event(
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -1,14 +1,15 @@
 """Registers this VM in the store and learns of the others."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
-from anyio import sleep
+from anyio import CancelScope, current_time, sleep
 from expression import Error, Ok, Result
 from msgspec import convert, to_builtins, ValidationError
 
-from primroseturn.entry.events import VM_REGISTERED, VM_UNREADABLE
-from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.entry.events import VM_REGISTERED, VM_REMOVED, VM_UNREADABLE
+from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
 from primroseturn.membership.fleet import EntryVm, Fleet
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.objects import ObjectClient, StoredValue
@@ -65,9 +66,23 @@
                 await sleep(RETRY_S)
                 continue
             self.use_vms(self.read_vms(values))
+            await self.remove_lost()
             known = self.fleet.size > 1
             await sleep(LIST_INTERVAL_S if known else FIRST_INTERVAL_S)
 
+    async def remove_lost(self) -> None:
+        """Remove the objects of VMs of this data centre that are gone for good."""
+        now = current_time()
+        if not self.fleet.is_speaker(now):
+            return
+        for name in self.fleet.lost(now):
+            try:
+                await self.store.delete(VMS_KIND, name)
+            except (StoreUnavailable, VersionConflict):
+                # The next round tries again.
+                return
+            self.events.emit(VM_REMOVED, removed=name)
+
     def read_vms(self, values: list[StoredValue]) -> list[EntryVm]:
         """Return the VMs of a list; objects that cannot be read are skipped."""
         found = []
@@ -81,11 +96,9 @@
 
     async def unregister(self) -> None:
         """Remove this VM's object; failure leaves it to the next start."""
-        try:
+        with CancelScope(shield=True), suppress(StoreUnavailable):
+            # The client logs a failure; the object is replaced or removed later.
             await self.store.delete(VMS_KIND, self.fleet.own.name)
-        except StoreUnavailable:
-            # The store's failure is logged; the object is replaced or ignored later.
-            return
 
 
 def read_vm(value: Any) -> Result[EntryVm, VmInvalid]:
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -250,7 +250,7 @@
     quota, arrivals = kernel.find("quota"), kernel.find("arrivals")
 
     def use_vms(vms: list[EntryVm]) -> None:
-        for name in fleet.use(vms):
+        for name in fleet.use(vms, current_time()):
             quota.forget(name)
             for bus in buses:
                 bus.forget_address(name)
@@ -259,12 +259,14 @@
                 bus.learn_address(vm.name, PeerAddress(vm.host, vm.port))
         quota.fleet_size = arrivals.fleet_size = fleet.size
 
+    quota.fleet_size = arrivals.fleet_size = fleet.size
     registry = VmRegistry(kernel.find("objects"), fleet, kernel.find("events"), use_vms)
     async with create_task_group() as tasks:
         tasks.start_soon(registry.register)
         tasks.start_soon(registry.follow)
         yield registry
         tasks.cancel_scope.cancel()
+    await registry.unregister()
 
 
 @service("entry-readiness", needs=("view", "events", "settings"))
@@ -313,7 +315,7 @@
     settings, events = kernel.find("settings"), kernel.find("events")
     view, readiness = kernel.find("view"), kernel.find("entry-readiness")
     stop_limit_s = settings.bounds.stop_limit_s
-    async with run_target_pools(view) as pools:
+    async with run_target_pools(view, kernel.find("fleet")) as pools:
         forwarder = Forwarder(
             kernel.find("placement"),
             pools,
--- a/primroseturn/membership/fleet.py
+++ b/primroseturn/membership/fleet.py
@@ -5,12 +5,18 @@
 speaker only send more, and nothing depends on there being one.
 """
 
+from math import inf
 from typing import NamedTuple
 
 # A VM counts as live this many seconds after it was last heard.
 LIVE_S = 1.2
 # A VM that is taken for the speaker has this many seconds to be heard.
 PATIENCE_S = 0.8
+# A VM that was silent for this many seconds is taken to be gone for good. Cuts and
+# restarts are over by then.
+LOST_S = 120.0
+# VMs that are assumed before the first list; the users have 36 to 40.
+ASSUMED_VMS = 40
 
 
 class EntryVm(NamedTuple):
@@ -34,6 +40,10 @@
         All registered VMs but this one.
     heard_by_vm
         Monotonic time in seconds at which each VM of this data centre was heard.
+    listed
+        Whether the registered VMs are known.
+    registered_by_vm
+        When each VM was first seen in the list.
     tried_by_vm
         Since when VMs that are not heard have been taken for the speaker.
     heard_by_center
@@ -43,6 +53,8 @@
     def __init__(self, own: EntryVm) -> None:
         self.own = own
         self.vms_by_name: dict[str, EntryVm] = {}
+        self.listed = False
+        self.registered_by_vm: dict[str, float] = {}
         self.heard_by_vm: dict[str, float] = {}
         self.heard_by_center: dict[str, tuple[str, float]] = {}
         self.tried_by_vm: dict[str, float] = {}
@@ -50,19 +62,39 @@
 
     @property
     def size(self) -> int:
-        """Return the number of VMs, with this one."""
-        return len(self.vms_by_name) + 1
+        """Return the number of VMs, with this one; a usual one while it is unknown."""
+        return len(self.vms_by_name) + 1 if self.listed else ASSUMED_VMS
 
-    def use(self, vms: list[EntryVm]) -> set[str]:
+    def use(self, vms: list[EntryVm], now: float) -> set[str]:
         """Take over the registered VMs and return the names of those that left."""
+        self.listed = True
         listed = {vm.name: vm for vm in vms if vm.name != self.own.name}
         gone = self.vms_by_name.keys() - listed.keys()
         self.vms_by_name = listed
         for name in gone:
             self.heard_by_vm.pop(name, None)
             self.tried_by_vm.pop(name, None)
+            self.registered_by_vm.pop(name, None)
+        for name in listed:
+            self.registered_by_vm.setdefault(name, now)
         return set(gone)
 
+    def lost(self, now: float) -> list[str]:
+        """Return the VMs of this data centre that have been silent for long.
+
+        Their objects are left over from VMs that did not stop by themselves.
+        """
+        return [
+            vm.name
+            for vm in self.neighbours()
+            if now - max(self.registered_by_vm[vm.name], self.last_heard(vm.name))
+            > LOST_S
+        ]
+
+    def last_heard(self, name: str) -> float:
+        """Return when a VM of this data centre was last heard."""
+        return self.heard_by_vm.get(name, -inf)
+
     def note_heard(self, name: str, now: float, live: tuple[str, ...] = ()) -> None:
         """Note that a VM of this data centre was heard.
 
@@ -80,7 +112,7 @@
         return tuple(
             vm.name
             for vm in self.neighbours()
-            if now - self.heard_by_vm.get(vm.name, -LIVE_S) < LIVE_S
+            if now - self.last_heard(vm.name) < LIVE_S
         )
 
     def note_center_heard(self, center: str, speaker: str, now: float) -> None:
@@ -101,7 +133,7 @@
         for name in sorted(vm.name for vm in self.neighbours()):
             if name > self.own.name:
                 break
-            if now - self.heard_by_vm.get(name, -LIVE_S) < LIVE_S:
+            if now - self.last_heard(name) < LIVE_S:
                 self.tried_by_vm.pop(name, None)
                 return name
             if now - self.tried_by_vm.setdefault(name, now) < PATIENCE_S:
--- a/primroseturn/observation/timeline/records.py
+++ b/primroseturn/observation/timeline/records.py
@@ -137,7 +137,8 @@
     for path in paths:
         for line in read_lines(path):
             try:
-                record = parse_record(decoder.decode(line))
+                # A collector of logs may have put its own words before the event.
+                record = parse_record(decoder.decode(line[line.find(b"{") :]))
             except (DecodeError, UnicodeDecodeError, RecursionError):
                 record = None
             if record is None:
--- /dev/null
+++ b/primroseturn/plugins/explain.py
@@ -0,0 +1,45 @@
+"""Command that explains what happened to one request."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from cappa import Arg, command
+
+from primroseturn.cli.exits import ExitCode, fail
+from primroseturn.observation.explanation import explain_request
+from primroseturn.observation.timeline.records import EventFileInvalid, read_records
+from primroseturn.plugins.registry import plugin_command
+from primroseturn.plugins.timeline import print_records
+
+
+@plugin_command
+@command(
+    description="Reads the logs of all entry VMs and prints what happened to one "
+    "request, in order, what its VM believed, what all VMs saw of its targets, and "
+    "why it ended as it did. Exits with code 1 if no line names the request."
+)
+@dataclass
+class Explain:
+    """Explain what happened to one request."""
+
+    request: Annotated[str, Arg(help="Id of the caller's attempt.")]
+    files: Annotated[list[Path], Arg(help="Logs of the VMs.")]
+
+    def __call__(self) -> None:
+        """Print the explanation."""
+        try:
+            found = read_records(self.files)
+        except EventFileInvalid as failure:
+            fail(ExitCode.USAGE, str(failure))
+        explanation = explain_request(found.records, self.request)
+        if explanation is None:
+            fail(ExitCode.FAILED, f"no line names request {self.request!r}")
+        print("request:")
+        print_records(explanation.records)
+        print("state of its VM before:")
+        print_records(explanation.state)
+        print("targets:")
+        for line in explanation.targets:
+            print(f"  {line}")
+        print(f"cause: {explanation.cause}")
