--- a/features/entry_view.feature
+++ b/features/entry_view.feature
@@ -83,3 +83,11 @@
     Given 1 entry VMs with 1 target
     When a configuration of the wrong type appears
     Then a request is served
+
+  Scenario: A changed settings file is followed, and a wrong one changes nothing
+    Given an entry VM as a process with a settings file
+    When the file states 3 s for withdrawn keys and the process gets SIGHUP
+    Then its log says that the settings were applied with 3 s
+    When the file becomes text that is no TOML without a signal
+    Then its log says that the settings were refused
+    And the process still answers
--- a/primroseturn/cli/entry.py
+++ b/primroseturn/cli/entry.py
@@ -2,6 +2,7 @@
 
 import os
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -31,7 +32,8 @@
     def __call__(self) -> None:
         """Load the settings and serve until a signal."""
         path = self.settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
-        result = read_boot(path, self.metrics_port)
+        read = partial(read_boot, path, self.metrics_port)
+        result = read()
         if result.is_error():
             fail(ExitCode.USAGE, f"{path}: {result.error}")
-        run(run_entry, result.ok)
+        run(run_entry, result.ok, path, read)
--- a/primroseturn/entry/__main__.py
+++ b/primroseturn/entry/__main__.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 from anyio import run
@@ -17,12 +18,13 @@
 def main() -> None:
     """Load the settings that the platform names and serve until a signal."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    port = os.environ.get(METRICS_VARIABLE, "0")
-    result = read_boot(path, int(port) if port.isdigit() else 0)
+    stated = os.environ.get(METRICS_VARIABLE, "0")
+    read = partial(read_boot, path, int(stated) if stated.isdigit() else 0)
+    result = read()
     if result.is_error():
         print(f"{path}: {result.error}", file=sys.stderr)
         raise SystemExit(USAGE_EXIT)
-    run(run_entry, result.ok)
+    run(run_entry, result.ok, path, read)
 
 
 main()
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -43,3 +43,9 @@
 READINESS_CHANGED = define_event(
     1123, "entry-readiness-changed", "The VM became ready or not ready."
 )
+SETTINGS_APPLIED = define_event(
+    1124, "entry-settings-applied", "The settings file was read again."
+)
+SETTINGS_REFUSED = define_event(
+    1125, "entry-settings-refused", "The changed settings file is not valid."
+)
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -28,7 +28,8 @@
     """
 
     def __init__(self, revoked_key_limit_s: float) -> None:
-        self.key_age_limit_s = revoked_key_limit_s - KEY_MARGIN_S
+        self.key_age_limit_s = 0.0
+        self.use_limit(revoked_key_limit_s)
         self.configuration: Configuration | None = None
         self.stored_configuration: Any = None
         self.targets_by_id: dict[str, Target] = {}
@@ -37,6 +38,10 @@
         self.configuration_listeners: list[Callable[[Configuration], None]] = []
         self.target_listeners: list[Callable[[dict[str, Target]], None]] = []
 
+    def use_limit(self, revoked_key_limit_s: float) -> None:
+        """Set the longest time for which a withdrawn key may work, in seconds."""
+        self.key_age_limit_s = revoked_key_limit_s - KEY_MARGIN_S
+
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first."""
--- a/primroseturn/retries/arrivals.py
+++ b/primroseturn/retries/arrivals.py
@@ -37,11 +37,15 @@
     """
 
     def __init__(self, ratio: float, window_s: float, extra: float) -> None:
+        self.use_bounds(ratio, window_s, extra)
+        self.fleet_size = 1
+        self.arrivals_by_service: dict[str, ServiceArrivals] = {}
+
+    def use_bounds(self, ratio: float, window_s: float, extra: float) -> None:
+        """Set the bounds for all VMs together."""
         self.ratio = ratio * USED_SHARE
         self.window_s = window_s
         self.extra = extra * USED_SHARE
-        self.fleet_size = 1
-        self.arrivals_by_service: dict[str, ServiceArrivals] = {}
 
     def note_request(self, service: str, now: float) -> None:
         """Count a request of a caller."""
