Weigh the risk of a loss more sharply than the expected time, and use idle targets

Change: targets without an outcome for 0.8 s get an attempt, suspected ones of repeatable work only; distance and loss weigh by 0.06 s, expected time by 0.2 s; a second attempt is placed like work that can't repeat.

--- a/features/entry_placement.feature
+++ b/features/entry_placement.feature
@@ -35,6 +35,12 @@
     When a cold target joins and 2 s of requests pass
     Then it got at least 1 request
 
+  Scenario: Cold targets get work in each 2 s beside warm ones
+    Given callers that ask 40 times a second in each data centre
+    And 4 of the targets stay cold
+    When the load is played for 20 s with seed 1
+    Then in each 2 s at least 0.9 of the targets get requests
+
   Scenario: A failure that another VM reports keeps work that must not repeat away
     Given a VM that knows 5 loaded targets
     When another VM reports a failure of one of them
--- a/features/placement_simulation.py
+++ b/features/placement_simulation.py
@@ -19,6 +19,8 @@
 TIMEOUT_S = 1.5
 OBJECTIVE_S = 1.0
 SIGMA = 0.5
+# Longer than any scenario.
+COLD_S = 100.0
 
 
 class Load(NamedTuple):
@@ -41,6 +43,7 @@
     failing: float = 0.85
     slow_share: float = 0.0
     slow_factor: float = 5.0
+    cold: int = 0
 
 
 class SimulatedTarget:
@@ -78,7 +81,8 @@
         for center in REGIONS:
             for number in range(targets_per_center):
                 name = f"t-{center}{number}"
-                target = Target(name, SERVICE, "h", 1, center, slots, False, 0, 1)
+                cold_s = COLD_S if len(self.targets) < load.cold else 0.0
+                target = Target(name, SERVICE, "h", 1, center, slots, False, cold_s, 1)
                 self.targets[name] = SimulatedTarget(target, self.random)
         self.vms = {
             center: [self.start_vm(center, seed) for _ in range(vms_per_center)]
@@ -136,7 +140,8 @@
 
     def send(self, request, first):
         vm = request["vm"]
-        choice = vm.choose(request["work"], request["tried"], self.now, first)
+        work = request["work"]._replace(repeatable=first and request["work"].repeatable)
+        choice = vm.choose(work, request["tried"], self.now, first)
         if choice is None:
             self.finish(request, False)
             return
@@ -159,7 +164,7 @@
             return
         request = attempt["request"]
         failed = self.random.random() < 0.012
-        mean = request["mean"] * target.slow
+        mean = request["mean"] * target.slow * (2 if target.target.cold_s else 1)
         took = mean * self.random.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
         crowded = max(0.0, target.running / target.target.slots - 0.8)
         self.at(self.now + took * (1 + crowded), self.end_work, target, attempt, failed)
--- a/features/steps/entry_placement.py
+++ b/features/steps/entry_placement.py
@@ -32,6 +32,11 @@
     context.load = context.load._replace(slow_share=share, slow_factor=factor)
 
 
+@given("{count:d} of the targets stay cold")
+def step_cold(context, count):
+    context.load = context.load._replace(cold=count)
+
+
 @when("the load is played for {seconds:g} s with seed {seed:d}")
 def step_play(context, seconds, seed):
     context.played = PlacementSimulation(context.load, seed)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -280,7 +280,9 @@
         if not forwarder.may_run(request):
             return
         excluded = frozenset(request.tried)
-        choice = forwarder.placement.choose(request.work, excluded, now)
+        # Nothing follows a second attempt, so it is placed like work that can't repeat.
+        work = request.work._replace(repeatable=False)
+        choice = forwarder.placement.choose(work, excluded, now)
         if choice is None or not forwarder.may_repeat(request, last, now):
             return
         forwarder.note_repeat(request, choice, reason)
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -33,8 +33,10 @@
 USUAL_LOAD_WEIGHT = 0.02
 # Attempts that are late by this factor of the usual time count as overdue.
 OVERDUE_FACTOR = 2.5
-# A target is chosen less often by a factor of e for each such difference of cost.
-SPREAD_S = 0.2
+# A target is chosen less often by a factor of e for each such difference of the
+# expected time, which is known roughly and alike at all VMs, and of the risk.
+TIME_SPREAD_S = 0.2
+RISK_SPREAD_S = 0.06
 # Targets that are drawn, of which the least loaded is taken: power of two choices.
 DRAWS = 2
 # Share of slots in use from which a target is taken to slow down, and by how much of
@@ -50,8 +52,8 @@
 SLOWNESS_LIMIT = 8.0
 # Weight of one answer in the usual time of a route.
 USUAL_WEIGHT = 0.05
-# Suspected targets are tried again with repeatable work after this long without an
-# outcome, so that they return soon after their spell.
+# Targets are used again after this long without an outcome at any VM, suspected ones
+# with repeatable work only, so that they return soon after their spell.
 TRIAL_SUSPICION = 0.3
 TRIAL_GAP_S = 0.8
 TRIAL_SHARE = 0.5
@@ -164,14 +166,15 @@
         return 1.0 - (1.0 - self.failures.advance(now)) * (1.0 - missing)
 
     def is_due(self, now: float) -> bool:
-        """Return whether a repeatable request should try the target."""
+        """Return whether no VM has seen an outcome of the target for a while."""
         seen_at = self.failures.evidence_at
         if self.started_by_attempt:
             return False
-        if seen_at is None:
-            return True
-        suspected = self.loss_probability(now) >= TRIAL_SUSPICION
-        return suspected and now - seen_at >= TRIAL_GAP_S
+        return seen_at is None or now - seen_at >= TRIAL_GAP_S
+
+    def is_suspected(self, now: float) -> bool:
+        """Return whether the target is likely to be in a spell."""
+        return self.loss_probability(now) >= TRIAL_SUSPICION
 
     def overdue(self, now: float) -> int:
         """Return the number of this VM's attempts that are late."""
@@ -240,50 +243,59 @@
         reachable = [state for state in states if state.unreachable_until <= now]
         if not reachable:
             return None
-        if may_try and work.repeatable:
-            trial = self.choose_trial(reachable, work, now)
-            if trial is not None:
-                return Choice(trial.target, True, 0.0)
-        costs = [(self.cost(state, work, now), state) for state in reachable]
-        chosen = self.draw(costs, now)
+        trial = self.choose_trial(reachable, work, now, may_try and work.repeatable)
+        if trial is not None:
+            return Choice(trial.target, trial.is_suspected(now), 0.0)
+        chosen = self.draw(reachable, work, now)
         return Choice(chosen.target, False, self.wait_s(chosen, work, now))
 
-    def draw(self, costs: list[tuple[float, TargetState]], now: float) -> TargetState:
+    def draw(self, states: list[TargetState], work: Work, now: float) -> TargetState:
         """Return one of the targets, the likelier the lower its cost.
 
         VMs with the same view must not all choose the same target. Of two that are
         drawn, the one with fewer requests per slot is taken.
         """
-        lowest = min(cost for cost, _ in costs)
-        weights = [exp((lowest - cost) / SPREAD_S) for cost, _ in costs]
-        drawn = self.random.choices(costs, weights, k=DRAWS)
-        return min(drawn, key=lambda item: item[1].busy(now) / item[1].target.slots)[1]
+        costs = [
+            self.time_s(state, work, now) / TIME_SPREAD_S
+            + self.risk_s(state, work, now) / RISK_SPREAD_S
+            for state in states
+        ]
+        lowest = min(costs)
+        weights = [exp(lowest - cost) for cost in costs]
+        drawn = self.random.choices(states, weights, k=DRAWS)
+        return min(drawn, key=lambda state: state.busy(now) / state.target.slots)
 
     def choose_trial(
-        self, states: list[TargetState], work: Work, now: float
+        self, states: list[TargetState], work: Work, now: float, may_try: bool
     ) -> TargetState | None:
-        """Return a suspected target that had no outcome for a while."""
+        """Return a target that no VM has used for a while.
+
+        Without it, targets that are slow after their start or were suspected once
+        would get nothing while others have room.
+        """
         due = [
             state
             for state in states
             if state.is_due(now)
+            and (may_try or not state.is_suspected(now))
             and self.distance_s(state.target, work) < OTHER_REGION_S
         ]
         if not due or self.random.random() >= TRIAL_SHARE:
             return None
         return self.random.choice(due)
 
-    def cost(self, state: TargetState, work: Work, now: float) -> float:
-        """Return the expected cost of an attempt in seconds."""
+    def time_s(self, state: TargetState, work: Work, now: float) -> float:
+        """Return the expected time of an attempt in seconds, with its wait."""
         usual = self.usual_s(work) * state.relative_time(now)
         crowded = max(0.0, state.busy(now) / state.target.slots - CROWDED_SHARE)
+        wait_s = self.wait_s(state, work, now)
+        return usual * (1.0 + CROWDED_COST * crowded) + wait_s
+
+    def risk_s(self, state: TargetState, work: Work, now: float) -> float:
+        """Return the cost of the way and of a likely loss in seconds."""
         loss = REPEATED_WORK_S if work.repeatable else LOST_WORK_S
-        return (
-            usual * (1.0 + CROWDED_COST * crowded)
-            + self.wait_s(state, work, now)
-            + self.distance_s(state.target, work)
-            + loss * state.loss_probability(now)
-        )
+        way = self.distance_s(state.target, work)
+        return way + loss * state.loss_probability(now)
 
     def wait_s(self, state: TargetState, work: Work, now: float) -> float:
         """Return the expected wait for a slot of a target in seconds."""
