Tell overdue attempts from those that wait in an overload

Change: an attempt is overdue by its expected time with its wait; the risk weighs by 0.15 s and a loss counts 1.8 s; other regions cost 0.8 s.

--- a/features/placement_simulation.py
+++ b/features/placement_simulation.py
@@ -180,7 +180,7 @@
         attempt["alive"] = False
         request, name = attempt["request"], attempt["name"]
         vm, work = request["vm"], request["work"]
-        vm.end(name, attempt["number"])
+        vm.end(name, attempt["number"], self.now)
         held = target.running + len(target.queue) + 1
         vm.note_load(name, held, self.now)
         if failed:
@@ -206,8 +206,9 @@
             return
         if attempt["alive"]:
             attempt["alive"] = False
-            request["vm"].end(attempt["name"], attempt["number"])
-            request["vm"].note_missing(attempt["name"], self.now)
+            name = attempt["name"]
+            if request["vm"].end(name, attempt["number"], self.now):
+                request["vm"].note_missing(name, self.now)
         self.finish(request, False)
 
     def finish(self, request, served):
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -29,9 +29,6 @@
 USEFUL_SHARE = 0.6
 # Connections that are tried for one request before it is given up.
 CONNECT_TRIES = 4
-# Evidence of an attempt that was cancelled when it had taken this multiple of the
-# usual time.
-LATE_FACTOR = 2.0
 
 
 class Repeat(NamedTuple):
@@ -159,8 +156,8 @@
             result = await attempt.run(self.pools.limit_of(target))
             return result
         finally:
-            placement.end(target.id, number)
-            self.note_end(request, choice, result, started_at)
+            overdue = placement.end(target.id, number, current_time())
+            self.note_end(request, choice, result, started_at, overdue)
 
     def note_end(
         self,
@@ -168,6 +165,7 @@
         choice: Choice,
         result: AttemptResult | None,
         started_at: float,
+        overdue: bool,
     ) -> None:
         """Pass on what an attempt showed about its target."""
         now = current_time()
@@ -175,7 +173,7 @@
         target_id, placement = choice.target.id, self.placement
         if result is None:
             # The caller left, time was up or another attempt won.
-            if took_s > LATE_FACTOR * placement.usual_s(request.work):
+            if overdue:
                 placement.note_missing(target_id, now)
             return
         if result.head is not None and result.head.load is not None:
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -20,13 +20,13 @@
 
 # Time in seconds that a failed attempt is taken to cost. Work that must not repeat is
 # lost with it; other work is tried again.
-LOST_WORK_S = 2.5
+LOST_WORK_S = 1.8
 REPEATED_WORK_S = 0.6
 # Time in seconds that a target in another data centre or region is taken to cost.
 # Downloads load the links between them, which are narrow and paid by volume.
-OTHER_CENTER_S = 0.02
-OTHER_REGION_S = 0.2
-DOWNLOAD_OTHER_CENTER_S = 0.25
+OTHER_CENTER_S = 0.05
+OTHER_REGION_S = 0.8
+DOWNLOAD_OTHER_CENTER_S = 0.4
 DOWNLOAD_OTHER_REGION_S = 2.0
 # Reported load returns to the usual one within about the time of a request.
 REPORT_LIFE_S = 0.25
@@ -36,7 +36,7 @@
 # A target is chosen less often by a factor of e for each such difference of the
 # expected time, which is known roughly and alike at all VMs, and of the risk.
 TIME_SPREAD_S = 0.2
-RISK_SPREAD_S = 0.06
+RISK_SPREAD_S = 0.15
 # Targets that are drawn, of which the least loaded is taken: power of two choices.
 DRAWS = 2
 # Share of slots in use from which a target is taken to slow down, and by how much of
@@ -116,7 +116,7 @@
     way
         Suspicion that its answers stay away, from this VM's attempts.
     started_by_attempt
-        Start and usual time in seconds of this VM's attempts in flight.
+        Start and expected time in seconds of this VM's attempts in flight.
     usual_load
         Shared by the targets of a service.
     others, others_at
@@ -179,8 +179,8 @@
     def overdue(self, now: float) -> int:
         """Return the number of this VM's attempts that are late."""
         return sum(
-            now - started > OVERDUE_FACTOR * usual
-            for started, usual in self.started_by_attempt.values()
+            now - started > OVERDUE_FACTOR * expected_s
+            for started, expected_s in self.started_by_attempt.values()
         )
 
 
@@ -278,7 +278,7 @@
             for state in states
             if state.is_due(now)
             and (may_try or not state.is_suspected(now))
-            and self.distance_s(state.target, work) < OTHER_REGION_S
+            and self.distance_s(state.target, work) <= OTHER_CENTER_S
         ]
         if not due or self.random.random() >= TRIAL_SHARE:
             return None
@@ -318,15 +318,18 @@
         self.attempts += 1
         state = self.states_by_id.get(target_id)
         if state is not None:
-            usual = self.usual_s(work) * state.relative_time(now)
-            state.started_by_attempt[self.attempts] = (now, usual)
+            # With its wait, so that a target in an overload does not look broken.
+            expected_s = self.time_s(state, work, now)
+            state.started_by_attempt[self.attempts] = (now, expected_s)
         return self.attempts
 
-    def end(self, target_id: str, attempt: int) -> None:
-        """Count an attempt in flight less."""
+    def end(self, target_id: str, attempt: int, now: float) -> bool:
+        """Count an attempt in flight less and return whether it was overdue."""
         state = self.states_by_id.get(target_id)
-        if state is not None:
-            state.started_by_attempt.pop(attempt, None)
+        if state is None:
+            return False
+        started, expected_s = state.started_by_attempt.pop(attempt, (now, 0.0))
+        return now - started > OVERDUE_FACTOR * expected_s
 
     def note_answer(
         self, target_id: str, work: Work, took_s: float, now: float
