--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -14,6 +14,18 @@
     And the logs explain the request by "broke off"
     And they name the target "t1" with the end "broken"
 
+  Scenario: A 504 leads to the target that did not answer
+    Given an entry VM with 1 target that answers "hang"
+    When a caller sends POST /order/1
+    Then the caller gets 504
+    And the logs explain the request by "time was over"
+    And they name the target "t1" with the end "overdue"
+
+  Scenario: A request that a stop ends is logged
+    Given an entry VM with 1 target that answers "hang"
+    When the VM is stopped during a request that would last longer
+    Then its log says that the VM stopped before the answer
+
   Scenario: A refusal of a key leads to the configuration that withdrew it
     Given 1 entry VMs with 1 target
     When the configuration withdraws the key of a caller
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -6,10 +6,11 @@
 from contextlib import redirect_stderr, redirect_stdout
 from time import monotonic
 
-from anyio import sleep
+from anyio import create_task_group, sleep
 from behave import given, then, when
 from httpx import AsyncClient
 
+from features.entry_fleet import route
 from primroseturn.cli.main import main
 from primroseturn.entry.events import REQUEST_SERVED
 from primroseturn.observation.events import EventLog
@@ -63,6 +64,37 @@
     assert found == code, output
 
 
+@when("the VM is stopped during a request that would last longer")
+def step_stop_during(context):
+    fleet = context.entries
+
+    async def run():
+        async with create_task_group() as tasks:
+            tasks.start_soon(call)
+            await sleep(0.3)
+            await fleet.stop("vm1")
+
+    async def call():
+        response = await fleet.ask("/slow/1", method="POST", wait_ms=20_000)
+        context.statuses = [response.status_code]
+
+    async def add_route():
+        paths = fleet.configuration["virtual_hosts"][0]["paths"]
+        paths.append(route("slow", "/slow/", "non_idempotent", timeout_s=20))
+        fleet.publish()
+        await sleep(1.5)
+
+    context.portal.call(add_route)
+    context.portal.call(run)
+
+
+@then("its log says that the VM stopped before the answer")
+def step_stopped(context):
+    text = context.entries.log_files_by_vm["vm1"].read_text()
+    assert "the VM stopped before the answer" in text, text
+    assert context.statuses == [500], context.statuses
+
+
 @given("{factor:d} times the usual lines of a served request in one second")
 def step_many(context, factor):
     volume = LogVolume({REQUEST_SERVED.number: SERVED_LINES_PER_S})
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from anyio import CancelScope, current_time, sleep
+from anyio import CancelScope, current_time, get_cancelled_exc_class, sleep
 from hypercorn.utils import UnexpectedMessageError
 
 from primroseturn.clock import time_since_boot
@@ -85,6 +85,10 @@
             self.note_failed(request, str(failure))
         except CallerGone:
             self.note_left(request)
+        except get_cancelled_exc_class():
+            # The time of a stop is over; hypercorn answers 500, which promises nothing.
+            self.note_failed(request, "the VM stopped before the answer")
+            raise
         except Exception as error:
             # The fault of one request must not look like "not run" to its caller.
             self.events.emit(
@@ -341,7 +345,7 @@
         OUTCOMES.labels("answer-broken", service).inc()
         fields = request.log_fields() if request else {}
         self.events.emit(
-            REQUEST_FAILED, kind="answer-broken", ran="yes", detail=detail, **fields
+            REQUEST_FAILED, kind="answer-broken", ran="unknown", detail=detail, **fields
         )
 
     def note_left(self, request: EntryRequest | None) -> None:
--- a/primroseturn/entry/connections.py
+++ b/primroseturn/entry/connections.py
@@ -1,14 +1,17 @@
 """Connections to the listed targets."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
 
-from anyio import create_task_group, current_time, sleep
+from anyio import current_time, sleep
 
 from primroseturn.entry.models import Target
 from primroseturn.entry.view import FleetView
 from primroseturn.membership.fleet import Fleet
-from primroseturn.requestpath.pool import DEFAULT_CONNECTIONS_PER_TARGET, TargetPool
+from primroseturn.requestpath.pool import (
+    DEFAULT_CONNECTIONS_PER_TARGET,
+    run_pools,
+    TargetPool,
+)
 from primroseturn.settings.models import UpstreamSettings
 
 PRUNE_INTERVAL_S = 1.0
@@ -79,14 +82,8 @@
     return (f"{target.id}/{target.born_ms}", target.host, target.port)
 
 
-@asynccontextmanager
-async def run_target_pools(view: FleetView, fleet: Fleet) -> AsyncIterator[TargetPools]:
-    """Prune the pools for the life of the context, then close them."""
-    pools = TargetPools(view, fleet)
-    async with create_task_group() as tasks:
-        tasks.start_soon(pools.prune_forever)
-        try:
-            yield pools
-        finally:
-            tasks.cancel_scope.cancel()
-            pools.close()
+def run_target_pools(
+    view: FleetView, fleet: Fleet
+) -> AbstractAsyncContextManager[TargetPools]:
+    """Return the context in which the pools are pruned, and closed at its end."""
+    return run_pools(TargetPools(view, fleet))
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -175,6 +175,7 @@
             # The caller left, time was up or another attempt won.
             if overdue:
                 placement.note_missing(target_id, now)
+                self.log_end(request, choice, "overdue", "no answer in time", took_s)
             return
         if result.head is not None and result.head.load is not None:
             placement.note_load(target_id, result.head.load, now)
@@ -196,11 +197,22 @@
                 placement.note_unreachable(target_id, now)
             case AttemptEnd.MISDIRECTED:
                 placement.note_unreachable(target_id, now)
+        self.log_end(request, choice, result.end.value, result.detail, took_s)
+
+    def log_end(
+        self,
+        request: EntryRequest,
+        choice: Choice,
+        end: str,
+        detail: str,
+        took_s: float,
+    ) -> None:
+        """Log an attempt that did not bring a good answer."""
         self.events.emit(
             ATTEMPT_ENDED,
-            target=target_id,
-            end=result.end.value,
-            detail=result.detail,
+            target=choice.target.id,
+            end=end,
+            detail=detail,
             took_s=round(took_s, 4),
             trial=choice.trial,
             **request.log_fields(),
--- a/primroseturn/requestpath/pool.py
+++ b/primroseturn/requestpath/pool.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from math import ceil
 from ssl import create_default_context, SSLContext
+from typing import Protocol, TypeVar
 
 from anyio import create_task_group, current_time, Event, move_on_after, sleep
 from httpx import URL
@@ -221,8 +222,21 @@
             pool.close_idle(lambda item: True)
 
 
+class Prunable(Protocol):
+    """Pools that need care while they are used."""
+
+    async def prune_forever(self) -> None:
+        """Close idle connections in time."""
+
+    def close(self) -> None:
+        """Close all idle connections."""
+
+
+P = TypeVar("P", bound=Prunable)
+
+
 @asynccontextmanager
-async def run_pools(pools: Pools) -> AsyncIterator[Pools]:
+async def run_pools(pools: P) -> AsyncIterator[P]:
     """Prune the pools for the life of the context, then close them."""
     async with create_task_group() as tasks:
         tasks.start_soon(pools.prune_forever)
