--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -14,6 +14,7 @@
 
 REVOKED_LIMIT_S = 5.0
 TOLERANCE_S = 0.05
+SPEAKER_LIMIT_S = 10.0
 
 
 def configuration(version):
@@ -69,6 +70,16 @@
     assert context.view.version == version
 
 
+async def wait_rest(kernel):
+    """Wait until a VM speaks or relies on the VM that does."""
+    members, rest = kernel.find("fleet"), kernel.find("follower").rest
+    while not members.is_speaker(current_time()) and not rest.lasts():
+        await sleep(0.02)
+    if members.size > 1:
+        while not members.heard_by_vm:
+            await sleep(0.02)
+
+
 @given("{vms:d} entry VMs with {targets:d} target")
 @given("{vms:d} entry VMs with {targets:d} targets")
 def step_vms(context, vms, targets):
@@ -80,8 +91,9 @@
         for number in range(1, vms + 1):
             await fleet.add_entry(f"vm{number}")
         await fleet.wait_entries()
-        # Long enough for the VMs to find their speaker and rely on it.
-        await sleep(2.0)
+        with fail_after(SPEAKER_LIMIT_S):
+            for kernel in fleet.kernels_by_vm.values():
+                await wait_rest(kernel)
 
     context.portal.call(run)
 
