--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -7,7 +7,6 @@
 from httpx import AsyncClient, Limits
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from primroseturn.clock import time_since_boot
 from primroseturn.control.datagrams import DatagramBus, run_datagram_bus
 from primroseturn.control.zeromq import PeerAddress, run_bus, ZeromqBus
 from primroseturn.entry.application import EntryApplication
@@ -17,11 +16,11 @@
     ENTRY_STARTED,
     ENTRY_STOPPED,
     ENTRY_STOPPING,
-    READINESS_CHANGED,
 )
 from primroseturn.entry.following import StoreFollower
 from primroseturn.entry.forwarding import Forwarder
 from primroseturn.entry.models import Configuration
+from primroseturn.entry.readiness import EntryReadiness
 from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.view import FleetView
 from primroseturn.entry.vouching import ViewSharing
@@ -29,9 +28,7 @@
 from primroseturn.kernel.registry import service
 from primroseturn.limits.quota import FleetQuota
 from primroseturn.membership.fleet import EntryVm, Fleet
-from primroseturn.observation.events import EventLog
 from primroseturn.platform.objects import ObjectClient
-from primroseturn.platform.wire import READY_PATH
 from primroseturn.retries.arrivals import ArrivalBudget
 from primroseturn.routing.placement import Placement
 from primroseturn.serving.asgi import serve_application
@@ -45,43 +42,6 @@
 FINISH_SHARE = 0.4
 
 
-class EntryReadiness:
-    """Tells the load balancer whether this VM should get new connections."""
-
-    def __init__(self, view: FleetView, events: EventLog) -> None:
-        self.view = view
-        self.events = events
-        self.stopping = False
-        self.was_ready = False
-
-    def reason(self) -> str | None:
-        """Return why this VM is not ready, or None."""
-        if self.stopping:
-            return "stopping"
-        if self.view.configuration is None:
-            return "no configuration"
-        if not self.view.targets_by_id:
-            return "no targets"
-        if self.view.configuration.keyed and not self.view.knows_keys(
-            time_since_boot()
-        ):
-            return "keys not confirmed"
-        return None
-
-    async def __call__(self, scope: dict, receive: object, send: object) -> None:
-        """Answer the load balancer."""
-        if scope["type"] != "http":
-            return
-        if scope["path"] != READY_PATH:
-            await answer(send, 404)
-            return
-        reason = self.reason()
-        if self.was_ready != (reason is None):
-            self.was_ready = reason is None
-            self.events.emit(READINESS_CHANGED, ready=reason is None, reason=reason)
-        await answer(send, 503 if reason else 200, (reason or "ready").encode())
-
-
 async def serve_metrics(scope: dict, receive: object, send: object) -> None:
     """Answer with all metrics in the text format of Prometheus."""
     if scope["type"] == "http":
