Wait for the list of VMs before the scenarios of views

Cause: with one VM the step could see the assumed size of 40 VMs and wait for others until its limit; it failed once beside nothing else. Bounds and assertions are unchanged.

--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -70,12 +70,15 @@
     assert context.view.version == version
 
 
-async def wait_rest(kernel):
+async def wait_rest(kernel, vms):
     """Wait until a VM speaks or relies on the VM that does."""
     members, rest = kernel.find("fleet"), kernel.find("follower").rest
+    # Before the first list the size is only assumed.
+    while not members.listed:
+        await sleep(0.02)
     while not members.is_speaker(current_time()) and not rest.lasts():
         await sleep(0.02)
-    if members.size > 1:
+    if vms > 1:
         while not members.heard_by_vm:
             await sleep(0.02)
 
@@ -93,7 +96,7 @@
         await fleet.wait_entries()
         with fail_after(SPEAKER_LIMIT_S):
             for kernel in fleet.kernels_by_vm.values():
-                await wait_rest(kernel)
+                await wait_rest(kernel, len(fleet.kernels_by_vm))
 
     context.portal.call(run)
 
