Serve both request paths with one closing sender and drop unused code

Cause: reading the change once more. The sender that asks callers to reconnect during a stop, the statuses without a body and the exit code for wrong settings stood twice; forwarding.Repeat had no caller. Behaviour is unchanged.

--- a/primroseturn/entry/__main__.py
+++ b/primroseturn/entry/__main__.py
@@ -1,19 +1,16 @@
 """Starts an entry VM without the command line, whose libraries a VM does not need."""
 
 import os
-import sys
 from functools import partial
 from pathlib import Path
 
 from anyio import run
 
+from primroseturn.cli.exits import ExitCode, fail
 from primroseturn.entry.process import run_entry
 from primroseturn.platform.boot import read_boot
 from primroseturn.platform.wire import METRICS_VARIABLE, SETTINGS_VARIABLE
 
-# As `primroseturn.cli.exits.ExitCode.USAGE`.
-USAGE_EXIT = 2
-
 
 def main() -> None:
     """Load the settings that the platform names and serve until a signal."""
@@ -22,8 +19,7 @@
     read = partial(read_boot, path, int(stated) if stated.isdigit() else 0)
     result = read()
     if result.is_error():
-        print(f"{path}: {result.error}", file=sys.stderr)
-        raise SystemExit(USAGE_EXIT)
+        fail(ExitCode.USAGE, f"{path}: {result.error}")
     run(run_entry, result.ok, path, read)
 
 
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -37,9 +37,9 @@
     values_of,
 )
 from primroseturn.requestpath.refusals import AnswerBroken, RequestRefused, send_refusal
+from primroseturn.serving.http import closing_sender
 from primroseturn.serving.protocol import CALLER_LINK
 
-CLOSE = (b"connection", b"close")
 # Time in seconds in which a VM without fresh keys or targets expects to get them.
 REFRESH_S = 0.5
 # Statuses of refusals; the platform takes the first two as "not run".
@@ -71,7 +71,7 @@
             return
         headers: HeaderList = scope["headers"]
         body = RequestBody(receive, has_body(headers))
-        sender = self.closing_sender(send)
+        sender = closing_sender(send, self.is_stopping)
         request: EntryRequest | None = None
         try:
             request = self.admit(scope, headers, body)
@@ -100,16 +100,6 @@
             with suppress(UnexpectedMessageError):
                 await send_refusal(sender, refusal)
 
-    def closing_sender(self, send: Any) -> Any:
-        """Return `send`, asking callers to reconnect elsewhere during a stop."""
-
-        async def send_message(message: dict[str, Any]) -> None:
-            if self.is_stopping() and message["type"] == "http.response.start":
-                message["headers"] = [*message["headers"], CLOSE]
-            await send(message)
-
-        return send_message
-
     def admit(
         self, scope: dict[str, Any], headers: HeaderList, body: RequestBody
     ) -> EntryRequest:
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -16,6 +16,7 @@
 )
 from primroseturn.requestpath.connection import (
     AnswerStream,
+    BODILESS_STATUSES,
     Connection,
     ExchangeLimits,
 )
@@ -30,7 +31,6 @@
 CONNECT_LIMIT_S = 0.2
 # Late answers to earlier requests that are skipped on one connection.
 SKIPPED_ANSWERS = 2
-BODILESS_STATUSES = (204, 304)
 
 
 class AttemptEnd(Enum):
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -1,7 +1,6 @@
 """Sends requests to targets: placing, repeats and hedging."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from anyio import (
     create_memory_object_stream,
@@ -31,13 +30,6 @@
 CONNECT_TRIES = 4
 
 
-class Repeat(NamedTuple):
-    """Another attempt of a request, and why."""
-
-    choice: Choice
-    reason: str
-
-
 class Forwarder:
     """Runs the attempts of requests."""
 
--- a/primroseturn/requestpath/application.py
+++ b/primroseturn/requestpath/application.py
@@ -34,10 +34,9 @@
     unwrap,
 )
 from primroseturn.requestpath.services import Services
+from primroseturn.serving.http import closing_sender
 from primroseturn.serving.protocol import CALLER_LINK
 
-CLOSE = (b"connection", b"close")
-
 
 class Application:
     """Serves callers. One task runs each request from start to end."""
@@ -60,7 +59,7 @@
         events = self.services.events
         request_id = f"{events.vm}-{events.incarnation}-{next(self.numbers)}"
         body = RequestBody(receive, has_body(scope["headers"]))
-        sender = self.closing_sender(send)
+        sender = closing_sender(send, lambda: self.services.readiness.draining)
         try:
             await self.serve(request_id, scope, body, sender)
         except RequestRefused as failure:
@@ -86,17 +85,6 @@
             with suppress(UnexpectedMessageError):
                 await send_refusal(sender, refusal)
 
-    def closing_sender(self, send: Any) -> Any:
-        """Return `send`, asking callers to reconnect elsewhere during a drain."""
-        readiness = self.services.readiness
-
-        async def send_message(message: dict[str, Any]) -> None:
-            if readiness.draining and message["type"] == "http.response.start":
-                message["headers"] = [*message["headers"], CLOSE]
-            await send(message)
-
-        return send_message
-
     async def serve(
         self, request_id: str, scope: dict[str, Any], body: RequestBody, send: Any
     ) -> None:
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -28,6 +28,7 @@
 
 READ_BYTES = 65_536
 ANSWER_HEADER_LIMIT_BYTES = 65_536
+BODILESS_STATUSES = (204, 304)
 
 
 class ExchangeLimits(NamedTuple):
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -18,7 +18,11 @@
 from primroseturn.configuration.models import Target
 from primroseturn.detection.observations import Observation, Outcome
 from primroseturn.failures import Failure
-from primroseturn.requestpath.connection import Connection, ExchangeLimits
+from primroseturn.requestpath.connection import (
+    BODILESS_STATUSES,
+    Connection,
+    ExchangeLimits,
+)
 from primroseturn.requestpath.context import RequestContext
 from primroseturn.requestpath.events import ATTEMPT_FAILED, CONNECTION_SILENT
 from primroseturn.requestpath.headers import (
@@ -33,7 +37,6 @@
 from primroseturn.requestpath.services import Services
 
 SHED_STATUSES = (429, 503)
-BODILESS_STATUSES = (204, 304)
 FAIR_DEADLINE_SHARE = 0.5
 
 
--- a/primroseturn/serving/http.py
+++ b/primroseturn/serving/http.py
@@ -1,11 +1,13 @@
-"""Small helpers for ASGI applications of the stand-ins."""
+"""Small helpers for ASGI applications."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qsl
 
 from msgspec.json import encode
 
+CLOSE = (b"connection", b"close")
+
 Headers = Iterable[tuple[bytes, bytes]]
 
 
@@ -52,3 +54,14 @@
         if key == name:
             return value.decode("latin-1")
     return None
+
+
+def closing_sender(send: Any, is_stopping: Callable[[], bool]) -> Any:
+    """Return `send`, asking callers to reconnect elsewhere during a stop."""
+
+    async def send_message(message: dict[str, Any]) -> None:
+        if is_stopping() and message["type"] == "http.response.start":
+            message["headers"] = [*message["headers"], CLOSE]
+        await send(message)
+
+    return send_message
