Keep a VM running when a peer that it talked to leaves

Cause: the bus closed the ZeroMQ socket of a removed peer under the task that received on it. pyzmq then cancels the pending receive, anyio takes that for a cancellation of the task group, and the whole VM ended without a SIGTERM. For up to 5 s it answered that it was ready and accepted nothing. Ruled out: the store calls of the registry (they raise typed failures only). Change: the task that receives owns its socket, and ending the connection cancels the task.

--- a/features/control.feature
+++ b/features/control.feature
@@ -18,3 +18,9 @@
   Scenario: A slow handler delays no other message
     Given two buses over TCP
     Then a request is answered while another one waits for 1 s
+
+  Scenario: A bus goes on after it has forgotten a peer that it talked to
+    Given two buses over TCP
+    Then the second bus answers the first
+    When the first bus forgets the second and learns it again
+    Then the second bus answers the first
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -107,6 +107,10 @@
 
     async def add_entry(self, vm: str, center: str = "a", **bounds: float) -> Kernel:
         """Start an entry VM."""
+        return await self.start_entry(self.settings_of(vm, center, **bounds))
+
+    def settings_of(self, vm: str, center: str = "a", **bounds: float) -> EntrySettings:
+        """Return the settings of an entry VM."""
         stated = {
             "revoked_key_limit_s": 5.0,
             "stop_limit_s": 2.0,
@@ -115,7 +119,7 @@
             "repeat_extra": 58.0,
         }
         self.log_files_by_vm[vm] = self.directory / f"{vm}.jsonl"
-        settings = EntrySettings(
+        return EntrySettings(
             identity=Identity(vm, center, "r"),
             logs=LogSettings(events_file=str(self.log_files_by_vm[vm])),
             callers=Address(LOOPBACK, 0),
@@ -129,7 +133,6 @@
             writes_per_s=400,
             bounds=FleetBounds(**{**stated, **bounds}),
         )
-        return await self.start_entry(settings)
 
     async def start_entry(self, settings: EntrySettings) -> Kernel:
         """Start an entry VM with the settings given."""
--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -26,6 +26,12 @@
     When the VM is stopped during a request that would last longer
     Then its log says that the VM stopped before the answer
 
+  Scenario: An error that ends the process is logged with its place
+    Given an entry VM with 1 target
+    When a task of another VM fails with "no such thing"
+    Then the log of that VM names the error "LookupError: no such thing" and its place
+    And that VM was not ready from then on
+
   Scenario: A refusal of a key leads to the configuration that withdrew it
     Given 1 entry VMs with 1 target
     When the configuration withdraws the key of a caller
--- a/features/steps/control_bus.py
+++ b/features/steps/control_bus.py
@@ -109,6 +109,17 @@
     assert result.is_ok() and result.ok.text == "hello", result
 
 
+@when("the first bus forgets the second and learns it again")
+def step_forget(context):
+    async def forget():
+        context.first.forget_address("second")
+        # The task of the closed connection ends in this time.
+        await sleep(0.1)
+        context.first.learn_address("second", context.address)
+
+    context.portal.call(forget)
+
+
 @then("a stranger gets no answer from the second bus")
 def step_stranger(context):
     stranger = open_bus(context, "stranger", create_keys())
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -1,9 +1,10 @@
 """Steps for the logs and the metrics of an entry VM."""
 
 import io
+import json
 import os
 import re
-from contextlib import redirect_stderr, redirect_stdout
+from contextlib import redirect_stderr, redirect_stdout, suppress
 from time import monotonic
 
 from anyio import create_task_group, sleep
@@ -13,6 +14,8 @@
 from features.entry_fleet import route
 from primroseturn.cli.main import main
 from primroseturn.entry.events import REQUEST_SERVED
+from primroseturn.entry.process import ENTRY_SERVICES
+from primroseturn.kernel.kernel import run_kernel
 from primroseturn.observation.events import EventLog
 from primroseturn.observation.output import LogWriter, WAITING_LIMIT_LINES
 from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
@@ -47,6 +50,39 @@
     assert all(name in found for name in names.split(", ")), context.explanation
 
 
+@when('a task of another VM fails with "{text}"')
+def step_crash(context, text):
+    fleet = context.entries
+    settings = fleet.settings_of("vm2")
+
+    async def fail_task():
+        raise LookupError(text)
+
+    async def run():
+        with suppress(ExceptionGroup):
+            async with (
+                run_kernel(ENTRY_SERVICES, {"settings": settings}) as kernel,
+                create_task_group() as tasks,
+            ):
+                context.readiness = kernel.find("entry-readiness")
+                tasks.start_soon(fail_task)
+
+    context.portal.call(run)
+
+
+@then('the log of that VM names the error "{text}" and its place')
+def step_crash_logged(context, text):
+    lines = context.entries.log_files_by_vm["vm2"].read_text().splitlines()
+    (event,) = [json.loads(line) for line in lines if '"process-crashed"' in line]
+    assert event["reason"] == text, event
+    assert event["places"][-1].startswith("fail_task:"), event
+
+
+@then("that VM was not ready from then on")
+def step_crash_ready(context):
+    assert context.readiness.reason() == "stopping", context.readiness.reason()
+
+
 @then('they show the state "{name}"')
 def step_state(context, name):
     part = context.explanation.partition("state of its VM")[2].partition("targets:")[0]
--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 import zmq
-from anyio import create_task_group, current_time, move_on_after
+from anyio import CancelScope, create_task_group, current_time, move_on_after
 from anyio.abc import TaskGroup
 from msgspec import Struct
 from zmq.asyncio import Context, Socket
@@ -44,12 +44,20 @@
 
 
 class Connection(Struct, eq=False):
-    """An open socket to a peer."""
+    """An open socket to a peer.
+
+    Attributes
+    ----------
+    scope
+        Of the task that receives on the socket and closes it. A socket that is
+        closed under its task cancels the whole task group.
+    """
 
     peer: str
     address: PeerAddress
     socket: Socket
     used_at: float
+    scope: CancelScope
 
 
 class AllowedKeys:
@@ -164,35 +172,42 @@
             server_key = address.public_key or self.keys.public_key
             socket.curve_serverkey = server_key.encode()
         socket.connect(f"tcp://{address.host}:{address.port}")
-        connection = Connection(peer, address, socket, current_time())
+        connection = Connection(peer, address, socket, current_time(), CancelScope())
         self.connections_by_vm[peer] = connection
         self.tasks.start_soon(self.serve_peer, connection)
         return connection
 
     def disconnect(self, peer: str) -> None:
-        """Close the socket to a peer; its task ends with it."""
+        """End the task of the connection to a peer."""
         connection = self.connections_by_vm.pop(peer, None)
         if connection is not None:
-            connection.socket.close()
+            connection.scope.cancel()
 
     async def serve_peer(self, connection: Connection) -> None:
-        """Receive the replies of one peer until its connection is idle or closed."""
-        socket = connection.socket
-        while not socket.closed:
+        """Receive the replies of one peer until its connection is idle or ended."""
+        try:
+            with connection.scope:
+                await self.receive_replies(connection)
+        finally:
+            connection.socket.close()
+        if self.connections_by_vm.get(connection.peer) is connection:
+            del self.connections_by_vm[connection.peer]
+
+    async def receive_replies(self, connection: Connection) -> None:
+        """Receive the replies of one peer until its connection is idle."""
+        while True:
             frame = None
             with move_on_after(PEER_IDLE_S):
                 try:
-                    frame = await socket.recv()
+                    frame = await connection.socket.recv()
                 except zmq.ZMQError:
-                    break
+                    return
             if frame is not None:
                 envelope = self.open_frame(frame, None)
                 if envelope is not None and envelope.reply_to:
                     self.accept_reply(envelope)
             elif current_time() - connection.used_at >= PEER_IDLE_S:
-                break
-        if self.connections_by_vm.get(connection.peer) is connection:
-            self.disconnect(connection.peer)
+                return
 
     async def serve_router(self, router: Socket) -> None:
         """Receive messages of all peers and run their handlers."""
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -296,9 +296,12 @@
             header_limit_bytes=HEADER_LIMIT_BYTES,
         ) as port:
             events.emit(ENTRY_STARTED, port=port)
-            yield port
-            readiness.stopping = True
-            events.emit(ENTRY_STOPPING)
+            try:
+                yield port
+            finally:
+                # Also when another service has failed and the process ends.
+                readiness.stopping = True
+                events.emit(ENTRY_STOPPING)
             with CancelScope(shield=True):
                 await sleep(LISTEN_SHARE * stop_limit_s)
     events.emit(ENTRY_STOPPED)
--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -26,6 +26,9 @@
 DAEMON_STARTED = define_event(100, "daemon-started", "A daemon serves callers.")
 DAEMON_DRAINING = define_event(101, "daemon-draining", "A daemon began its stop.")
 DAEMON_STOPPED = define_event(102, "daemon-stopped", "A daemon has stopped.")
+PROCESS_CRASHED = define_event(
+    103, "process-crashed", "An unexpected error of a task ends the process."
+)
 CLOCK_PROBE_SENT = define_event(
     110, "clock-probe-sent", "A probe was sent, which dates the clocks of two VMs."
 )
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -129,8 +129,11 @@
     async with create_task_group() as tasks:
 
         async def run() -> None:
-            await serve(running, config, shutdown_trigger=stop.wait)  # type: ignore
-            stopped.set()
+            try:
+                await serve(running, config, shutdown_trigger=stop.wait)  # type: ignore
+            finally:
+                # Also after a cancellation, which nobody should wait out.
+                stopped.set()
 
         idle = config.idle_connections  # type: ignore[attr-defined]
 
