Let requests wait for the first view of a VM that has just started

Ruled out: a later listener, since callers then fail to connect. Change: a request waits at most 0.4 s for the first view, and not at all while the store does not answer. Event 1117 names why a request may not go to a further target.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -126,3 +126,13 @@
     When the VM is stopped while callers send GET /lookup/1
     Then no request was cut
     And the VM was not ready as soon as its stop began
+
+  Scenario: A request that meets a VM just after its start waits for its first view
+    Given an entry VM that starts anew while its store takes 0.05 s for an answer
+    When a caller sends GET /lookup/1
+    Then the caller gets 200 and the whole body
+
+  Scenario: A request is refused at once by a VM that started while the store is away
+    Given an entry VM whose store is away
+    When a caller sends GET /lookup/1
+    Then the caller gets 503 after 0 to 0.3 s
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -60,6 +60,22 @@
     context.portal.call(fleet.add_entry, "vm1")
 
 
+@given("an entry VM that starts anew while its store takes {seconds:g} s for an answer")
+def step_slow_start(context, seconds):
+    fleet = start_fleet(context)
+    fleet.store.faults.delay_s = seconds
+
+    async def run():
+        await fleet.add_entry_target("t1")
+        # The object of its earlier start.
+        own = {"name": "vm1", "host": "127.0.0.1", "port": 1}
+        place = {"data_center": "a", "region": "r"}
+        fleet.store.write("primroseturn-vms/vm1", {**own, **place})
+        await fleet.add_entry("vm1")
+
+    context.portal.call(run)
+
+
 @given("its answers have {size:d} bytes")
 def step_size(context, size):
     for target in context.entries.entry_targets_by_id.values():
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -5,7 +5,13 @@
 from random import Random
 from typing import Any
 
-from anyio import CancelScope, current_time, get_cancelled_exc_class, sleep
+from anyio import (
+    CancelScope,
+    current_time,
+    get_cancelled_exc_class,
+    move_on_after,
+    sleep,
+)
 from hypercorn.utils import UnexpectedMessageError
 
 from primroseturn.clock import time_since_boot
@@ -42,6 +48,10 @@
 
 # Time in seconds in which a VM without fresh keys or targets expects to get them.
 REFRESH_S = 0.5
+# Longest time in seconds that a request waits for the first view of a VM that has just
+# started, which the store or another VM gives within some tenths of a second.
+FIRST_VIEW_WAIT_S = 0.4
+FIRST_VIEW_INTERVAL_S = 0.02
 # Statuses of refusals; the platform takes the first two as "not run".
 NOT_NOW, OVER_RATE = 503, 429
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
@@ -57,12 +67,14 @@
         quota: FleetQuota,
         events: EventLog,
         is_stopping: Callable[[], bool],
+        reaches_store: Callable[[], bool],
     ) -> None:
         self.view = view
         self.forwarder = forwarder
         self.quota = quota
         self.events = events
         self.is_stopping = is_stopping
+        self.reaches_store = reaches_store
         self.random = Random()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -74,6 +86,7 @@
         sender = closing_sender(send, self.is_stopping)
         request: EntryRequest | None = None
         try:
+            await self.wait_first_view()
             request = self.admit(scope, headers, body)
             await self.check_rate(request)
             await self.serve(request, sender)
@@ -100,6 +113,12 @@
             with suppress(UnexpectedMessageError):
                 await send_refusal(sender, refusal)
 
+    async def wait_first_view(self) -> None:
+        """Wait for the first view of a VM that has just started and may get it soon."""
+        with move_on_after(FIRST_VIEW_WAIT_S):
+            while not self.view.is_known() and self.reaches_store():
+                await sleep(FIRST_VIEW_INTERVAL_S)
+
     def admit(
         self, scope: dict[str, Any], headers: HeaderList, body: RequestBody
     ) -> EntryRequest:
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -37,6 +37,9 @@
 INTERNAL_ERROR = define_event(
     1116, "entry-internal-error", "An unexpected error ended a request."
 )
+ATTEMPT_DENIED = define_event(
+    1117, "entry-attempt-denied", "A request may not be sent to a further target."
+)
 ENTRY_STARTED = define_event(1120, "entry-started", "The VM serves callers.")
 ENTRY_STOPPING = define_event(1121, "entry-stopping", "The VM began its stop.")
 ENTRY_STOPPED = define_event(1122, "entry-stopped", "The VM has stopped.")
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -14,7 +14,7 @@
 from primroseturn.entry.attempt import Attempt, AttemptEnd, AttemptResult, RAN_ENDS
 from primroseturn.entry.connections import TargetPools
 from primroseturn.entry.digests import DigestExchange
-from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_ENDED
+from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_DENIED, ATTEMPT_ENDED
 from primroseturn.entry.request import EntryRequest
 from primroseturn.observation.events import EventLog
 from primroseturn.retries.arrivals import ArrivalBudget
@@ -119,12 +119,17 @@
             The failed attempt; None for a second attempt beside a late one.
         """
         unsent = last is not None and last.end is AttemptEnd.UNREACHABLE
-        if not unsent and len(request.tried) >= request.route.attempt_limit:
-            return False
         useful_s = USEFUL_SHARE * self.placement.usual_s(request.work)
-        if request.left_s() < useful_s:
-            return False
-        return unsent or self.budget.take(request.service, now)
+        if not unsent and len(request.tried) >= request.route.attempt_limit:
+            reason = f"the route allows {request.route.attempt_limit} targets"
+        elif request.left_s() < useful_s:
+            reason = f"{request.left_s():.3f} s are left and {useful_s:.3f} s needed"
+        elif not unsent and not self.budget.take(request.service, now):
+            reason = self.budget.explain(request.service, now)
+        else:
+            return True
+        self.events.emit(ATTEMPT_DENIED, reason=reason, **request.log_fields())
+        return False
 
     def note_repeat(self, request: EntryRequest, choice: Choice, reason: str) -> None:
         """Log a further attempt."""
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -87,7 +87,7 @@
         """Register this VM and list all of them again and again."""
         values = await self.list_vms()
         known = [value.name for value in values]
-        if known and known != [self.fleet.own.name]:
+        if known:
             self.use_vms(self.read_vms(values))
         await self.register(self.fleet.own.name in known)
         if not self.fleet.listed:
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -284,8 +284,14 @@
             events,
             lambda request: application.may_run(request),
         )
+        contact = kernel.find("follower").contact
         application = EntryApplication(
-            view, forwarder, kernel.find("quota"), events, lambda: readiness.stopping
+            view,
+            forwarder,
+            kernel.find("quota"),
+            events,
+            is_stopping=lambda: readiness.stopping,
+            reaches_store=lambda: contact.lost_at is None,
         )
         async with serve_application(
             application,
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -70,6 +70,10 @@
         if self.confirmed_at is None or asked_at > self.confirmed_at:
             self.confirmed_at = asked_at
 
+    def is_known(self) -> bool:
+        """Return whether there are a confirmed configuration and targets."""
+        return self.confirmed_at is not None and bool(self.targets_by_id)
+
     def age_s(self, now: float) -> float:
         """Return the age of the last confirmation in seconds."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
--- a/primroseturn/retries/arrivals.py
+++ b/primroseturn/retries/arrivals.py
@@ -57,6 +57,14 @@
         allowed = self.ratio * len(arrivals.requests) + self.extra / self.fleet_size
         return allowed - len(arrivals.repeats)
 
+    def explain(self, service: str, now: float) -> str:
+        """Return what is left of this VM's part of the budget, and of what."""
+        arrivals = self.arrivals_of(service, now)
+        return (
+            f"{len(arrivals.repeats)} repeats of {len(arrivals.requests)} requests "
+            f"within {self.window_s:g} s leave {self.left(service, now):.1f}"
+        )
+
     def take(self, service: str, now: float) -> bool:
         """Count a repeat if the budget has one left."""
         if self.left(service, now) < 1.0:
