--- a/features/entry_target.py
+++ b/features/entry_target.py
@@ -40,6 +40,10 @@
         self.cut_runs: list[str] = []
         self.port = 0
 
+    def body_of(self, attempt: str) -> bytes:
+        """Return the whole body of the answer to an attempt."""
+        return self.body
+
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve the requests of one connection."""
         state = h11.Connection(h11.SERVER)
@@ -117,36 +121,37 @@
         """Send the answer of a request that ran."""
         good = [("attempt-id", attempt), ("response-signature", f"s-{attempt}")]
         load = ("instance-load", "1,0,6")
+        body = self.body_of(attempt)
         if mode == "reset":
             return False
         if mode == "error":
             await self.send(stream, state, 500, [*good, load], b"failed")
         elif mode == "unsigned":
-            await self.send(stream, state, 200, good[:1], self.body)
+            await self.send(stream, state, 200, good[:1], body)
         elif mode == "encoded":
             extra = [("content-encoding", "gzip")]
-            await self.send(stream, state, 200, [*good, *extra], self.body)
+            await self.send(stream, state, 200, [*good, *extra], body)
         elif mode == "garbage":
             await stream.send(b"\x00\x01 not http\r\n\r\n")
             return False
         elif mode == "cut":
-            head = answer_bytes(200, good, len(self.body) + 10)
-            await stream.send(head + self.body)
+            head = answer_bytes(200, good, len(body) + 10)
+            await stream.send(head + body)
             return False
         elif mode == "unframed":
             head = b"HTTP/1.1 200 OK\r\n" + header_bytes(good) + b"\r\n"
-            await stream.send(head + self.body)
+            await stream.send(head + body)
             return False
         elif mode == "foreign-first":
             foreign = [("attempt-id", "another"), ("response-signature", "s-x")]
             await stream.send(answer_bytes(200, foreign, 5) + b"other")
-            await self.send(stream, state, 200, [*good, load], self.body)
+            await self.send(stream, state, 200, [*good, load], body)
         elif mode == "extra-after":
-            await self.send(stream, state, 200, [*good, load], self.body)
+            await self.send(stream, state, 200, [*good, load], body)
             foreign = [("attempt-id", attempt), ("response-signature", "s-x")]
             await stream.send(answer_bytes(200, foreign, 5) + b"other")
         else:
-            await self.send(stream, state, 200, [*good, load], self.body)
+            await self.send(stream, state, 200, [*good, load], body)
         return True
 
     async def send(self, stream, state, status, headers, body: bytes) -> None:
--- /dev/null
+++ b/features/soak/broken.py
@@ -0,0 +1,76 @@
+"""A VM with one mechanism taken out: python -m features.soak.broken NAME.
+
+Each variant must be caught by the soak's check of the promise that it breaks.
+"""
+
+import runpy
+import sys
+from collections.abc import Callable
+
+from primroseturn.entry import application, attempt, forwarding
+from primroseturn.entry.following import StoreFollower
+from primroseturn.entry.view import FleetView
+from primroseturn.limits.quota import FleetQuota
+
+Variant = Callable[[], None]
+variants_by_name: dict[str, Variant] = {}
+
+
+def variant(function: Variant) -> Variant:
+    """Add a variant under the name of the promise that it breaks."""
+    variants_by_name[function.__name__] = function
+    return function
+
+
+@variant
+def at_most_once() -> None:
+    forwarding.RAN_ENDS = frozenset((attempt.AttemptEnd.ANSWERED,))
+
+
+@variant
+def true_refusals() -> None:
+    application.BAD_GATEWAY = application.GATEWAY_TIMEOUT = 503
+
+
+@variant
+def whole_answers() -> None:
+    attempt.Attempt.check_head = lambda self, head: head
+
+
+@variant
+def withdrawn_keys() -> None:
+    FleetView.knows_keys = lambda self, now: True
+
+
+@variant
+def rates() -> None:
+    FleetQuota.admit = lambda self, name, now, again=False: 0.0
+
+
+@variant
+def leaving_targets() -> None:
+    learn = FleetView.learn_targets
+
+    def keep(self, targets_by_id, revision):
+        staying = {k: t._replace(leaving=False) for k, t in targets_by_id.items()}
+        learn(self, staying, revision)
+
+    FleetView.learn_targets = keep
+
+
+@variant
+def newest_configuration() -> None:
+    use = StoreFollower.use_configuration
+
+    def use_first(self, spec, asked_at):
+        if self.view.configuration is None:
+            return use(self, spec, asked_at)
+        self.view.confirm(self.view.version, asked_at)
+        return True
+
+    StoreFollower.use_configuration = use_first
+
+
+if __name__ == "__main__":
+    variants_by_name[sys.argv[1]]()
+    runpy.run_module("primroseturn.entry", run_name="__main__")
--- /dev/null
+++ b/features/soak/faults.py
@@ -0,0 +1,213 @@
+"""Faults that a soak injects from outside, each for a drawn time."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from anyio import create_task_group, current_time, sleep
+from httpx import HTTPError
+
+from features.soak.fleet import LOOPBACK, SoakFleet
+from features.soak.target import CONTROL_PATH
+from primroseturn.standins.relay import Relay
+
+Fault = Callable[[SoakFleet, Random, float], Awaitable[None]]
+faults_by_name: dict[str, Fault] = {}
+# Pause in seconds between two faults; they overlap.
+GAP_S = (0.2, 1.2)
+LASTS_S = (0.3, 3.5)
+# Longer than a withdrawn key may work.
+CUT_S = 7.0
+TARGET_MODES = (
+    "error", "reset", "cut", "hang", "unsigned", "garbage", "foreign-first",
+    "extra-after", "full",
+)  # fmt: skip
+
+
+def fault(function: Fault) -> Fault:
+    """Add a fault under its name."""
+    faults_by_name[function.__name__] = function
+    return function
+
+
+async def inject(fleet: SoakFleet, random: Random, until: float) -> None:
+    """Start faults at drawn times until a monotonic time, then wait for their ends."""
+    async with create_task_group() as tasks:
+        while current_time() < until:
+            name = random.choice(sorted(faults_by_name))
+            lasts_s = min(random.uniform(*LASTS_S), max(0.1, until - current_time()))
+            print(f"  {current_time():.2f} {name} {lasts_s:.1f} s", flush=True)
+            tasks.start_soon(faults_by_name[name], fleet, random, lasts_s)
+            await sleep(random.uniform(*GAP_S))
+
+
+def some_vms(fleet: SoakFleet, random: Random):
+    """Return one VM or a few."""
+    vms = list(fleet.vms_by_name.values())
+    return random.sample(vms, random.choice((1, 1, 2, len(vms) // 2)))
+
+
+@fault
+async def kill_vms(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    for vm in some_vms(fleet, random):
+        await fleet.kill(vm)
+
+
+@fault
+async def kill_all(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    if random.random() < 0.3:
+        async with create_task_group() as tasks:
+            for vm in fleet.vms_by_name.values():
+                tasks.start_soon(fleet.kill, vm)
+
+
+@fault
+async def stop_vms(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    for vm in some_vms(fleet, random):
+        fleet.tasks.start_soon(fleet.stop, vm)
+        await sleep(random.uniform(0.0, 0.5))
+
+
+@fault
+async def pause_vms(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    async with create_task_group() as tasks:
+        for vm in some_vms(fleet, random):
+            tasks.start_soon(fleet.pause, vm, random.choice((lasts_s, 6.0)))
+
+
+@fault
+async def reload_vms(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    for vm in some_vms(fleet, random):
+        fleet.reload(vm)
+
+
+async def disturb_relay(relay: Relay, random: Random, lasts_s: float) -> None:
+    """Delay, reset, cut one way, or silence the connections of a proxy."""
+    kind = random.choice(("delay", "reset", "requests", "answers", "silent"))
+    if kind == "delay":
+        relay.delay_s = random.uniform(0.05, 0.5)
+    elif kind == "reset":
+        await relay.reset()
+    elif kind == "silent":
+        relay.silence()
+    else:
+        relay.lost_ways = frozenset((kind,))
+    await sleep(lasts_s)
+    relay.delay_s, relay.lost_ways = 0.0, frozenset()
+
+
+@fault
+async def cut_vms_from_store(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    async with create_task_group() as tasks:
+        for vm in some_vms(fleet, random):
+
+            async def cut(vm=vm) -> None:
+                async with fleet.disturb(vm.name):
+                    await disturb_relay(vm.store, random, lasts_s)
+
+            tasks.start_soon(cut)
+
+
+@fault
+async def withdraw_behind_cut(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    """Withdraw a key while no VM reaches the store, longer than keys may be used."""
+    vms = list(fleet.vms_by_name.values())
+    async with fleet.disturb(*(vm.name for vm in vms)):
+        for vm in vms:
+            vm.store.lost_ways = frozenset(("requests", "answers"))
+        await change_keys(fleet, random, lasts_s)
+        await sleep(CUT_S)
+        for vm in vms:
+            vm.store.lost_ways = frozenset()
+
+
+@fault
+async def cut_targets(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    targets = random.sample(list(fleet.targets_by_id.values()), 2)
+    async with fleet.disturb("targets"), create_task_group() as tasks:
+        for target in targets:
+            tasks.start_soon(disturb_relay, target.relay, random, lasts_s)
+
+
+async def set_mode(fleet: SoakFleet, port: int, mode: str, share: float) -> None:
+    """Tell a target which part of its requests fails."""
+    url = f"http://{LOOPBACK}:{port}{CONTROL_PATH}?mode={mode}&share={share}"
+    try:
+        await fleet.http.get(url, headers={"Connection": "close"})
+    except HTTPError as error:
+        print(f"  the target at {port} took no mode: {type(error).__name__}")
+
+
+@fault
+async def gray_targets(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    targets = random.sample(list(fleet.targets_by_id.values()), 3)
+    async with fleet.disturb("targets"):
+        for target in targets:
+            mode, share = random.choice(TARGET_MODES), random.choice((0.2, 0.6, 1.0))
+            await set_mode(fleet, target.port, mode, share)
+        await sleep(lasts_s)
+        for target in targets:
+            await set_mode(fleet, target.port, "ok", 0.0)
+
+
+@fault
+async def replace_target(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    old = random.choice(list(fleet.targets_by_id.values()))
+    async with fleet.disturb("store-writes"):
+        await fleet.add_target(old.service)
+        del fleet.targets_by_id[old.id]
+        await fleet.list_target(old, "draining")
+        fleet.history.left_at_by_target[old.id] = current_time()
+        await sleep(2.5)
+        await fleet.write("servers", old.id, None)
+    # It serves a little longer, as the platform's targets do.
+    await sleep(0.5)
+    assert old.process is not None
+    old.process.kill()
+
+
+async def disturb_store(fleet: SoakFleet, lasts_s: float, **faults) -> None:
+    """Let the store misbehave for some time."""
+    async with fleet.disturb("store"):
+        await fleet.set_store(**faults)
+        await sleep(lasts_s)
+        await fleet.set_store()
+
+
+@fault
+async def store_away(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    lasts_s = random.choice((lasts_s, 6.5))
+    await disturb_store(fleet, lasts_s, outage=True)
+
+
+@fault
+async def store_slow(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    await disturb_store(fleet, lasts_s, delay_s=random.uniform(0.05, 0.6))
+
+
+@fault
+async def store_loses_answers(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    shares = {"lost_answer_share": 0.3, "late_share": random.choice((0.0, 0.3))}
+    await disturb_store(fleet, lasts_s, **shares)
+
+
+@fault
+async def store_silent_watches(
+    fleet: SoakFleet, random: Random, lasts_s: float
+) -> None:
+    await disturb_store(fleet, lasts_s, silent_watches=True)
+
+
+@fault
+async def change_keys(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    name = random.choice(sorted(fleet.keys_by_workspace))
+    fleet.keys_by_workspace[name] = [f"{name}-{next(fleet.numbers)}"]
+    await fleet.publish()
+
+
+@fault
+async def move_routes(fleet: SoakFleet, random: Random, lasts_s: float) -> None:
+    for _ in range(random.choice((1, 1, 4))):
+        kind = random.choice(("lookup", "order"))
+        now = fleet.services_by_kind[kind]
+        fleet.services_by_kind[kind] = "docs" if now == "core" else "core"
+        await fleet.publish()
--- a/primroseturn/standins/relay.py
+++ b/primroseturn/standins/relay.py
@@ -29,6 +29,11 @@
     cut_requests
         Whether a request is cut off: the target gets its bytes and the connection
         is closed before the answer.
+    delay_s
+        Time in seconds that bytes take on their way, in each direction.
+    lost_ways
+        Directions ("requests", "answers") in which nothing is carried, as by a cut that
+        closes no connection.
     late_bytes, late_after_s
         Sent to the daemon after the next answer, as a desynchronised target does,
         and the time between.
@@ -39,6 +44,8 @@
         self.connection_limit = connection_limit
         self.accepted = 0
         self.cut_requests = False
+        self.delay_s = 0.0
+        self.lost_ways: frozenset[str] = frozenset()
         self.late_bytes = b""
         self.late_after_s = 0.0
         self.open: set[SocketStream] = set()
@@ -49,6 +56,11 @@
         """Carry nothing any more on the connections that are open now."""
         self.silent |= self.open
 
+    async def reset(self) -> None:
+        """Close all open connections at once."""
+        for caller in list(self.open):
+            await caller.aclose()
+
     async def carry(self, caller: SocketStream) -> None:
         """Carry one connection until either side closes it."""
         self.accepted += 1
@@ -77,7 +89,8 @@
         with suppress(EndOfStream, BrokenResourceError, ClosedResourceError):
             while True:
                 data = await caller.receive(READ_BYTES)
-                if caller not in self.silent:
+                await sleep(self.delay_s)
+                if caller not in self.silent and "requests" not in self.lost_ways:
                     await target.send(data)
         with suppress(BrokenResourceError, ClosedResourceError, OSError):
             await target.send_eof()
@@ -89,7 +102,8 @@
                 data = await target.receive(READ_BYTES)
                 if self.cut_requests:
                     return
-                if caller in self.silent:
+                await sleep(self.delay_s)
+                if caller in self.silent or "answers" in self.lost_ways:
                     continue
                 late, self.late_bytes = self.late_bytes, b""
                 if late and self.late_after_s:
