End all processes of a soak with it, and choose its faults by name

Cause: a soak that a signal ended, or that replaced a target shortly before its end, left processes behind (5 targets, ended by their ids). The fault that withdraws a key behind a cut was drawn too seldom to show a VM that trusts keys for ever. Ruled out: a longer soak for each variant. A stopped soak says nothing of its recovery. After a SIGTERM no process is left.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -6,14 +6,23 @@
 from math import inf
 from pathlib import Path
 from random import Random
+from signal import SIGINT, SIGTERM
 from tempfile import mkdtemp
 from time import monotonic
+from typing import NamedTuple
 
-from anyio import create_task_group, current_time, fail_after, run, sleep
+from anyio import (
+    create_task_group,
+    current_time,
+    fail_after,
+    open_signal_receiver,
+    run,
+    sleep,
+)
 
 from features.soak.broken import variants_by_name
 from features.soak.callers import Caller
-from features.soak.faults import inject
+from features.soak.faults import faults_by_name, inject
 from features.soak.fleet import CENTERS, run_soak_fleet, SoakFleet
 from features.soak.history import History
 from features.soak.promises import find_broken
@@ -29,20 +38,55 @@
 LEAST_SERVED_SHARE = 0.25
 
 
-async def soak(seed: int, seconds: float, vms: int, program: list[str]) -> list[str]:
+class Plan(NamedTuple):
+    """What one soak plays.
+
+    Attributes
+    ----------
+    seconds
+        Time in which faults begin.
+    program
+        Module that the VMs run, with its arguments.
+    """
+
+    seed: int
+    seconds: float
+    vms: int
+    program: list[str]
+    faults: list[str]
+
+
+async def soak(plan: Plan) -> list[str]:
+    """Run one soak and return what it broke; a SIGTERM ends it and its processes."""
+    found: list[str] = ["stopped by a signal"]
+    with open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async with create_task_group() as tasks:
+
+            async def stop_on_signal() -> None:
+                async for _ in signals:
+                    tasks.cancel_scope.cancel()
+
+            tasks.start_soon(stop_on_signal)
+            found = await play(plan)
+            tasks.cancel_scope.cancel()
+    return found
+
+
+async def play(plan: Plan) -> list[str]:
     """Run one soak and return what it broke."""
+    seed = plan.seed
     directory = Path(mkdtemp(prefix=f"soak-{seed}-"))
     print(f"seed {seed}: logs in {directory}", flush=True)
-    async with run_soak_fleet(directory, seed, program) as fleet:
-        await fill(fleet, vms)
-        faults_until = current_time() + seconds
+    async with run_soak_fleet(directory, seed, plan.program) as fleet:
+        await fill(fleet, plan.vms)
+        faults_until = current_time() + plan.seconds
         calls_until = faults_until + RECOVERY_S
         broken: list[str] = []
         async with create_task_group() as tasks:
             for number in range(CALLERS):
                 caller = Caller(fleet, number, seed)
                 tasks.start_soon(caller.call_until, calls_until)
-            tasks.start_soon(inject, fleet, Random(seed), faults_until)
+            tasks.start_soon(inject, fleet, Random(seed), faults_until, plan.faults)
             while current_time() < calls_until and not broken:
                 await sleep(CHECK_INTERVAL_S)
                 broken = find_broken(fleet.history)
@@ -51,7 +95,8 @@
         # Work that was refused must not run later either.
         await sleep(1.0)
         broken = find_broken(fleet.history)
-        broken += find_unserved(fleet.history, calls_until - CALM_S)
+        if current_time() > calls_until:
+            broken += find_unserved(fleet.history, calls_until - CALM_S)
         report(fleet.history, broken)
         return broken
 
@@ -106,15 +151,16 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--vms", type=int, default=VMS)
     parser.add_argument("--broken", choices=sorted(variants_by_name))
+    names = sorted(faults_by_name)
+    parser.add_argument("--faults", nargs="*", choices=names, default=names)
     options = parser.parse_args()
     fresh = Random(monotonic())
     seeds = options.seeds or [fresh.randrange(10**6) for _ in range(options.count)]
     program = ["primroseturn.entry"]
     if options.broken:
         program = ["features.soak.broken", options.broken]
-    failed = [
-        seed for seed in seeds if run(soak, seed, options.seconds, options.vms, program)
-    ]
+    rest = (options.seconds, options.vms, program, options.faults)
+    failed = [seed for seed in seeds if run(soak, Plan(seed, *rest))]
     print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds held; failed: {failed}")
     sys.exit(1 if failed else 0)
 
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -29,11 +29,13 @@
     return function
 
 
-async def inject(fleet: SoakFleet, random: Random, until: float) -> None:
-    """Start faults at drawn times until a monotonic time, then wait for their ends."""
+async def inject(
+    fleet: SoakFleet, random: Random, until: float, names: list[str]
+) -> None:
+    """Start the named faults at drawn times, then wait for their ends."""
     async with create_task_group() as tasks:
         while current_time() < until:
-            name = random.choice(sorted(faults_by_name))
+            name = random.choice(sorted(names))
             lasts_s = min(random.uniform(*LASTS_S), max(0.1, until - current_time()))
             print(f"  {current_time():.2f} {name} {lasts_s:.1f} s", flush=True)
             tasks.start_soon(faults_by_name[name], fleet, random, lasts_s)
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -13,7 +13,14 @@
 from subprocess import DEVNULL
 from typing import Any
 
-from anyio import create_task_group, current_time, fail_after, open_process, sleep
+from anyio import (
+    CancelScope,
+    create_task_group,
+    current_time,
+    fail_after,
+    open_process,
+    sleep,
+)
 from anyio.abc import Process, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 from httpx import AsyncClient, HTTPError
@@ -118,7 +125,8 @@
         self.targets_by_id: dict[str, SoakTargetProcess] = {}
         self.numbers = count(1)
         self.store_port = 0
-        self.store_process: Process | None = None
+        # All that were started, also those that were replaced meanwhile.
+        self.processes: list[Process] = []
         self.http = AsyncClient(trust_env=False, timeout=STORE_LIMIT_S)
         self.keys_by_workspace = {"shop": ["shop-1"], "bench": ["bench-1"]}
         self.keys_by_workspace["small"] = ["small-1"]
@@ -147,11 +155,17 @@
             for span in spans:
                 self.close_span(span)
 
+    async def open(self, command: list[str], **options: Any) -> Process:
+        """Start a process that ends with the soak at the latest."""
+        process = await open_process(command, **options)
+        self.processes.append(process)
+        return process
+
     async def run_store(self) -> None:
         """Start the stand-in of the store."""
         command = [sys.executable, "-m", "primroseturn", "standin", "store"]
-        self.store_process = await open_process(command, stdin=None, stderr=DEVNULL)
-        output = BufferedByteReceiveStream(self.store_process.stdout)
+        process = await self.open(command, stdin=None, stderr=DEVNULL)
+        output = BufferedByteReceiveStream(process.stdout)
         with fail_after(START_LIMIT_S):
             line = await output.receive_until(b"\n", LINE_BYTES)
         self.store_port = int(line.split()[-1])
@@ -198,7 +212,7 @@
         """Start a target, list it and keep its entry alive."""
         target_id = f"{service}-{next(self.numbers)}"
         command = [sys.executable, "-m", "features.soak.target", target_id, service]
-        process = await open_process(command, stdin=None, stderr=None)
+        process = await self.open(command, stdin=None, stderr=None)
         output = BufferedByteReceiveStream(process.stdout)
         with fail_after(START_LIMIT_S):
             port = int(await output.receive_until(b"\n", LINE_BYTES))
@@ -259,7 +273,7 @@
                 vm.stopped = False
                 command = [sys.executable, "-m", *self.program]
                 span = self.open_span(vm.name)
-                vm.process = await open_process(
+                vm.process = await self.open(
                     command, stdin=None, stdout=log, stderr=log, env=environment
                 )
                 self.tasks.start_soon(self.note_ready, vm, vm.start, span)
@@ -370,10 +384,8 @@
     async def end(self) -> None:
         """End all processes at once."""
         self.ending = True
-        processes = [vm.process for vm in self.vms_by_name.values()]
-        processes += [target.process for target in self.targets_by_id.values()]
-        for process in [*processes, self.store_process]:
-            if process is not None and process.returncode is None:
+        for process in self.processes:
+            if process.returncode is None:
                 process.send_signal(SIGKILL)
                 await process.wait()
         await self.http.aclose()
@@ -391,5 +403,6 @@
             await fleet.run_store()
             yield fleet
         finally:
-            await fleet.end()
+            with CancelScope(shield=True):
+                await fleet.end()
             tasks.cancel_scope.cancel()
