--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -143,3 +143,9 @@
     Given an entry VM whose store is away
     When a caller sends GET /lookup/1
     Then the caller gets 503 after 0 to 0.3 s
+
+  Scenario: A split route keeps its weights, also while a part has no room
+    Given an entry VM with 2 targets of which the first answers "full"
+    And a route that splits 3 to 1 between the services of the two
+    When a caller sends 200 times GET /split/1
+    Then 0.55 to 0.95 of the requests were refused and the others got 200
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 from httpx import HTTPError
 
-from features.entry_fleet import run_entry_fleet
+from features.entry_fleet import route, run_entry_fleet
 
 
 def start_fleet(context):
@@ -98,6 +98,36 @@
     context.portal.call(run)
 
 
+@given("a route that splits {first:d} to {second:d} between the services of the two")
+def step_split(context, first, second):
+    fleet = context.entries
+    view = fleet.kernels_by_vm["vm1"].find("view")
+
+    async def run():
+        fleet.list_target("t1", service="full-part")
+        fleet.list_target("t2", service="free-part")
+        parts = [("full-part", first), ("free-part", second)]
+        split = [{"service": name, "weight": weight} for name, weight in parts]
+        item = route("split", "/split/", "idempotent", traffic_split=split)
+        del item["service"]
+        fleet.configuration["virtual_hosts"][0]["paths"].append(item)
+        fleet.publish()
+        with fail_after(5.0):
+            while f"r{view.version}" != fleet.configuration["version"] or (
+                view.targets_by_id["t1"].service != "full-part"
+            ):
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+@then("{least:g} to {most:g} of the requests were refused and the others got 200")
+def step_refused_share(context, least, most):
+    statuses = [response.status_code for response in context.responses]
+    assert set(statuses) == {200, 503}, set(statuses)
+    assert least <= statuses.count(503) / len(statuses) <= most, statuses.count(503)
+
+
 @given("its work takes {seconds:g} s")
 def step_work(context, seconds):
     for target in context.entries.entry_targets_by_id.values():
