Stop the soak at the first signal

Cause: a SIGTERM ended the running seed and the soak went on with the next one. Ruled out: raising SystemExit in the task that reads signals; it prints a trace. Change: a soak that a signal ended returns nothing, and the program exits with 1. Conclusion: test code only.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -59,9 +59,9 @@
     faults: list[str]
 
 
-async def soak(plan: Plan) -> list[str]:
-    """Run one soak and return what it broke; a SIGTERM ends it and its processes."""
-    found: list[str] = ["stopped by a signal"]
+async def soak(plan: Plan) -> list[str] | None:
+    """Run one soak and return what it broke, or None if a signal has ended it."""
+    found: list[str] | None = None
     with open_signal_receiver(SIGTERM, SIGINT) as signals:
         async with create_task_group() as tasks:
 
@@ -167,7 +167,13 @@
     if options.broken:
         program = ["features.soak.broken", options.broken]
     rest = (options.seconds, options.vms, program, options.faults)
-    failed = [seed for seed in seeds if run(soak, Plan(seed, *rest))]
+    failed = []
+    for seed in seeds:
+        broken = run(soak, Plan(seed, *rest))
+        if broken is None:
+            sys.exit(f"seed {seed} was stopped by a signal")
+        if broken:
+            failed.append(seed)
     print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds held; failed: {failed}")
     sys.exit(1 if failed else 0)
 
