Let the relay wait only when a delay is set

Cause: the relay of the scenarios gave up its turn for each part of a stream, also without a delay, which features/once.feature:41 might have shown beside load. Change: no wait without a delay.

--- a/primroseturn/standins/relay.py
+++ b/primroseturn/standins/relay.py
@@ -89,7 +89,8 @@
         with suppress(EndOfStream, BrokenResourceError, ClosedResourceError):
             while True:
                 data = await caller.receive(READ_BYTES)
-                await sleep(self.delay_s)
+                if self.delay_s:
+                    await sleep(self.delay_s)
                 if caller not in self.silent and "requests" not in self.lost_ways:
                     await target.send(data)
         with suppress(BrokenResourceError, ClosedResourceError, OSError):
@@ -102,7 +103,8 @@
                 data = await target.receive(READ_BYTES)
                 if self.cut_requests:
                     return
-                await sleep(self.delay_s)
+                if self.delay_s:
+                    await sleep(self.delay_s)
                 if caller in self.silent or "answers" in self.lost_ways:
                     continue
                 late, self.late_bytes = self.late_bytes, b""
