List scenarios in which an error of a background task cancels callers

Each scenario breaks one background task of an entry VM while a caller waits for work that must not repeat.

--- /dev/null
+++ b/features/steps/background_tasks.py
@@ -0,0 +1,258 @@
+"""Steps for errors in the background tasks of an entry VM."""
+
+import json
+import os
+from asyncio import CancelledError
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+from time import monotonic, sleep as sleep_blocking
+from typing import NamedTuple
+
+from anyio import create_task_group, current_time, fail_after, sleep
+from behave import given, then, when
+from httpx import get, HTTPError
+
+from features.entry_fleet import EntryFleet
+from features.steps.entry_process import start_process, WAIT_S
+from primroseturn.entry.process import ENTRY_SERVICES
+from primroseturn.kernel.kernel import Kernel, run_kernel
+from primroseturn.kernel.registry import entries_by_name, service
+from primroseturn.requestpath.pool import TargetPool
+from primroseturn.serving.idle import IdleConnections
+
+ERROR_TEXT = "broken part"
+# Time before the error comes, in which the caller's request reaches its target.
+SENT_S = 0.1
+
+
+class Part(NamedTuple):
+    """A method that a background task calls.
+
+    Attributes
+    ----------
+    service
+        Name of the service that has it, or the class.
+    """
+
+    service: str | type
+    method: str
+
+
+parts_by_name = {
+    "the question for the configuration": Part("follower", "ask_configuration"),
+    "the watch of the targets": Part("follower", "watch_targets"),
+    "the list of VMs": Part("vm-registry", "list_vms"),
+    "the exchange of digests": Part("quota", "drain_usage"),
+    "the question to the source": Part("sharing", "ask_source"),
+    "the closing of old connections": Part(TargetPool, "prune"),
+    "the closing of idle callers": Part(IdleConnections, "close_since"),
+}
+
+
+class Breakage:
+    """Makes a method raise until it is mended, and counts the calls."""
+
+    def __init__(self, kernel: Kernel, part: Part, error: BaseException) -> None:
+        found = part.service
+        self.owner = kernel.find(found) if isinstance(found, str) else found
+        self.method = part.method
+        self.error = error
+        self.calls = 0
+        self.usual = getattr(self.owner, self.method)
+        setattr(self.owner, self.method, self.fail)
+
+    def fail(self, *arguments, **options):
+        self.calls += 1
+        raise self.error
+
+    def mend(self) -> None:
+        """Let the method do its work again."""
+        setattr(self.owner, self.method, self.usual)
+
+
+def wait_while_broken(context, name, path, error):
+    """Break a part while a caller waits for its answer."""
+    fleet: EntryFleet = context.entries
+    part = parts_by_name[name]
+
+    async def run():
+        context.responses = []
+        async with create_task_group() as tasks:
+            tasks.start_soon(call)
+            await sleep(SENT_S)
+            breakage = Breakage(fleet.kernels_by_vm["vm1"], part, error)
+            if name == "the watch of the targets":
+                # Ends the watch that runs, so that the next one comes at once.
+                fleet.list_target("t1", cold_left_s=1)
+        breakage.mend()
+        assert breakage.calls, f"{name} was not called"
+
+    async def call():
+        context.responses.append(await fleet.ask(path, method="POST"))
+
+    context.portal.call(run)
+
+
+@when("{name} fails while a caller waits for POST {path:S}")
+def step_fail(context, name, path):
+    wait_while_broken(context, name, path, LookupError(ERROR_TEXT))
+
+
+@when("{name} is cancelled while a caller waits for POST {path:S}")
+def step_cancel(context, name, path):
+    wait_while_broken(context, name, path, CancelledError())
+
+
+@when("a handler of datagrams raises while a caller waits for POST {path:S}")
+def step_fail_handler(context, path):
+    fleet = context.entries
+    bus = fleet.kernels_by_vm["vm1"].find("datagrams")
+    usual = dict(bus.handlers_by_kind)
+    context.handled = 0
+
+    async def fail(sender, body):
+        context.handled += 1
+        raise LookupError(ERROR_TEXT)
+
+    async def run():
+        context.responses = []
+        async with create_task_group() as tasks:
+            tasks.start_soon(call)
+            await sleep(SENT_S)
+            bus.handlers_by_kind.update(dict.fromkeys(usual, fail))
+        bus.handlers_by_kind.update(usual)
+        # More than one, so the first error did not end the task.
+        assert context.handled > 1, context.handled
+
+    async def call():
+        context.responses.append(await fleet.ask(path, method="POST"))
+
+    context.portal.call(run)
+
+
+@then("datagrams are handled again")
+def step_handled(context):
+    bus = context.entries.kernels_by_vm["vm1"].find("datagrams")
+
+    async def run():
+        before = bus.counts["frames_received"]
+        with fail_after(2.0):
+            while bus.counts["frames_received"] == before:
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+@then('the log names the failed task "{task}"')
+def step_logged(context, task):
+    context.portal.call(sleep, 0.1)
+    text = context.entries.log_files_by_vm["vm1"].read_text()
+    events = [json.loads(line) for line in text.splitlines()]
+    failed = [item for item in events if item["message_type"] == "task-failed"]
+    assert task in {item["task"] for item in failed}, failed
+    assert all(item["places"] for item in failed if item["task"] == task), failed
+
+
+@then("a further caller gets {status:d}")
+def step_further(context, status):
+    response = context.portal.call(
+        partial(context.entries.ask, "/order/2", method="POST")
+    )
+    assert response.status_code == status, response.text
+
+
+@when("a service of another VM raises while a caller waits for POST {path:S} there")
+def step_fail_service(context, path):
+    fleet: EntryFleet = context.entries
+    settings = fleet.settings_of("vm2")
+
+    @service("failing")
+    @asynccontextmanager
+    async def provide_failing(kernel):
+        async with create_task_group() as tasks:
+            tasks.start_soon(fail_later)
+            yield
+            tasks.cancel_scope.cancel()
+
+    async def fail_later():
+        with fail_after(WAIT_S):
+            while not fleet.entry_targets_by_id["t1"].runs:
+                await sleep(0.01)
+        raise LookupError(ERROR_TEXT)
+
+    async def serve(tasks):
+        with suppress(ExceptionGroup):
+            async with run_kernel(
+                ("events", "failing", *ENTRY_SERVICES), {"settings": settings}
+            ) as kernel:
+                fleet.entry_ports_by_vm["vm2"] = kernel.find("entry")
+                tasks.start_soon(call)
+                await sleep(WAIT_S)
+
+    async def call():
+        context.responses.append(await fleet.ask(path, vm="vm2", method="POST"))
+
+    async def run():
+        context.responses = []
+        async with create_task_group() as tasks:
+            tasks.start_soon(serve, tasks)
+
+    context.cleanups.append(lambda: entries_by_name.pop("failing"))
+    context.portal.call(run)
+
+
+@when("the VM is asked to stop, and {seconds:g} s later a caller sends POST {path:S}")
+def step_late(context, seconds, path):
+    fleet: EntryFleet = context.entries
+
+    async def run():
+        async with create_task_group() as tasks:
+            tasks.start_soon(stop)
+            await sleep(seconds)
+            context.responses = [await fleet.ask(path, method="POST")]
+
+    async def stop():
+        started_at = current_time()
+        await fleet.stop("vm1")
+        context.stop_took_s = current_time() - started_at
+
+    context.portal.call(run)
+
+
+@then("the VM was gone {limit_s:g} s after it was asked to stop")
+def step_gone(context, limit_s):
+    assert context.stop_took_s <= limit_s, context.stop_took_s
+
+
+@given("an entry VM as a process whose log nobody reads any more")
+def step_no_reader(context):
+    reader, writer = os.pipe()
+    start_process(context, writer)
+    os.close(writer)
+    os.close(reader)
+    until = monotonic() + WAIT_S
+    while monotonic() < until and context.process.poll() is None:
+        with suppress(HTTPError):
+            ask_process(context)
+            return
+        sleep_blocking(0.05)
+
+
+def ask_process(context):
+    """Return the status of the process's answer to a caller."""
+    url = f"http://127.0.0.1:{context.ports['callers']}/lookup/1"
+    return get(url, trust_env=False).status_code
+
+
+@when("its callers ask {count:d} times")
+def step_ask(context, count):
+    context.statuses = []
+    for _ in range(count):
+        with suppress(HTTPError):
+            context.statuses.append(ask_process(context))
+
+
+@then("each got an answer and the process still runs")
+def step_still_runs(context):
+    assert context.statuses == [503] * 20, context.statuses
+    assert context.process.poll() is None, context.process.returncode
--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -40,21 +40,28 @@
 def step_process(context):
     directory = TemporaryDirectory()
     context.cleanups.append(directory.cleanup)
-    context.file = Path(directory.name) / "boot.toml"
     context.log = Path(directory.name) / "log"
-    context.ports = {name: choose_port() for name in ("peers", "callers", "readiness")}
-    context.file.write_text(BOOT.format(revoke=5, **context.ports))
     context.log_stream = context.log.open("wb")
     context.cleanups.append(context.log_stream.close)
+    start_process(context, context.log_stream)
+    wait_event(context, "entry-started")
+
+
+def start_process(context, output):
+    """Start an entry VM that writes its log to a file or descriptor."""
+    directory = TemporaryDirectory()
+    context.cleanups.append(directory.cleanup)
+    context.file = Path(directory.name) / "boot.toml"
+    context.ports = {name: choose_port() for name in ("peers", "callers", "readiness")}
+    context.file.write_text(BOOT.format(revoke=5, **context.ports))
     environment = {**os.environ, "PRIMROSETURN_BOOT": str(context.file)}
     context.process = Popen(
         [sys.executable, "-m", "primroseturn.entry"],
-        stdout=context.log_stream,
+        stdout=output,
         stderr=PIPE,
         env=environment,
     )
     context.cleanups.append(lambda: stop(context.process))
-    wait_event(context, "entry-started")
 
 
 def stop(process):
