Keep callers' requests when a background task of a VM fails

Callers in flight got a bare 500 and targets lost the connection at work. Cause: all services run in nested task groups with the callers' service innermost, so the first error of any background task cancelled hypercorn, which cancels all requests. Change: kernel/background runs background tasks whose errors are logged (event 104), counted and followed by another start after 0.05 to 1 s. A cancellation by a library ends a task no more than an error does. hypercorn runs in a shielded scope, so an error that still ends the process leaves requests the time of a planned stop. A restarted watch of targets lists anew. Ruled out: ending the VM after repeated errors. A cause that lies in the store would restart the whole fleet, and a VM whose view ages refuses by itself.

--- a/features/background_tasks.feature
+++ b/features/background_tasks.feature
@@ -24,7 +24,7 @@
     And its work takes 1.2 s
     When a handler of datagrams raises while a caller waits for POST /order/1
     Then the caller gets 200 and the whole body
-    And the log names the failed task "DatagramBus.receive"
+    And the log names the failed task "Endpoint.receive"
     And datagrams are handled again
 
   Scenario: A task that a library cancels is started again
--- a/features/steps/background_tasks.py
+++ b/features/steps/background_tasks.py
@@ -170,11 +170,11 @@
     @asynccontextmanager
     async def provide_failing(kernel):
         async with create_task_group() as tasks:
-            tasks.start_soon(fail_later)
+            tasks.start_soon(fail_task)
             yield
             tasks.cancel_scope.cancel()
 
-    async def fail_later():
+    async def fail_task():
         with fail_after(WAIT_S):
             while not fleet.entry_targets_by_id["t1"].runs:
                 await sleep(0.01)
--- a/primroseturn/control/datagrams.py
+++ b/primroseturn/control/datagrams.py
@@ -9,10 +9,12 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio import create_task_group, Event
+from anyio import Event
 
 from primroseturn.control.endpoint import Endpoint
 from primroseturn.control.zeromq import PeerAddress
+from primroseturn.kernel.background import Background, run_background
+from primroseturn.observation.events import EventLog
 
 # Fits the usual MTU of 1,500 bytes with the headers of IP and UDP.
 DATAGRAM_LIMIT_BYTES = 1_400
@@ -44,8 +46,10 @@
         incarnation: str,
         transport: asyncio.DatagramTransport,
         arrivals: Arrivals,
+        background: Background,
     ) -> None:
         super().__init__(vm, incarnation)
+        self.background = background
         self.transport = transport
         self.arrivals = arrivals
         self.addresses_by_vm: dict[str, PeerAddress] = {}
@@ -84,25 +88,29 @@
             arrivals.arrived = Event()
             while arrivals.waiting:
                 frame, address = arrivals.waiting.popleft()
-                await self.receive(
-                    frame, lambda reply, to=address: self.send_frame(reply, to)
+                # An error of one message's handler must not delay the next message.
+                await self.background.run(
+                    self.receive,
+                    frame,
+                    lambda reply, to=address: self.send_frame(reply, to),
                 )
 
 
 @asynccontextmanager
 async def run_datagram_bus(
-    vm: str, incarnation: str, host: str, port: int
+    events: EventLog, host: str, port: int
 ) -> AsyncIterator[DatagramBus]:
     """Run a bus for the life of the context."""
     loop = asyncio.get_running_loop()
     transport, arrivals = await loop.create_datagram_endpoint(
         Arrivals, local_addr=(host, port)
     )
-    bus = DatagramBus(vm, incarnation, transport, arrivals)
     try:
-        async with create_task_group() as tasks:
-            tasks.start_soon(bus.receive_forever)
+        async with run_background(events) as background:
+            bus = DatagramBus(
+                events.vm, events.incarnation, transport, arrivals, background
+            )
+            background.keep(bus.receive_forever)
             yield bus
-            tasks.cancel_scope.cancel()
     finally:
         transport.close()
--- a/primroseturn/control/service.py
+++ b/primroseturn/control/service.py
@@ -24,14 +24,15 @@
     settings = kernel.find("settings")
     control = settings.control
     address = control.address
-    incarnation = kernel.find("events").incarnation
+    events = kernel.find("events")
     async with run_bus(
         settings.identity.vm,
-        incarnation,
+        events.incarnation,
         address.host,
         address.port,
         read_keys(control),
         control.allowed_public_keys,
+        events,
     ) as bus:
         for seed in control.seeds:
             place = seed.address
--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -5,14 +5,15 @@
 from typing import NamedTuple
 
 import zmq
-from anyio import CancelScope, create_task_group, current_time, move_on_after
-from anyio.abc import TaskGroup
+from anyio import CancelScope, current_time, move_on_after
 from msgspec import Struct
 from zmq.asyncio import Context, Socket
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from primroseturn.control.endpoint import Endpoint, Reply, Verify
 from primroseturn.control.messages import Envelope
+from primroseturn.kernel.background import Background, run_background
+from primroseturn.observation.events import EventLog
 
 # Above the limit of a message, so that an oversized frame is counted here; ZeroMQ
 # closes the connection only for frames above this.
@@ -86,12 +87,12 @@
         self,
         vm: str,
         incarnation: str,
-        tasks: TaskGroup,
+        background: Background,
         keys: CurveKeys | None = None,
         allowed_keys: tuple[str, ...] = (),
     ) -> None:
         super().__init__(vm, incarnation)
-        self.tasks = tasks
+        self.background = background
         self.keys = keys
         self.allowed_keys = {*allowed_keys, *([keys.public_key] if keys else [])}
         self.addresses_by_vm: dict[str, PeerAddress] = {}
@@ -174,7 +175,7 @@
         socket.connect(f"tcp://{address.host}:{address.port}")
         connection = Connection(peer, address, socket, current_time(), CancelScope())
         self.connections_by_vm[peer] = connection
-        self.tasks.start_soon(self.serve_peer, connection)
+        self.background.start_soon(self.serve_peer, connection)
         return connection
 
     def disconnect(self, peer: str) -> None:
@@ -219,7 +220,7 @@
                 self.drop("busy")
             else:
                 self.running += 1
-                self.tasks.start_soon(self.run_handler, router, *frames)
+                self.background.start_soon(self.run_handler, router, *frames)
 
     async def run_handler(
         self, router: Socket, identity: zmq.Frame, frame: zmq.Frame
@@ -271,15 +272,21 @@
     port: int = 0,
     keys: CurveKeys | None = None,
     allowed_keys: tuple[str, ...] = (),
+    events: EventLog | None = None,
 ) -> AsyncIterator[ZeromqBus]:
-    """Run a bus for the life of the context."""
+    """Run a bus for the life of the context.
+
+    Parameters
+    ----------
+    events
+        The log of the process, for errors of the bus's tasks.
+    """
     bus = None
     try:
-        async with create_task_group() as tasks:
-            bus = ZeromqBus(vm, incarnation, tasks, keys, allowed_keys)
-            tasks.start_soon(bus.serve_router, bus.bind(host, port))
+        async with run_background(events or EventLog(vm, incarnation)) as background:
+            bus = ZeromqBus(vm, incarnation, background, keys, allowed_keys)
+            background.keep(bus.serve_router, bus.bind(host, port))
             yield bus
-            tasks.cancel_scope.cancel()
     finally:
         # Only after the tasks have ended: a closed socket raises in those that use it.
         if bus is not None:
--- a/primroseturn/entry/connections.py
+++ b/primroseturn/entry/connections.py
@@ -7,6 +7,7 @@
 from primroseturn.entry.models import Target
 from primroseturn.entry.view import FleetView
 from primroseturn.membership.fleet import Fleet
+from primroseturn.observation.events import EventLog
 from primroseturn.requestpath.pool import (
     DEFAULT_CONNECTIONS_PER_TARGET,
     run_pools,
@@ -83,7 +84,7 @@
 
 
 def run_target_pools(
-    view: FleetView, fleet: Fleet
+    view: FleetView, fleet: Fleet, events: EventLog
 ) -> AbstractAsyncContextManager[TargetPools]:
     """Return the context in which the pools are pruned, and closed at its end."""
-    return run_pools(TargetPools(view, fleet))
+    return run_pools(TargetPools(view, fleet), events)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -213,6 +213,8 @@
 
     async def follow_targets(self) -> None:
         """List the targets, then watch them."""
+        # After an error, changes of the last watch may not be in force.
+        self.revision = 0
         while True:
             if self.rest.lasts():
                 self.revision = 0
--- a/primroseturn/entry/process.py
+++ b/primroseturn/entry/process.py
@@ -5,13 +5,14 @@
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
 
-from anyio import create_task_group, Event, move_on_after, open_signal_receiver
+from anyio import Event, move_on_after, open_signal_receiver
 from expression import Result
 
 import primroseturn.entry.service
 import primroseturn.observation.service  # noqa: F401
 from primroseturn.entry.events import SETTINGS_APPLIED, SETTINGS_REFUSED
 from primroseturn.failures import SettingsInvalid
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel, run_kernel
 from primroseturn.settings.entry import EntrySettings
 
@@ -82,15 +83,14 @@
     with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
         async with (
             run_kernel(ENTRY_SERVICES, {"settings": settings}) as kernel,
-            create_task_group() as tasks,
+            run_background(kernel.find("events")) as background,
         ):
             file = SettingsFile(path, read, kernel)
-            tasks.start_soon(file.follow)
+            background.keep(file.follow)
             # Modules and services live as long as the process.
             gc.collect()
             gc.freeze()
             async for number in signals:
                 if number != SIGHUP:
-                    tasks.cancel_scope.cancel()
                     break
                 file.asked.set()
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio import CancelScope, create_task_group, current_time, sleep
+from anyio import CancelScope, current_time, sleep
 from httpx import AsyncClient, Limits
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -24,6 +24,7 @@
 from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.view import FleetView
 from primroseturn.entry.vouching import ViewSharing
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.limits.quota import FleetQuota
@@ -74,11 +75,10 @@
     follower = StoreFollower(
         kernel.find("objects"), kernel.find("view"), kernel.find("events")
     )
-    async with create_task_group() as tasks:
-        tasks.start_soon(follower.follow_configuration)
-        tasks.start_soon(follower.follow_targets)
+    async with run_background(kernel.find("events")) as background:
+        background.keep(follower.follow_configuration)
+        background.keep(follower.follow_targets)
         yield follower
-        tasks.cancel_scope.cancel()
 
 
 @service("placement", needs=("settings", "view"))
@@ -128,6 +128,7 @@
         events.incarnation,
         settings.peers.host,
         settings.peers.port,
+        events=events,
     ) as bus:
         yield bus
 
@@ -136,13 +137,9 @@
 @asynccontextmanager
 async def provide_datagrams(kernel: Kernel) -> AsyncIterator[DatagramBus]:
     """Provide the bus for small messages, on the port of the other one."""
-    settings, events = kernel.find("settings"), kernel.find("events")
-    async with run_datagram_bus(
-        settings.identity.vm,
-        events.incarnation,
-        settings.peers.host,
-        kernel.find("peers").port,
-    ) as bus:
+    host = kernel.find("settings").peers.host
+    port = kernel.find("peers").port
+    async with run_datagram_bus(kernel.find("events"), host, port) as bus:
         yield bus
 
 
@@ -163,7 +160,9 @@
     )
 
 
-@service("digest-exchange", needs=("datagrams", "fleet", "placement", "quota"))
+@service(
+    "digest-exchange", needs=("datagrams", "fleet", "placement", "quota", "events")
+)
 @asynccontextmanager
 async def provide_digests(kernel: Kernel) -> AsyncIterator[DigestExchange]:
     """Exchange digests for the life of the context."""
@@ -173,10 +172,9 @@
         kernel.find("placement"),
         kernel.find("quota"),
     )
-    async with create_task_group() as tasks:
-        tasks.start_soon(exchange.send_forever)
+    async with run_background(kernel.find("events")) as background:
+        background.keep(exchange.send_forever)
         yield exchange
-        tasks.cancel_scope.cancel()
 
 
 @service("sharing", needs=("datagrams", "peers", "fleet", "view", "follower", "events"))
@@ -191,18 +189,17 @@
         kernel.find("follower"),
         kernel.find("events"),
     )
-    async with create_task_group() as tasks:
-        tasks.start_soon(sharing.ask_forever)
-        tasks.start_soon(sharing.push_forever)
-        tasks.start_soon(sharing.warn_forever)
-        tasks.start_soon(sharing.fetch_forever)
+    async with run_background(kernel.find("events")) as background:
+        background.keep(sharing.ask_forever)
+        background.keep(sharing.push_forever)
+        background.keep(sharing.warn_forever)
+        background.keep(sharing.fetch_forever)
         yield sharing
-        tasks.cancel_scope.cancel()
 
 
 @service(
     "vm-registry",
-    needs=("objects", "fleet", "peers", "datagrams", "quota", "arrivals"),
+    needs=("objects", "fleet", "peers", "datagrams", "quota", "arrivals", "events"),
 )
 @asynccontextmanager
 async def provide_registry(kernel: Kernel) -> AsyncIterator[VmRegistry]:
@@ -221,11 +218,11 @@
         quota.fleet_size = arrivals.fleet_size = fleet.size
 
     quota.fleet_size = arrivals.fleet_size = fleet.size
-    registry = VmRegistry(kernel.find("objects"), fleet, kernel.find("events"), use_vms)
-    async with create_task_group() as tasks:
-        tasks.start_soon(registry.follow)
+    events = kernel.find("events")
+    registry = VmRegistry(kernel.find("objects"), fleet, events, use_vms)
+    async with run_background(events) as background:
+        background.keep(registry.follow)
         yield registry
-        tasks.cancel_scope.cancel()
     await registry.unregister()
 
 
@@ -235,16 +232,20 @@
     """Answer the load balancer's questions."""
     readiness = EntryReadiness(kernel.find("view"), kernel.find("events"))
     address = kernel.find("settings").readiness
-    async with serve_application(readiness, address.host, address.port):
+    async with serve_application(
+        readiness, address.host, address.port, events=kernel.find("events")
+    ):
         yield readiness
 
 
-@service("entry-metrics", needs=("settings",))
+@service("entry-metrics", needs=("settings", "events"))
 @asynccontextmanager
 async def provide_metrics(kernel: Kernel) -> AsyncIterator[int]:
     """Serve metrics and provide the port."""
     address = kernel.find("settings").metrics
-    async with serve_application(serve_metrics, address.host, address.port) as port:
+    async with serve_application(
+        serve_metrics, address.host, address.port, events=kernel.find("events")
+    ) as port:
         yield port
 
 
@@ -275,7 +276,7 @@
     settings, events = kernel.find("settings"), kernel.find("events")
     view, readiness = kernel.find("view"), kernel.find("entry-readiness")
     stop_limit_s = settings.bounds.stop_limit_s
-    async with run_target_pools(view, kernel.find("fleet")) as pools:
+    async with run_target_pools(view, kernel.find("fleet"), events) as pools:
         forwarder = Forwarder(
             kernel.find("placement"),
             pools,
@@ -299,6 +300,7 @@
             settings.callers.port,
             finish_limit_s=FINISH_SHARE * stop_limit_s,
             header_limit_bytes=HEADER_LIMIT_BYTES,
+            events=events,
         ) as port:
             events.emit(ENTRY_STARTED, port=port)
             try:
@@ -307,6 +309,6 @@
                 # Also when another service has failed and the process ends.
                 readiness.stopping = True
                 events.emit(ENTRY_STOPPING)
-            with CancelScope(shield=True):
-                await sleep(LISTEN_SHARE * stop_limit_s)
+                with CancelScope(shield=True):
+                    await sleep(LISTEN_SHARE * stop_limit_s)
     events.emit(ENTRY_STOPPED)
--- /dev/null
+++ b/primroseturn/kernel/background.py
@@ -0,0 +1,121 @@
+"""Background tasks whose errors end neither the process nor other tasks.
+
+In a plain task group the first error cancels all tasks within, also those that serve
+callers.
+"""
+
+from asyncio import current_task
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from math import inf
+from typing import Any
+
+from anyio import (
+    create_task_group,
+    current_effective_deadline,
+    current_time,
+    get_cancelled_exc_class,
+    sleep,
+)
+from anyio.abc import TaskGroup
+from prometheus_client import Counter
+
+from primroseturn.observation.catalogue import TASK_FAILED
+from primroseturn.observation.errors import describe_error
+from primroseturn.observation.events import EventLog
+
+# Pause in seconds before a failed task starts again. It doubles with each failure, so
+# that an error which lasts costs little, and stays below the times after which a view
+# without news counts as stale.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+# A task that ran this long in seconds starts with the first pause again.
+HEALTHY_S = 10.0
+
+FAILURES = Counter(
+    "primroseturn_task_failures_total",
+    "Background tasks that ended with an error.",
+    ["task"],
+)
+
+TaskFunction = Callable[..., Awaitable[Any]]
+
+
+class Background:
+    """Starts tasks that run beside those that serve callers."""
+
+    def __init__(self, tasks: TaskGroup, events: EventLog) -> None:
+        self.tasks = tasks
+        self.events = events
+
+    def start_soon(self, function: TaskFunction, *arguments: Any) -> None:
+        """Start a task that runs once. An error is logged and ends only this task."""
+        self.tasks.start_soon(self.run, function, *arguments)
+
+    def keep(self, function: TaskFunction, *arguments: Any) -> None:
+        """Start a task that starts again after an error, until the context ends."""
+        self.tasks.start_soon(self.run_again, function, *arguments)
+
+    async def run(self, function: TaskFunction, *arguments: Any) -> bool:
+        """Run a function and return whether it ended without an error."""
+        return await self.attempt(partial(function, *arguments), None)
+
+    async def run_again(self, function: TaskFunction, *arguments: Any) -> None:
+        """Run a function until it ends without an error."""
+        pause_s = FIRST_PAUSE_S
+        started_at = current_time()
+        while not await self.attempt(partial(function, *arguments), pause_s):
+            await sleep(pause_s)
+            healthy = current_time() - started_at >= HEALTHY_S
+            pause_s = FIRST_PAUSE_S if healthy else min(LONGEST_PAUSE_S, 2 * pause_s)
+            started_at = current_time()
+
+    async def attempt(
+        self, call: partial[Awaitable[Any]], pause_s: float | None
+    ) -> bool:
+        """Call a function once and log its error.
+
+        Parameters
+        ----------
+        pause_s
+            Time after which it starts again, or None.
+        """
+        try:
+            await call()
+        except get_cancelled_exc_class() as error:
+            # A library may cancel what a task waits for, such as a socket that is
+            # closed; neither the task nor its scope is cancelled then.
+            if current_effective_deadline() == -inf or is_cancelled():
+                raise
+            self.report(call.func, error, pause_s)
+            return False
+        except Exception as error:
+            self.report(call.func, error, pause_s)
+            return False
+        return True
+
+    def report(
+        self, function: TaskFunction, error: BaseException, pause_s: float | None
+    ) -> None:
+        """Log and count an error."""
+        task = getattr(function, "__qualname__", repr(function))
+        FAILURES.labels(task).inc()
+        for found in describe_error(error):
+            self.events.emit(
+                TASK_FAILED, task=task, again_after_s=pause_s, **found._asdict()
+            )
+
+
+def is_cancelled() -> bool:
+    """Return whether the running task itself was cancelled."""
+    task = current_task()
+    return task is not None and task.cancelling() > 0
+
+
+@asynccontextmanager
+async def run_background(events: EventLog) -> AsyncIterator[Background]:
+    """Run background tasks for the life of the context."""
+    async with create_task_group() as tasks:
+        yield Background(tasks, events)
+        tasks.cancel_scope.cancel()
--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -29,6 +29,11 @@
 PROCESS_CRASHED = define_event(
     103, "process-crashed", "An unexpected error of a task ends the process."
 )
+TASK_FAILED = define_event(
+    104,
+    "task-failed",
+    "An unexpected error ended a background task; the process goes on.",
+)
 CLOCK_PROBE_SENT = define_event(
     110, "clock-probe-sent", "A probe was sent, which dates the clocks of two VMs."
 )
--- a/primroseturn/observation/service.py
+++ b/primroseturn/observation/service.py
@@ -4,11 +4,11 @@
 import sys
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from traceback import extract_tb
 
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.observation.catalogue import PROCESS_CRASHED
+from primroseturn.observation.errors import describe_error
 from primroseturn.observation.events import EventLog
 from primroseturn.observation.output import write_logs
 from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
@@ -17,8 +17,6 @@
 EVENTS_FILE_MODE = 0o644
 # Number of the event of a served request of an entry VM.
 REQUEST_SERVED = 1110
-# Innermost calls of an error that ended the process, in its log line.
-CRASH_FRAMES = 6
 
 
 @contextmanager
@@ -36,29 +34,14 @@
         os.close(descriptor)
 
 
-def leaf_errors(error: BaseException) -> Iterator[BaseException]:
-    """Yield the errors of all tasks that a group of errors holds."""
-    if isinstance(error, BaseExceptionGroup):
-        for part in error.exceptions:
-            yield from leaf_errors(part)
-    else:
-        yield error
-
-
 @contextmanager
 def report_crash(events: EventLog) -> Iterator[None]:
-    """Log each error that ends the process, with the place where it was raised.
-
-    The trace of a group of errors is cut before its innermost ones.
-    """
+    """Log each error that ends the process, with the place where it was raised."""
     try:
         yield
     except Exception as error:
-        for leaf in leaf_errors(error):
-            frames = extract_tb(leaf.__traceback__)[-CRASH_FRAMES:]
-            places = [f"{frame.name}:{frame.lineno}" for frame in frames]
-            reason = f"{type(leaf).__name__}: {leaf}"
-            events.emit(PROCESS_CRASHED, reason=reason, places=places)
+        for found in describe_error(error):
+            events.emit(PROCESS_CRASHED, **found._asdict())
         raise
 
 
--- a/primroseturn/requestpath/pool.py
+++ b/primroseturn/requestpath/pool.py
@@ -6,13 +6,15 @@
 from ssl import create_default_context, SSLContext
 from typing import Protocol, TypeVar
 
-from anyio import create_task_group, current_time, Event, move_on_after, sleep
+from anyio import current_time, Event, move_on_after, sleep
 from httpx import URL
 
 from primroseturn.configuration.models import Target
 from primroseturn.configuration.replica import Replica
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import run_background
 from primroseturn.membership.listing import Listing
+from primroseturn.observation.events import EventLog
 from primroseturn.requestpath.connection import Connection, open_connection
 from primroseturn.settings.models import UpstreamSettings
 
@@ -236,12 +238,11 @@
 
 
 @asynccontextmanager
-async def run_pools(pools: P) -> AsyncIterator[P]:
+async def run_pools(pools: P, events: EventLog) -> AsyncIterator[P]:
     """Prune the pools for the life of the context, then close them."""
-    async with create_task_group() as tasks:
-        tasks.start_soon(pools.prune_forever)
+    async with run_background(events) as background:
+        background.keep(pools.prune_forever)
         try:
             yield pools
         finally:
-            tasks.cancel_scope.cancel()
             pools.close()
--- a/primroseturn/requestpath/service.py
+++ b/primroseturn/requestpath/service.py
@@ -46,7 +46,7 @@
     events = kernel.find("events")
     readiness = kernel.find("readiness")
     pools = Pools(settings.upstreams, kernel.find("listing"), kernel.find("replica"))
-    async with run_pools(pools):
+    async with run_pools(pools, events):
         services = collect_services(kernel, pools)
         callers = settings.callers
         async with serve_application(
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from math import inf
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, socket, SOL_SOCKET
 from typing import Any
@@ -11,6 +12,9 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from primroseturn.failures import Failure
+from primroseturn.kernel.background import run_background
+from primroseturn.observation.events import EventLog
 from primroseturn.serving.idle import IdleConnections
 from primroseturn.serving.protocol import install_protocol
 from primroseturn.settings.models import TlsSettings
@@ -20,6 +24,15 @@
 CLOSE_IDLE_INTERVAL_S = 0.05
 
 
+class ListenerEnded(Failure):
+    """hypercorn stopped serving without being asked to."""
+
+    code = "listener-ended"
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(f"the listener on {host}:{port} ended by itself")
+
+
 def bind_listener(host: str, port: int) -> socket:
     """Return a listening TCP socket. Port 0 chooses a free port."""
     listener = socket(AF_INET, SOCK_STREAM)
@@ -106,13 +119,18 @@
     finish_limit_s: float = 0.0,
     header_limit_bytes: int = 16_384,
     tls: TlsSettings | None = None,
+    events: EventLog | None = None,
 ) -> AsyncIterator[int]:
     """Serve an ASGI application for the life of the context.
 
+    Running requests get their time also when an error elsewhere cancels the context.
+
     Parameters
     ----------
     finish_limit_s
         Time that running requests get to finish when the context ends.
+    events
+        The log of the process, for errors of the listener's tasks.
 
     Yields
     ------
@@ -125,17 +143,21 @@
     config = create_config(listener.detach(), header_limit_bytes, finish_limit_s, tls)
     install_protocol()
     running = RunningRequests(application)
+    idle = config.idle_connections  # type: ignore[attr-defined]
+    events = events or EventLog("")
     stop, stopped = Event(), Event()
-    async with create_task_group() as tasks:
+    # hypercorn ends all requests when it is cancelled.
+    serving = CancelScope(shield=True)
+    async with run_background(events) as background, create_task_group() as tasks:
 
         async def run() -> None:
-            try:
-                await serve(running, config, shutdown_trigger=stop.wait)  # type: ignore
-            finally:
-                # Also after a cancellation, which nobody should wait out.
-                stopped.set()
-
-        idle = config.idle_connections  # type: ignore[attr-defined]
+            with serving:
+                await background.run(
+                    partial(serve, running, config, shutdown_trigger=stop.wait)  # type: ignore
+                )
+            stopped.set()
+            if not stop.is_set():
+                raise ListenerEnded(host, bound_port)
 
         async def close_idle() -> None:
             while not stopped.is_set():
@@ -143,14 +165,15 @@
                 await sleep(CLOSE_IDLE_INTERVAL_S)
 
         tasks.start_soon(run)
-        tasks.start_soon(idle.sweep_forever, KEEP_ALIVE_S)
+        background.keep(idle.sweep_forever, KEEP_ALIVE_S)
         try:
             yield bound_port
         finally:
             stop.set()
             with CancelScope(shield=True):
-                tasks.start_soon(close_idle)
-                await running.finish(finish_limit_s)
-                with move_on_after(CLOSE_LIMIT_S):
-                    await stopped.wait()
-            tasks.cancel_scope.cancel()
+                async with run_background(events) as closing:
+                    closing.keep(close_idle)
+                    await running.finish(finish_limit_s)
+                    with move_on_after(CLOSE_LIMIT_S):
+                        await stopped.wait()
+                serving.cancel()
