Keep a VM running when the reader of its log has gone

Cause: EPIPE of the standard output was raised in the task that writes log lines, which ended the process and cancelled its callers. Change: what can't be written is counted as dropped.

--- a/primroseturn/observation/output.py
+++ b/primroseturn/observation/output.py
@@ -49,6 +49,11 @@
                 written = os.write(self.descriptor, self.rest)
             except BlockingIOError:
                 return False
+            except OSError:
+                # The reader has gone, and no log line can tell.
+                DROPPED.inc(self.rest.count(b"\n"))
+                self.rest = b""
+                continue
             self.rest = self.rest[written:]
         return True
 
