--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -38,8 +38,8 @@
 STORE_CALL_LIMIT_S = 0.8
 HEADER_LIMIT_BYTES = 65_536
 # Parts of the time until SIGKILL. New connections are taken while the load balancer
-# still sends them, then requests in flight may finish; the platform's clients wait 2.5 s
-# of 6 s at most. The rest is left for the removal of the VM's object.
+# still sends them, then requests in flight may finish; callers wait 2.5 of 6 s at most.
+# The rest is left for the removal of the VM's object.
 LISTEN_SHARE = 0.5
 FINISH_SHARE = 0.42
 
