Put a view in force after an error of one of its listeners

Cause: the view took a list or configuration as known before it told the parts that use it. Change: all listeners are called in spite of an error, and called again by the next list or answer of the store until none fails.

--- a/features/background_tasks.feature
+++ b/features/background_tasks.feature
@@ -52,3 +52,13 @@
     Given an entry VM as a process whose log nobody reads any more
     When its callers ask 20 times
     Then each got an answer and the process still runs
+
+  Scenario Outline: <what> is put in force again after an error of a listener
+    Given 1 entry VMs with 1 target
+    When <what> changes while its listener fails once
+    Then <what> is in force within 3 s
+
+    Examples:
+      | what                |
+      | the list of targets |
+      | the configuration   |
--- a/features/steps/background_tasks.py
+++ b/features/steps/background_tasks.py
@@ -256,3 +256,48 @@
 def step_still_runs(context):
     assert context.statuses == [503] * 20, context.statuses
     assert context.process.poll() is None, context.process.returncode
+
+
+@when("the list of targets changes while its listener fails once")
+def step_list_changes(context):
+    fleet: EntryFleet = context.entries
+    placement = fleet.kernels_by_vm["vm1"].find("placement")
+    fail_once(placement, "use_targets")
+    context.portal.call(fleet.add_entry_target, "t9")
+    context.in_force = lambda: "t9" in placement.states_by_id
+
+
+@when("the configuration changes while its listener fails once")
+def step_configuration_changes(context):
+    fleet: EntryFleet = context.entries
+    quota = fleet.kernels_by_vm["vm1"].find("quota")
+    fail_once(quota, "use_workspaces")
+
+    async def change():
+        (shop,) = fleet.configuration["tenants"]
+        fleet.configuration["tenants"] = [{**shop, "rate_per_s": 7, "burst": 7}]
+        fleet.publish()
+
+    context.portal.call(change)
+    context.in_force = lambda: quota.buckets_by_name["shop"].workspace.rate == 7
+
+
+def fail_once(owner, method):
+    """Make the next call of a method fail."""
+    usual = getattr(owner, method)
+
+    def fail(*arguments):
+        setattr(owner, method, usual)
+        raise LookupError(ERROR_TEXT)
+
+    setattr(owner, method, fail)
+
+
+@then("{what} is in force within {seconds:g} s")
+def step_in_force(context, what, seconds):
+    async def run():
+        with fail_after(seconds):
+            while not context.in_force():
+                await sleep(0.02)
+
+    context.portal.call(run)
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -1,13 +1,15 @@
 """The configuration and the targets that are in force on this VM, and their age."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from primroseturn.entry.models import Configuration, Target
 
 # Part of the stated time for withdrawn keys that is left for the way of a request.
 KEY_MARGIN_S = 0.6
 
+T = TypeVar("T")
+
 
 class FleetView:
     """What this VM believes, and since when it knows.
@@ -25,6 +27,8 @@
     confirmed_at
         Latest time since boot in seconds at which the configuration is known to have
         been the newest one: the time of the question, not that of the answer.
+    configuration_unheard, targets_unheard
+        Whether a listener has failed, so that all are called again.
     """
 
     def __init__(self, revoked_key_limit_s: float) -> None:
@@ -35,6 +39,7 @@
         self.targets_by_id: dict[str, Target] = {}
         self.revision = 0
         self.confirmed_at: float | None = None
+        self.configuration_unheard = self.targets_unheard = False
         self.configuration_listeners: list[Callable[[Configuration], None]] = []
         self.target_listeners: list[Callable[[dict[str, Target]], None]] = []
 
@@ -55,12 +60,14 @@
         bool
             Whether it is now in force and was not before.
         """
-        if configuration.version <= self.version:
+        unheard = self.configuration_unheard and configuration.version == self.version
+        if configuration.version <= self.version and not unheard:
             return False
         self.configuration = configuration
         self.stored_configuration = stored
-        for listener in self.configuration_listeners:
-            listener(configuration)
+        self.configuration_unheard = True
+        announce(self.configuration_listeners, configuration)
+        self.configuration_unheard = False
         return True
 
     def confirm(self, version: int, asked_at: float) -> None:
@@ -85,8 +92,27 @@
     def learn_targets(self, targets_by_id: dict[str, Target], revision: int) -> None:
         """Replace the listed targets."""
         self.revision = revision
-        if targets_by_id == self.targets_by_id:
+        if targets_by_id == self.targets_by_id and not self.targets_unheard:
             return
         self.targets_by_id = targets_by_id
-        for listener in self.target_listeners:
-            listener(targets_by_id)
+        self.targets_unheard = True
+        announce(self.target_listeners, targets_by_id)
+        self.targets_unheard = False
+
+
+def announce(listeners: list[Callable[[T], None]], value: T) -> None:
+    """Call all listeners, also after an error of one.
+
+    Raises
+    ------
+    ExceptionGroup
+        The errors of the listeners.
+    """
+    errors = []
+    for listener in listeners:
+        try:
+            listener(value)
+        except Exception as error:
+            errors.append(error)
+    if errors:
+        raise ExceptionGroup("listeners of the view failed", errors)
