Close no connection under a request at a stop, and end the stop in time

One caller that didn't read held up the closing of all others and the end of the process for 5 s, beyond the time until SIGKILL. A stop waits 0.1 s beyond its requests instead of 5 s.

--- /dev/null
+++ b/features/entry_stop.feature
@@ -0,0 +1,17 @@
+Feature: A planned stop loses no request that was passed on, and ends in time
+
+  Scenario: A request that comes while idle connections are closed is answered or not run
+    Given an entry VM with 2 targets
+    And its work takes 0.2 s
+    And 100 callers that keep their connections
+    When the VM is asked to stop and each caller sends POST /order/ as its listener closes
+    Then no request ran without an answer
+    And the VM was gone 2 s after it was asked to stop
+
+  Scenario: A caller that does not read holds up neither the stop nor other connections
+    Given an entry VM with 1 target
+    And a caller that does not read an answer of 60000 bytes
+    And 1 callers that keep their connections
+    When the VM is stopped
+    Then the kept connections were closed 1.3 s after the stop began
+    And the VM was gone 2 s after it was asked to stop
--- /dev/null
+++ b/features/steps/entry_stop.py
@@ -0,0 +1,148 @@
+"""Steps for the connections of callers during a planned stop of an entry VM."""
+
+from random import Random
+from socket import SO_RCVBUF, SO_SNDBUF, socket, SOL_SOCKET
+
+from anyio import (
+    connect_tcp,
+    create_task_group,
+    current_time,
+    EndOfStream,
+    fail_after,
+    sleep,
+)
+from behave import given, then, when
+from hypercorn.asyncio.tcp_server import TCPServer
+
+from features.entry_fleet import HOST, KEY, LOOPBACK
+from primroseturn.entry.service import LISTEN_SHARE
+
+STOP_LIMIT_S = 2.0
+# Around the close of the listener, in which the callers send their requests.
+SPREAD_S = 0.05
+READ_BYTES = 65_536
+SMALL_BUFFER_BYTES = 4_096
+
+
+def request_bytes(method, path, attempt):
+    """Return a request of a caller."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Attempt-Id: {attempt}",
+        "Deadline-Ms: 1500",
+        f"Authorization: Bearer {KEY}",
+        "Content-Length: 0",
+    ]
+    return "".join(f"{line}\r\n" for line in [*lines, ""]).encode()
+
+
+@given("{count:d} callers that keep their connections")
+def step_keep(context, count):
+    fleet = context.entries
+
+    async def run():
+        context.streams = []
+        for index in range(count):
+            stream = await connect_tcp(LOOPBACK, fleet.entry_ports_by_vm["vm1"])
+            await stream.send(request_bytes("GET", "/nowhere/", f"first-{index}"))
+            await stream.receive(READ_BYTES)
+            context.streams.append(stream)
+
+    context.portal.call(run)
+
+
+@when(
+    "the VM is asked to stop and each caller sends POST {path:S} as its listener closes"
+)
+def step_send(context, path):
+    random = Random(3)
+    context.answers = {}
+
+    async def run():
+        began_at = current_time()
+        closes_at = began_at + LISTEN_SHARE * STOP_LIMIT_S
+        async with create_task_group() as tasks:
+            tasks.start_soon(stop, context)
+            for index, stream in enumerate(context.streams):
+                at = closes_at + random.uniform(-SPREAD_S, SPREAD_S)
+                tasks.start_soon(send, index, stream, at)
+
+    async def send(index, stream, at):
+        await sleep(at - current_time())
+        attempt = f"order-{index}"
+        try:
+            await stream.send(request_bytes("POST", f"{path}{index}", attempt))
+            with fail_after(STOP_LIMIT_S):
+                context.answers[attempt] = await stream.receive(READ_BYTES)
+        except (EndOfStream, OSError):
+            # The connection was closed; the request may not have run.
+            return
+
+    context.portal.call(run)
+
+
+async def stop(context):
+    """Stop the VM and note how long it took."""
+    began_at = current_time()
+    await context.entries.stop("vm1")
+    context.stop_took_s = current_time() - began_at
+
+
+@then("no request ran without an answer")
+def step_none_lost(context):
+    targets = context.entries.entry_targets_by_id.values()
+    runs = {attempt for target in targets for attempt in target.runs}
+    answered = {
+        attempt
+        for attempt, answer in context.answers.items()
+        if answer.startswith(b"HTTP/1.1 200")
+    }
+    assert answered, "no request came before the close"
+    assert len(answered) < len(context.streams), "no request came after the close"
+    assert runs <= answered, runs - answered
+
+
+@given("a caller that does not read an answer of {size:d} bytes")
+def step_unread(context, size):
+    fleet = context.entries
+    (target,) = fleet.entry_targets_by_id.values()
+    target.body = b"x" * size
+    usual = TCPServer.__init__
+
+    def init(self, *arguments):
+        usual(self, *arguments)
+        server_socket = self.writer.get_extra_info("socket")
+        server_socket.setsockopt(SOL_SOCKET, SO_SNDBUF, SMALL_BUFFER_BYTES)
+
+    TCPServer.__init__ = init
+    caller = socket()
+    context.cleanups.append(caller.close)
+    try:
+        caller.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.connect((LOOPBACK, fleet.entry_ports_by_vm["vm1"]))
+        caller.send(request_bytes("GET", "/lookup/1", "unread"))
+        context.portal.call(sleep, 0.3)
+    finally:
+        TCPServer.__init__ = usual
+
+
+@when("the VM is stopped")
+def step_stop(context):
+    async def run():
+        began_at = current_time()
+        async with create_task_group() as tasks:
+            tasks.start_soon(stop, context)
+            (stream,) = context.streams
+            with fail_after(10):
+                try:
+                    await stream.receive(READ_BYTES)
+                except (EndOfStream, OSError):
+                    context.closed_after_s = current_time() - began_at
+
+    context.portal.call(run)
+
+
+@then("the kept connections were closed {limit_s:g} s after the stop began")
+def step_closed(context, limit_s):
+    assert context.closed_after_s <= limit_s, context.closed_after_s
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -19,7 +19,8 @@
 from primroseturn.serving.protocol import install_protocol
 from primroseturn.settings.models import TlsSettings
 
-CLOSE_LIMIT_S = 5.0
+# Time in seconds beyond that of running requests in which connections close.
+CLOSE_LIMIT_S = 0.1
 KEEP_ALIVE_S = 60.0
 CLOSE_IDLE_INTERVAL_S = 0.05
 
@@ -173,7 +174,7 @@
             with CancelScope(shield=True):
                 async with run_background(events) as closing:
                     closing.keep(close_idle)
-                    await running.finish(finish_limit_s)
-                    with move_on_after(CLOSE_LIMIT_S):
+                    with move_on_after(finish_limit_s + CLOSE_LIMIT_S):
+                        await running.finish(finish_limit_s)
                         await stopped.wait()
                 serving.cancel()
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -65,6 +65,7 @@
         self.send = self.filter_event
         self.link = CallerLink()
         self.head = b""
+        self.closing = False
 
     @property
     def idle_connections(self) -> IdleConnections:
@@ -80,12 +81,16 @@
         if isinstance(event, Closed):
             self.link.announce()
             self.idle_connections.note_busy(self)
+        elif self.closing:
+            # A request that crossed the close must not run, for it gets no answer.
+            return
         await super().handle(event)
         if isinstance(event, Closed):
             await self.close()
 
     async def close(self) -> None:
         """Close the connection."""
+        self.closing = True
         await self.send_on(Closed())
 
     async def filter_event(self, event: Event) -> None:
