--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -191,8 +191,8 @@
                 await self.receive_replies(connection)
         finally:
             connection.socket.close()
-        if self.connections_by_vm.get(connection.peer) is connection:
-            del self.connections_by_vm[connection.peer]
+            if self.connections_by_vm.get(connection.peer) is connection:
+                del self.connections_by_vm[connection.peer]
 
     async def receive_replies(self, connection: Connection) -> None:
         """Receive the replies of one peer until its connection is idle."""
--- a/primroseturn/kernel/background.py
+++ b/primroseturn/kernel/background.py
@@ -26,8 +26,7 @@
 from primroseturn.observation.events import EventLog
 
 # Pause in seconds before a failed task starts again. It doubles with each failure, so
-# that an error which lasts costs little, and stays below the times after which a view
-# without news counts as stale.
+# that an error which lasts costs little.
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
 # A task that ran this long in seconds starts with the first pause again.
