Remove a stopping VM's object while its requests finish

Cause: the call came after the last request and may take 0.8 s, beyond the time until SIGKILL. A registry that starts again after an error wrote the object each time. Change: the object is removed when the listener closes, and written once.

--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -51,6 +51,7 @@
         self.use_vms = use_vms
         # Monotonic time in seconds of the last registration.
         self.registered_at = inf
+        self.leaves = False
 
     async def register(self, exists: bool) -> None:
         """Write this VM's object until the store has taken it.
@@ -89,7 +90,8 @@
         known = [value.name for value in values]
         if known:
             self.use_vms(self.read_vms(values))
-        await self.register(self.fleet.own.name in known)
+        if self.registered_at == inf:
+            await self.register(self.fleet.own.name in known)
         if not self.fleet.listed:
             # When all VMs start for the first time, the others register meanwhile.
             await sleep(FIRST_INTERVAL_S)
@@ -110,7 +112,7 @@
 
     def was_removed(self, values: list[StoredValue]) -> bool:
         """Return whether another VM took this one for gone, such as after a cut."""
-        if current_time() - self.registered_at < LIST_AGE_S:
+        if self.leaves or current_time() - self.registered_at < LIST_AGE_S:
             return False
         return all(value.name != self.fleet.own.name for value in values)
 
@@ -140,6 +142,7 @@
 
     async def unregister(self) -> None:
         """Remove this VM's object; failure leaves it to the next start."""
+        self.leaves = True
         with CancelScope(shield=True), suppress(StoreUnavailable):
             # The client logs a failure; the object is replaced or removed later.
             await self.store.delete(VMS_KIND, self.fleet.own.name)
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -39,7 +39,7 @@
 HEADER_LIMIT_BYTES = 65_536
 # Parts of the time until SIGKILL. New connections are taken while the load balancer
 # still sends them, then requests in flight may finish; callers wait 2.5 of 6 s at most.
-# The rest is left for the removal of the VM's object.
+# The object of the VM is removed meanwhile, and the process ends in the rest.
 LISTEN_SHARE = 0.5
 FINISH_SHARE = 0.42
 
@@ -223,7 +223,6 @@
     async with run_background(events) as background:
         background.keep(registry.follow)
         yield registry
-    await registry.unregister()
 
 
 @service("entry-readiness", needs=("view", "events", "settings"))
@@ -276,7 +275,11 @@
     settings, events = kernel.find("settings"), kernel.find("events")
     view, readiness = kernel.find("view"), kernel.find("entry-readiness")
     stop_limit_s = settings.bounds.stop_limit_s
-    async with run_target_pools(view, kernel.find("fleet"), events) as pools:
+    registry = kernel.find("vm-registry")
+    async with (
+        run_background(events) as background,
+        run_target_pools(view, kernel.find("fleet"), events) as pools,
+    ):
         forwarder = Forwarder(
             kernel.find("placement"),
             pools,
@@ -311,4 +314,6 @@
                 events.emit(ENTRY_STOPPING)
                 with CancelScope(shield=True):
                     await sleep(LISTEN_SHARE * stop_limit_s)
+                # While requests in flight finish, since a call may take long.
+                background.start_soon(registry.unregister)
     events.emit(ENTRY_STOPPED)
