Keep a daemon running when one of its background tasks fails

Callers of a daemon lost it with the first error of any of its loops: the process ended, and before their requests in flight got a bare 500. Cause: the services of the product's own interface ran their loops in plain nested task groups. Change: all loops and one-time tasks of the daemon run in kernel/background. State is right for another start: the ticker keeps whether the path is suspected, probes of clocks keep their numbers, the log writer first writes what is left, a ledger is read anew, digests that were not sent are marked again, a claim whose settling raises goes behind the others. A batch of claims answers all who wait, also after an unexpected error; an outcome that fails to be recorded is postponed and no longer costs the caller the answer. A failing probe of a load ends only itself.

--- /dev/null
+++ b/features/daemon_tasks.feature
@@ -0,0 +1,30 @@
+Feature: An error of a part of a daemon takes no answer from its callers
+
+  Scenario Outline: Callers of a daemon get their answers while <part> fails
+    Given 2 daemons that log, with 1 target
+    When <part> fails in a daemon while an order is at its target
+    Then the order gets 200 and ran once
+    And the daemon's log names the failed task "<task>"
+    And a further order gets 200
+
+    Examples:
+      | part                                | task                     |
+      | the sending of heartbeats           | Heartbeats.run           |
+      | the tick of the dispatcher          | Ticker.tick_forever      |
+      | the follower of the configuration   | Follower.follow_log      |
+      | the follower of the lists           | Follower.follow_lists    |
+      | the fetch of changes from a peer    | Relay.fetch              |
+      | the fetch of lists from a peer      | ListingRelay.fetch       |
+      | the recording of a withdrawn key    | Withdrawals.record       |
+      | the choice of withdrawals to record | Withdrawals.record_pending |
+      | the settling of claims              | Claims.settle_for_ever   |
+      | a batch of claims                   | Batches.commit           |
+      | the pause before a batch of claims  | Batches.run              |
+      | the borrowing of tokens             | Borrower.keep            |
+      | the keeping of units                | Ownership.keep           |
+      | the renewal of the owner's lease    | Ownership.renew_for_ever |
+      | the probes of clocks                | send_probes              |
+      | the exchange of digests             | DigestExchange.run       |
+      | the poller of loads                 | LoadPoller.run           |
+      | one probe of a load                 | LoadPoller.probe         |
+      | the writer of the log               | LogWriter.write_forever  |
--- a/features/exploration/claims.py
+++ b/features/exploration/claims.py
@@ -22,6 +22,7 @@
 from primroseturn.claims.slots import bits_of, encode_slot, Slot
 from primroseturn.configuration.models import EntryVm
 from primroseturn.failures import StoreUnavailable
+from primroseturn.standins.events import SimulationLog
 from primroseturn.standins.network import run_network
 from primroseturn.standins.objects import MemoryObjects
 
@@ -109,7 +110,7 @@
             Random(f"{self.seed}/{incarnation}"),
             partial(self.live_daemons, vm),
             0.01,
-            lambda event, **fields: None,
+            SimulationLog(vm, incarnation),
         )
         async with create_task_group() as tasks:
             self.scopes[vm] = tasks.cancel_scope
--- a/features/exploration/limits.py
+++ b/features/exploration/limits.py
@@ -28,6 +28,7 @@
 from primroseturn.limits.sessions import OwnerSession
 from primroseturn.limits.share import Loan, Share, UNITS
 from primroseturn.settings.models import LimitSettings
+from primroseturn.standins.events import SimulationLog
 from primroseturn.standins.network import run_network
 from primroseturn.standins.objects import MemoryObjects
 
@@ -131,7 +132,7 @@
             Random(f"{self.seed}/{incarnation}"),
             partial(self.live_daemons, vm),
             lambda name: self.workspace(vm),
-            lambda event, **fields: None,
+            SimulationLog(vm, incarnation),
         )
         settings = LimitSettings(0.2, LOAN_S, LEASE_S, 3)
         identity = Identity(vm, f"{vm}@h:1", incarnation)
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -14,6 +14,7 @@
 from primroseturn.configuration.log import log_key
 from primroseturn.configuration.models import Change, EntryVm, Target
 from primroseturn.daemon import run_services
+from primroseturn.kernel.kernel import Kernel
 from primroseturn.membership.listing import EntryList, TargetList
 from primroseturn.serving.asgi import serve_application
 from primroseturn.settings.models import DaemonSettings
@@ -111,8 +112,8 @@
         self.key_ids_by_workspace[name] = stored.key_id
         return given.secret
 
-    async def add_daemon(self, vm: str, **sections: dict) -> int:
-        """Start a daemon and return its port for callers."""
+    def daemon_settings(self, vm: str, **sections: dict) -> DaemonSettings:
+        """Return the settings of a daemon of this fleet."""
         document = {
             "identity": {"vm": vm, "data_center": "dc1", "region": "region1"},
             "store": {"url": f"http://127.0.0.1:{self.store_port}"},
@@ -120,14 +121,22 @@
             "callers": {"drain_delay_s": 0.0, "drain_limit_s": 1.0},
             **sections,
         }
-        settings = convert(document, DaemonSettings)
+        return convert(document, DaemonSettings)
+
+    async def add_daemon(self, vm: str, **sections: dict) -> int:
+        """Start a daemon and return its port for callers."""
+        settings = self.daemon_settings(vm, **sections)
         kernel = await self.start(vm, run_services(settings))
+        self.list_daemon(vm, kernel)
+        return kernel.find("callers")
+
+    def list_daemon(self, vm: str, kernel: Kernel) -> None:
+        """Add a running daemon to the list of entry VMs."""
         self.kernels_by_vm[vm] = kernel
         listed = {item.vm: item for item in self.entry_vms}
         listed[vm] = kernel.find("membership").this
         self.entry_vms = list(listed.values())
         self.list_entry_vms()
-        return kernel.find("callers")
 
     async def request(
         self, vm: str, method: str, path: str, key: str | None = None, **options
--- a/features/steps/background_tasks.py
+++ b/features/steps/background_tasks.py
@@ -1,43 +1,30 @@
 """Steps for errors in the background tasks of an entry VM."""
 
-import json
 import os
 from asyncio import CancelledError
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from functools import partial
 from time import monotonic, sleep as sleep_blocking
-from typing import NamedTuple
 
 from anyio import create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from httpx import get, HTTPError
 
+from features.breakage import (
+    add_failing_service,
+    ask_while_broken,
+    ERROR_TEXT,
+    Part,
+    SENT_S,
+    wait_for_failed_task,
+)
 from features.entry_fleet import EntryFleet
 from features.steps.entry_process import start_process, WAIT_S
 from primroseturn.entry.process import ENTRY_SERVICES
-from primroseturn.kernel.kernel import Kernel, run_kernel
-from primroseturn.kernel.registry import entries_by_name, service
+from primroseturn.kernel.kernel import run_kernel
 from primroseturn.requestpath.pool import TargetPool
 from primroseturn.serving.idle import IdleConnections
 
-ERROR_TEXT = "broken part"
-# Time before the error comes, in which the caller's request reaches its target.
-SENT_S = 0.1
-
-
-class Part(NamedTuple):
-    """A method that a background task calls.
-
-    Attributes
-    ----------
-    service
-        Name of the service that has it, or the class.
-    """
-
-    service: str | type
-    method: str
-
-
 parts_by_name = {
     "the question for the configuration": Part("follower", "ask_configuration"),
     "the watch of the targets": Part("follower", "watch_targets"),
@@ -49,46 +36,24 @@
 }
 
 
-class Breakage:
-    """Makes a method raise until it is mended, and counts the calls."""
-
-    def __init__(self, kernel: Kernel, part: Part, error: BaseException) -> None:
-        found = part.service
-        self.owner = kernel.find(found) if isinstance(found, str) else found
-        self.method = part.method
-        self.error = error
-        self.calls = 0
-        self.usual = getattr(self.owner, self.method)
-        setattr(self.owner, self.method, self.fail)
-
-    def fail(self, *arguments, **options):
-        self.calls += 1
-        raise self.error
-
-    def mend(self) -> None:
-        """Let the method do its work again."""
-        setattr(self.owner, self.method, self.usual)
-
-
 def wait_while_broken(context, name, path, error):
     """Break a part while a caller waits for its answer."""
     fleet: EntryFleet = context.entries
-    part = parts_by_name[name]
 
-    async def run():
-        context.responses = []
-        async with create_task_group() as tasks:
-            tasks.start_soon(call)
-            await sleep(SENT_S)
-            breakage = Breakage(fleet.kernels_by_vm["vm1"], part, error)
-            if name == "the watch of the targets":
-                # Ends the watch that runs, so that the next one comes at once.
-                fleet.list_target("t1", cold_left_s=1)
-        breakage.mend()
-        assert breakage.calls, f"{name} was not called"
+    async def provoke(breakage):
+        if name == "the watch of the targets":
+            # Ends the watch that runs, so that the next one comes at once.
+            fleet.list_target("t1", cold_left_s=1)
 
-    async def call():
-        context.responses.append(await fleet.ask(path, method="POST"))
+    async def run():
+        answer = await ask_while_broken(
+            partial(fleet.ask, path, method="POST"),
+            fleet.kernels_by_vm["vm1"],
+            parts_by_name[name],
+            error,
+            provoke,
+        )
+        context.responses = [answer]
 
     context.portal.call(run)
 
@@ -145,12 +110,8 @@
 
 @then('the log names the failed task "{task}"')
 def step_logged(context, task):
-    context.portal.call(sleep, 0.1)
-    text = context.entries.log_files_by_vm["vm1"].read_text()
-    events = [json.loads(line) for line in text.splitlines()]
-    failed = [item for item in events if item["message_type"] == "task-failed"]
-    assert task in {item["task"] for item in failed}, failed
-    assert all(item["places"] for item in failed if item["task"] == task), failed
+    path = context.entries.log_files_by_vm["vm1"]
+    context.portal.call(wait_for_failed_task, path, task)
 
 
 @then("a further caller gets {status:d}")
@@ -166,24 +127,13 @@
     fleet: EntryFleet = context.entries
     settings = fleet.settings_of("vm2")
 
-    @service("failing")
-    @asynccontextmanager
-    async def provide_failing(kernel):
-        async with create_task_group() as tasks:
-            tasks.start_soon(fail_task)
-            yield
-            tasks.cancel_scope.cancel()
-
-    async def fail_task():
-        with fail_after(WAIT_S):
-            while not fleet.entry_targets_by_id["t1"].runs:
-                await sleep(0.01)
-        raise LookupError(ERROR_TEXT)
+    runs = fleet.entry_targets_by_id["t1"].runs
+    failing = add_failing_service(context, lambda: runs)
 
     async def serve(tasks):
         with suppress(ExceptionGroup):
             async with run_kernel(
-                ("events", "failing", *ENTRY_SERVICES), {"settings": settings}
+                ("events", failing, *ENTRY_SERVICES), {"settings": settings}
             ) as kernel:
                 fleet.entry_ports_by_vm["vm2"] = kernel.find("entry")
                 tasks.start_soon(call)
@@ -197,7 +147,6 @@
         async with create_task_group() as tasks:
             tasks.start_soon(serve, tasks)
 
-    context.cleanups.append(lambda: entries_by_name.pop("failing"))
     context.portal.call(run)
 
 
--- /dev/null
+++ b/features/steps/daemon_tasks.py
@@ -0,0 +1,238 @@
+"""Steps for errors in the background tasks of a daemon."""
+
+from functools import partial
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from anyio import Event, fail_after, sleep
+from behave import given, then, when
+
+from features.breakage import (
+    ask_while_broken,
+    Breakage,
+    ERROR_TEXT,
+    Part,
+    wait_for_failed_task,
+)
+from features.fleet import Fleet, run_fleet
+from features.steps.request_path import fill_fleet
+from primroseturn.claims.claims import form_change
+from primroseturn.claims.models import Operation
+from primroseturn.configuration import withdrawals
+from primroseturn.configuration.messages import ConfigurationChange
+from primroseturn.configuration.models import Change
+from primroseturn.control.bus import Sender
+from primroseturn.observation import clocks
+from primroseturn.observation.output import LogWriter
+
+WAIT_S = 5.0
+# Time for an error to take effect elsewhere before the target answers.
+EFFECT_S = 0.1
+INTERVAL_S = 0.1
+BATCH_PAUSE_S = 0.013
+WORK_S = 0.7
+DRAIN_DELAY_S = 0.4
+SECTIONS = {
+    "control": {"heartbeat_interval_s": INTERVAL_S},
+    "upstreams": {"load_interval_s": INTERVAL_S},
+    "claims": {"commit_interval_s": BATCH_PAUSE_S},
+    # Renewed 36 times in a lease.
+    "limits": {"owner_lease_s": 36 * INTERVAL_S, "loan_s": 0.5},
+}
+BROKEN_OPERATION = Operation("shop", "broken", "attempt-of-the-test", "0")
+
+
+def is_broken_claim(change):
+    return change.operation_id == BROKEN_OPERATION.operation_id
+
+
+def is_broken_batch(prefix, changes):
+    return any(is_broken_claim(change) for change in changes)
+
+
+parts_by_name = {
+    "the sending of heartbeats": Part("heartbeats", "report_links"),
+    "the tick of the dispatcher": Part("dispatcher", "tick"),
+    "the follower of the configuration": Part(
+        "configuration.follower", "follow_log_once"
+    ),
+    "the follower of the lists": Part("configuration.follower", "follow_lists_once"),
+    "the fetch of changes from a peer": Part("configuration.relay", "take_part"),
+    "the fetch of lists from a peer": Part("configuration.listings", "take"),
+    "the recording of a withdrawn key": Part(withdrawals, "propose_change"),
+    "the choice of withdrawals to record": Part("withdrawals", "must_record"),
+    "the settling of claims": Part("claims", "decide", is_broken_claim),
+    "a batch of claims": Part("claims.committer", "commit", is_broken_batch),
+    "the pause before a batch of claims": Part(
+        "claims.clock", "sleep", lambda delay_s: delay_s == BATCH_PAUSE_S
+    ),
+    "the borrowing of tokens": Part("admission.borrower", "run_round"),
+    "the keeping of units": Part("admission.ownership", "settle"),
+    "the renewal of the owner's lease": Part("admission.session", "renew"),
+    "the probes of clocks": Part(clocks, "choose_peer"),
+    "the exchange of digests": Part("digests", "send_round"),
+    "the poller of loads": Part("loads", "near_targets"),
+    "one probe of a load": Part("dispatcher.balancer", "report_load"),
+    "the writer of the log": Part(LogWriter, "take_lines"),
+}
+
+
+async def change_configuration(fleet, kernel):
+    fleet.configure("workspace", "further", {"name": "further", "rate": 1, "burst": 1})
+
+
+async def change_list(fleet, kernel):
+    fleet.list_targets("search")
+
+
+async def announce_change(fleet, kernel):
+    version = kernel.find("replica").state.version + 2
+    change = Change(version, "", "", "workspace", "none", None)
+    relay = kernel.find("configuration").relay
+    await relay.accept(Sender("vm2", "any"), ConfigurationChange([change]))
+
+
+async def fetch_lists(fleet, kernel):
+    listing = kernel.find("listing")
+    listing.versions_by_list["search"] -= 1
+    kernel.find("configuration").listings.start_fetch("vm2")
+
+
+async def withdraw_key(fleet, kernel):
+    key_id = fleet.key_ids_by_workspace["office"]
+    kernel.find("withdrawals").accepted_here.add(key_id)
+    kernel.find("replica").withdraw(key_id, "test")
+
+
+async def choose_recorded(fleet, kernel):
+    kernel.find("replica").withdraw(fleet.key_ids_by_workspace["office"], "test")
+
+
+async def release_claim(fleet, kernel):
+    kernel.find("claims").give_up(BROKEN_OPERATION)
+
+
+async def submit_claim(fleet, kernel):
+    change = form_change("claim", BROKEN_OPERATION)
+    with fail_after(WAIT_S):
+        reply = await kernel.find("claims").batches.submit(change)
+    assert reply.verdict == "unavailable", reply
+
+
+async def wake_share(fleet, kernel):
+    for share in kernel.find("admission").shares_by_workspace.values():
+        share.woken.set()
+        share.ledger_woken.set()
+
+
+provocations_by_name = {
+    "the follower of the configuration": change_configuration,
+    "the follower of the lists": change_list,
+    "the fetch of changes from a peer": announce_change,
+    "the fetch of lists from a peer": fetch_lists,
+    "the recording of a withdrawn key": withdraw_key,
+    "the choice of withdrawals to record": choose_recorded,
+    "the settling of claims": release_claim,
+    "a batch of claims": submit_claim,
+    "the pause before a batch of claims": submit_claim,
+    "the borrowing of tokens": wake_share,
+    "the keeping of units": wake_share,
+}
+
+
+@given("{count:d} daemons that log, with {targets:d} target")
+@given("{count:d} daemon that logs, with {targets:d} target")
+def step_daemons(context, count, targets):
+    directory = TemporaryDirectory()
+    context.cleanups.append(directory.cleanup)
+    context.log_file = Path(directory.name, "vm1.jsonl")
+    for name in ("FIRST_PROBE_S", "PROBE_INTERVAL_S"):
+        context.cleanups.append(partial(setattr, clocks, name, getattr(clocks, name)))
+        setattr(clocks, name, INTERVAL_S)
+    manager = context.portal.wrap_async_context_manager(run_fleet())
+    fleet = context.fleet = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    add_daemon = fleet.add_daemon
+
+    async def add_logging_daemon(vm):
+        logs = {"events_file": str(context.log_file)} if vm == "vm1" else {}
+        return await add_daemon(vm, **SECTIONS, **({"logs": logs} if logs else {}))
+
+    async def fill():
+        fleet.add_daemon = add_logging_daemon
+        fleet.add_workspace("office")
+        await fill_fleet(fleet, targets, count)
+
+    context.portal.call(fill)
+
+
+async def order(fleet: Fleet, path: str, vm: str = "vm1"):
+    """Send an order that must not repeat."""
+    return await fleet.request(
+        vm,
+        "POST",
+        path,
+        fleet.secrets_by_workspace["shop"],
+        headers={"idempotency-key": path},
+        content=b"{}",
+    )
+
+
+def hold_work(fleet: Fleet) -> Event:
+    """Let the target wait with its answers until the returned event is set."""
+    (upstream,) = fleet.upstreams_by_name.values()
+    released = Event()
+    usual = upstream.run_in_slot
+
+    async def run_in_slot(*arguments):
+        await released.wait()
+        await usual(*arguments)
+
+    upstream.run_in_slot = run_in_slot
+    return released
+
+
+@when("{name} fails in a daemon while an order is at its target")
+def step_fail(context, name):
+    fleet: Fleet = context.fleet
+
+    async def run():
+        released = hold_work(fleet)
+        kernel = fleet.kernels_by_vm["vm1"]
+
+        async def provoke(breakage: Breakage):
+            if name in provocations_by_name:
+                await provocations_by_name[name](fleet, kernel)
+            with fail_after(WAIT_S):
+                while not breakage.calls:
+                    await sleep(0.01)
+            await sleep(EFFECT_S)
+            released.set()
+
+        context.answer = await ask_while_broken(
+            partial(order, fleet, "/order/1"),
+            kernel,
+            parts_by_name[name],
+            LookupError(ERROR_TEXT),
+            provoke,
+        )
+
+    context.portal.call(run)
+
+
+@then("the order gets {status:d} and ran once")
+def step_answered(context, status):
+    assert context.answer.status_code == status, context.answer.text
+    (upstream,) = context.fleet.upstreams_by_name.values()
+    assert upstream.executions_by_key == {"/order/1": 1}, upstream.executions_by_key
+
+
+@then('the daemon\'s log names the failed task "{task}"')
+def step_logged(context, task):
+    context.portal.call(wait_for_failed_task, context.log_file, task)
+
+
+@then("a further order gets {status:d}")
+def step_further(context, status):
+    answer = context.portal.call(order, context.fleet, "/order/2")
+    assert answer.status_code == status, answer.text
--- a/primroseturn/admin/service.py
+++ b/primroseturn/admin/service.py
@@ -29,9 +29,13 @@
     """Serve the administration API and provide its port."""
     settings = kernel.find("settings").admin
     address = settings.address
-    serving = serve_application(
-        AdminApplication(kernel), address.host, address.port, tls=settings.tls
-    )
-    async with serving as port:
-        kernel.find("events").emit(ADMIN_STARTED, port=port)
+    events = kernel.find("events")
+    async with serve_application(
+        AdminApplication(kernel),
+        address.host,
+        address.port,
+        tls=settings.tls,
+        events=events,
+    ) as port:
+        events.emit(ADMIN_STARTED, port=port)
         yield port
--- a/primroseturn/claims/batches.py
+++ b/primroseturn/claims/batches.py
@@ -1,12 +1,12 @@
 """Gathers changes of the same slot and commits them together."""
 
 from anyio import Event
-from anyio.abc import TaskGroup
 
 from primroseturn.claims.commit import SlotCommitter, SlotMoved
 from primroseturn.claims.messages import ClaimReply, ClaimRequest
 from primroseturn.clock import Clock
 from primroseturn.failures import StoreUnavailable
+from primroseturn.kernel.background import Background
 
 BATCH_CHANGES = 32
 
@@ -19,11 +19,6 @@
         self.answered = Event()
         self.reply = ClaimReply(change.attempt, "unavailable")
 
-    def answer(self, reply: ClaimReply) -> None:
-        """Set the reply."""
-        self.reply = reply
-        self.answered.set()
-
 
 class Batches:
     """One task per slot with waiting changes."""
@@ -33,12 +28,12 @@
         committer: SlotCommitter,
         clock: Clock,
         interval_s: float,
-        tasks: TaskGroup,
+        background: Background,
     ) -> None:
         self.committer = committer
         self.clock = clock
         self.interval_s = interval_s
-        self.tasks = tasks
+        self.background = background
         self.waiting_by_prefix: dict[str, list[Waiting]] = {}
         self.closed = False
 
@@ -67,7 +62,7 @@
                 self.waiting_by_prefix[prefix].append(waiting)
             else:
                 self.waiting_by_prefix[prefix] = [waiting]
-                self.tasks.start_soon(self.run, prefix)
+                self.background.start_soon(self.run, prefix)
             await waiting.answered.wait()
             if prefix not in self.committer.split_prefixes:
                 return waiting.reply
@@ -76,22 +71,26 @@
 
     async def run(self, prefix: str) -> None:
         """Commit batches of one slot until nothing waits."""
-        while self.waiting_by_prefix[prefix]:
-            await self.clock.sleep(self.interval_s)
-            batch = self.waiting_by_prefix[prefix][:BATCH_CHANGES]
-            del self.waiting_by_prefix[prefix][:BATCH_CHANGES]
-            await self.commit(prefix, batch)
-        del self.waiting_by_prefix[prefix]
+        try:
+            while self.waiting_by_prefix[prefix]:
+                await self.clock.sleep(self.interval_s)
+                batch = self.waiting_by_prefix[prefix][:BATCH_CHANGES]
+                del self.waiting_by_prefix[prefix][:BATCH_CHANGES]
+                await self.background.run(self.commit, prefix, batch)
+        finally:
+            # The next change of the slot starts another task.
+            for item in self.waiting_by_prefix.pop(prefix):
+                item.answered.set()
 
     async def commit(self, prefix: str, batch: list[Waiting]) -> None:
         """Commit one batch and answer its changes."""
-        replies = [ClaimReply(item.change.attempt, "unavailable") for item in batch]
+        changes = [item.change for item in batch]
         try:
-            replies = await self.committer.commit(
-                prefix, [item.change for item in batch]
-            )
+            replies = await self.committer.commit(prefix, changes)
+            for item, reply in zip(batch, replies, strict=True):
+                item.reply = reply
         except (StoreUnavailable, SlotMoved):
             return
         finally:
-            for item, reply in zip(batch, replies, strict=True):
-                item.answer(reply)
+            for item in batch:
+                item.answered.set()
--- a/primroseturn/claims/claims.py
+++ b/primroseturn/claims/claims.py
@@ -5,8 +5,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from anyio import create_task_group, Event, get_cancelled_exc_class
-from anyio.abc import TaskGroup
+from anyio import Event
 from expression import Error, Ok, Result
 
 from primroseturn.claims.batches import Batches
@@ -27,7 +26,9 @@
 from primroseturn.configuration.models import EntryVm
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.failures import Failure, StoreUnavailable
+from primroseturn.kernel.background import Background, run_background
 from primroseturn.limits.owners import choose_owners
+from primroseturn.observation.events import EventLog
 
 COMMITTER_LIMIT_S = 0.25
 COMMITTER_KEPT_S = 0.5
@@ -45,7 +46,7 @@
     random: Random
     live_daemons: Callable[[], Mapping[str, EntryVm]]
     commit_interval_s: float
-    emit: Callable[..., Any]
+    events: EventLog
 
 
 class Decision(NamedTuple):
@@ -58,15 +59,16 @@
 class Claims:
     """Claims operations through the committer of their slot, or directly."""
 
-    def __init__(self, dependencies: ClaimDependencies, tasks: TaskGroup) -> None:
+    def __init__(self, dependencies: ClaimDependencies, background: Background) -> None:
         self.committer = dependencies.committer
         self.bus = dependencies.bus
         self.clock = dependencies.clock
         self.random = dependencies.random
         self.live_daemons = dependencies.live_daemons
-        self.emit = dependencies.emit
+        self.events = dependencies.events
+        self.background = background
         interval_s = dependencies.commit_interval_s
-        self.batches = Batches(self.committer, self.clock, interval_s, tasks)
+        self.batches = Batches(self.committer, self.clock, interval_s, background)
         self.unsettled_by_attempt: dict[str, ClaimRequest] = {}
         self.unsettled = Event()
         self.committers_by_prefix: dict[str, tuple[float, str]] = {}
@@ -81,7 +83,8 @@
         """
         try:
             reply, asked = await self.decide(form_change("claim", operation))
-        except get_cancelled_exc_class():
+        except BaseException:
+            # Also after a cancellation.
             self.give_up(operation)
             raise
         CLAIMS.labels(reply.verdict).inc()
@@ -159,22 +162,28 @@
 
     async def settle(self, change: ClaimRequest) -> None:
         """Commit a record or a release, later if the store does not answer."""
-        try:
+        settled = False
+
+        async def settle_now() -> None:
+            nonlocal settled
             reply, _ = await self.decide(change)
-        except get_cancelled_exc_class():
-            self.postpone(change)
-            raise
-        if reply.verdict != "done":
-            self.postpone(change)
+            settled = reply.verdict == "done"
+
+        try:
+            # The caller's answer doesn't depend on it.
+            await self.background.run(settle_now)
+        finally:
+            if not settled:
+                self.postpone(change)
 
     def postpone(self, change: ClaimRequest) -> None:
         """Keep a change to be committed later."""
         if len(self.unsettled_by_attempt) >= UNSETTLED_CHANGES:
             oldest = next(iter(self.unsettled_by_attempt))
             del self.unsettled_by_attempt[oldest]
-            self.emit(CLAIM_DROPPED, attempt=oldest)
+            self.events.emit(CLAIM_DROPPED, attempt=oldest)
         self.unsettled_by_attempt[change.attempt] = change
-        self.emit(CLAIM_UNSETTLED, attempt=change.attempt, action=change.action)
+        self.events.emit(CLAIM_UNSETTLED, attempt=change.attempt, action=change.action)
         self.unsettled.set()
 
     async def settle_for_ever(self) -> None:
@@ -185,7 +194,13 @@
             await self.clock.sleep(delay * (0.5 + self.random.random()))
             delay = min(2 * delay, LAST_RETRY_S)
             for attempt, change in list(self.unsettled_by_attempt.items()):
-                reply, _ = await self.decide(change)
+                try:
+                    reply, _ = await self.decide(change)
+                except Exception:
+                    # The others come first when this task starts again.
+                    self.unsettled_by_attempt.pop(attempt, None)
+                    self.unsettled_by_attempt[attempt] = change
+                    raise
                 if reply.verdict != "done":
                     break
                 self.unsettled_by_attempt.pop(attempt, None)
@@ -210,11 +225,10 @@
 @asynccontextmanager
 async def run_claims(dependencies: ClaimDependencies) -> AsyncIterator[Claims]:
     """Run claims for the life of the context."""
-    async with create_task_group() as tasks:
-        claims = Claims(dependencies, tasks)
-        tasks.start_soon(claims.settle_for_ever)
+    async with run_background(dependencies.events) as background:
+        claims = Claims(dependencies, background)
+        background.keep(claims.settle_for_ever)
         try:
             yield claims
         finally:
             claims.batches.close()
-            tasks.cancel_scope.cancel()
--- a/primroseturn/claims/service.py
+++ b/primroseturn/claims/service.py
@@ -31,7 +31,7 @@
         Random(),
         find_members(kernel),
         settings.commit_interval_s,
-        events.emit,
+        events,
     )
     async with run_claims(dependencies) as claims:
         yield claims
--- a/primroseturn/configuration/listings.py
+++ b/primroseturn/configuration/listings.py
@@ -3,7 +3,6 @@
 from zlib import compress, decompressobj, error as zlib_error
 
 from anyio import current_time
-from anyio.abc import TaskGroup
 from msgspec import MsgspecError
 from msgspec.msgpack import decode, encode
 
@@ -15,6 +14,7 @@
 from primroseturn.configuration.relay import OTHER_REGION_DELAY_S, Relay
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import MessageInvalid
+from primroseturn.kernel.background import Background
 from primroseturn.membership.listing import ENTRY_LIST, Listing
 from primroseturn.membership.messages import Heartbeat
 
@@ -29,12 +29,12 @@
     """Sends differences of the VM lists down the relay tree and closes gaps."""
 
     def __init__(
-        self, bus: Bus, listing: Listing, relay: Relay, tasks: TaskGroup
+        self, bus: Bus, listing: Listing, relay: Relay, background: Background
     ) -> None:
         self.bus = bus
         self.listing = listing
         self.relay = relay
-        self.tasks = tasks
+        self.background = background
         self.changed_at = float("-inf")
         self.fetching: set[str] = set()
         bus.handle(ListingChange, self.accept)
@@ -118,7 +118,7 @@
         """Fetch from a peer in the background, once at a time."""
         if peer not in self.fetching:
             self.fetching.add(peer)
-            self.tasks.start_soon(self.fetch, peer)
+            self.background.start_soon(self.fetch, peer)
 
     async def fetch(self, peer: str) -> None:
         """Take over all newer lists of a peer."""
--- a/primroseturn/configuration/relay.py
+++ b/primroseturn/configuration/relay.py
@@ -4,7 +4,6 @@
 from zlib import compress, decompressobj, error as zlib_error
 
 from anyio import current_time, Lock, sleep, to_thread
-from anyio.abc import TaskGroup
 from expression import Error, Ok, Result
 from msgspec import MsgspecError
 from msgspec.msgpack import decode, encode
@@ -27,6 +26,7 @@
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import MessageInvalid
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import Background
 from primroseturn.membership.members import Members
 from primroseturn.membership.messages import Heartbeat
 from primroseturn.membership.rings import rank_names
@@ -56,12 +56,12 @@
     """
 
     def __init__(
-        self, bus: Bus, members: Members, replica: Replica, tasks: TaskGroup
+        self, bus: Bus, members: Members, replica: Replica, background: Background
     ) -> None:
         self.bus = bus
         self.members = members
         self.replica = replica
-        self.tasks = tasks
+        self.background = background
         self.early_by_version: dict[int, Change] = {}
         self.behind_since: float | None = None
         self.fetching = Lock()
@@ -80,7 +80,8 @@
         if applied:
             await self.pass_on(applied, self.children())
         elif self.early_by_version:
-            self.tasks.start_soon(self.fetch, sender.vm, max(self.early_by_version))
+            newest = max(self.early_by_version)
+            self.background.start_soon(self.fetch, sender.vm, newest)
 
     def apply_early(self) -> list[Change]:
         """Apply the held changes that follow the version in force."""
--- a/primroseturn/configuration/service.py
+++ b/primroseturn/configuration/service.py
@@ -4,8 +4,6 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-from anyio import create_task_group
-
 from primroseturn.configuration.follower import Follower
 from primroseturn.configuration.listings import ListingRelay
 from primroseturn.configuration.relay import Relay
@@ -13,6 +11,7 @@
 from primroseturn.configuration.start import start_from_peers
 from primroseturn.configuration.storage import SnapshotWriter
 from primroseturn.configuration.withdrawals import Withdrawals
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 
@@ -44,20 +43,19 @@
 @asynccontextmanager
 async def provide_withdrawals(kernel: Kernel) -> AsyncIterator[Withdrawals]:
     """Spread, compare and record withdrawals."""
-    async with create_task_group() as tasks:
+    async with run_background(kernel.find("events")) as background:
         withdrawals = Withdrawals(
             kernel.find("bus"),
             kernel.find("membership"),
             kernel.find("replica"),
             kernel.find("store"),
             kernel.find("events"),
-            tasks,
+            background,
         )
         heartbeats = kernel.find("heartbeats")
         heartbeats.catch_up_by_name["withdrawals"] = withdrawals.catch_up
-        tasks.start_soon(withdrawals.record_pending)
+        background.keep(withdrawals.record_pending)
         yield withdrawals
-        tasks.cancel_scope.cancel()
 
 
 @service(
@@ -82,9 +80,9 @@
     bus, events = kernel.find("bus"), kernel.find("events")
     store, members = kernel.find("store"), kernel.find("membership")
     replica = kernel.find("replica")
-    async with create_task_group() as tasks:
-        relay = Relay(bus, members, replica, tasks)
-        listings = ListingRelay(bus, kernel.find("listing"), relay, tasks)
+    async with run_background(events) as background:
+        relay = Relay(bus, members, replica, background)
+        listings = ListingRelay(bus, kernel.find("listing"), relay, background)
         writer = SnapshotWriter(store, f"{bus.vm}-{bus.incarnation}", events)
         follower = Follower(
             store,
@@ -106,10 +104,13 @@
         seeds = [seed.vm for seed in settings.control.seeds]
 
         async def run() -> None:
-            await start_from_peers(relay, listings, store, seeds, events)
-            tasks.start_soon(follower.follow_lists)
-            await follower.follow_log()
+            # Without peers the followers start from the store.
+            await background.run(
+                start_from_peers, relay, listings, store, seeds, events
+            )
+            # The lists are read once the log is.
+            background.keep(follower.follow_log)
+            background.keep(follower.follow_lists)
 
-        tasks.start_soon(run)
+        background.start_soon(run)
         yield Configuration(relay, listings, follower)
-        tasks.cancel_scope.cancel()
--- a/primroseturn/configuration/withdrawals.py
+++ b/primroseturn/configuration/withdrawals.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from anyio import create_task_group, current_time, sleep
-from anyio.abc import TaskGroup
 from expression import Ok, Result
 from msgspec import to_builtins
 from msgspec.structs import replace
@@ -20,6 +19,7 @@
 from primroseturn.configuration.replica import Replica
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import Background
 from primroseturn.membership.members import Members
 from primroseturn.membership.messages import Heartbeat
 from primroseturn.observation.events import EventLog
@@ -74,14 +74,14 @@
         replica: Replica,
         store: StoreClient,
         events: EventLog,
-        tasks: TaskGroup,
+        background: Background,
     ) -> None:
         self.bus = bus
         self.members = members
         self.replica = replica
         self.store = store
         self.events = events
-        self.tasks = tasks
+        self.background = background
         self.unrecorded_since: dict[str, float] = {}
         self.accepted_here: set[str] = set()
         replica.withdrawal_callbacks.append(self.note_withdrawal)
@@ -249,7 +249,7 @@
                     del self.unrecorded_since[key_id]
                     self.accepted_here.discard(key_id)
                 elif self.must_record(key_id):
-                    await self.record(key_id)
+                    await self.background.run(self.record, key_id)
 
     def is_recorded(self, key_id: str) -> bool:
         """Return whether the configuration in force has the withdrawal."""
--- a/primroseturn/detection/exchange.py
+++ b/primroseturn/detection/exchange.py
@@ -65,10 +65,15 @@
         writer = self.monitor.writer
         near, far = self.find_peers()
         keys = writer.take(urgent=self.rounds % FULL_EVERY != 0)
-        if keys and not await self.send_to(near, "near", writer.pack(keys)):
-            # Evidence may run dry once peers eject, so what was not sent to all is
-            # sent again.
-            writer.mark(keys)
+        if keys:
+            sent = False
+            try:
+                sent = await self.send_to(near, "near", writer.pack(keys))
+            finally:
+                # Evidence may run dry once peers eject, so what was not sent to all
+                # is sent again.
+                if not sent:
+                    writer.mark(keys)
         if self.rounds % FAR_EVERY == 0:
             bad = self.monitor.unhealthy_keys(current_time())
             if bad:
--- a/primroseturn/detection/service.py
+++ b/primroseturn/detection/service.py
@@ -3,9 +3,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio import create_task_group
-
 from primroseturn.detection.exchange import DigestExchange, Peers
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.listing import Listing
@@ -23,7 +22,7 @@
     return Peers(near, [item.vm for item in live if item.vm not in near])
 
 
-@service("digests", needs=("settings", "dispatcher", "listing"))
+@service("digests", needs=("settings", "events", "dispatcher", "listing"))
 @asynccontextmanager
 async def provide_digests(kernel: Kernel) -> AsyncIterator[DigestExchange | None]:
     """Exchange digests over the bus if the process has one."""
@@ -50,7 +49,6 @@
         return Peers(near, sorted(far - set(near)))
 
     exchange = DigestExchange(bus, kernel.find("dispatcher").monitor, find_peers)
-    async with create_task_group() as tasks:
-        tasks.start_soon(exchange.run)
+    async with run_background(kernel.find("events")) as background:
+        background.keep(exchange.run)
         yield exchange
-        tasks.cancel_scope.cancel()
--- a/primroseturn/limits/admission.py
+++ b/primroseturn/limits/admission.py
@@ -4,10 +4,8 @@
 from contextlib import asynccontextmanager
 from math import isfinite
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from anyio import create_task_group
-from anyio.abc import TaskGroup
 from expression import Error, Ok, Result
 
 from primroseturn.clock import Clock
@@ -15,6 +13,7 @@
 from primroseturn.control.bus import Bus
 from primroseturn.control.standalone import BusWithoutPeers
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import Background, run_background
 from primroseturn.limits.borrowing import Borrower
 from primroseturn.limits.events import LIMITS_UNAVAILABLE, SESSION_ENDED
 from primroseturn.limits.lending import Lender
@@ -24,6 +23,7 @@
 from primroseturn.limits.ownership import Ownership
 from primroseturn.limits.sessions import OwnerSession, SessionObserver
 from primroseturn.limits.share import Limits, Share
+from primroseturn.observation.events import EventLog
 from primroseturn.settings.models import LimitSettings
 from primroseturn.store.client import StoreClient
 
@@ -89,7 +89,7 @@
     random: Random
     live_daemons: Callable[[], Mapping[str, EntryVm]]
     limits_of: Callable[[str], Workspace | None]
-    emit: Callable[..., Any]
+    events: EventLog
 
 
 class Admission:
@@ -100,7 +100,7 @@
         identity: Identity,
         settings: LimitSettings,
         dependencies: Dependencies,
-        tasks: TaskGroup,
+        background: Background,
     ) -> None:
         store, bus, clock, random = dependencies[:4]
         lease_s, loan_s = settings.owner_lease_s, settings.loan_s
@@ -108,7 +108,7 @@
         self.settings = settings
         self.dependencies = dependencies
         self.clock = clock
-        self.tasks = tasks
+        self.background = background
         self.closed = False
         self.shares_by_workspace: dict[str, Share] = {}
         self.owners_by_workspace: dict[str, tuple[float, tuple[str, ...]]] = {}
@@ -124,7 +124,7 @@
             random,
             self.owners_of,
             identity.vm,
-            dependencies.emit,
+            dependencies.events.emit,
             isinstance(bus, BusWithoutPeers),
         )
         name = f"{identity.vm}-{identity.incarnation}"
@@ -150,7 +150,7 @@
             delay = delay if isfinite(delay) else RETRY_AFTER_S
             return Error(RateExceeded(workspace.name, delay))
         ADMISSIONS.labels("unavailable").inc()
-        self.dependencies.emit(LIMITS_UNAVAILABLE, workspace=workspace.name)
+        self.dependencies.events.emit(LIMITS_UNAVAILABLE, workspace=workspace.name)
         return Error(LimitsUnavailable(workspace.name))
 
     async def wait_for_token(self, share: Share, deadline: float) -> bool:
@@ -195,10 +195,10 @@
             return
         if not share.serving:
             share.serving = True
-            self.tasks.start_soon(self.borrower.keep, share)
+            self.background.keep(self.borrower.keep, share)
         if not share.owning and self.identity.vm in self.owners_of(share):
             share.owning = True
-            self.tasks.start_soon(self.ownership.keep, share)
+            self.background.keep(self.ownership.keep, share)
 
     def owners_of(self, share: Share) -> tuple[str, ...]:
         """Return the VMs that should own units of a workspace."""
@@ -235,7 +235,7 @@
             share.refill(now)
             lent = lent or bool(share.lent_by_id)
         await self.session.end(lent)
-        self.dependencies.emit(SESSION_ENDED, session=self.session.name)
+        self.dependencies.events.emit(SESSION_ENDED, session=self.session.name)
 
 
 @asynccontextmanager
@@ -245,12 +245,11 @@
     dependencies: Dependencies,
 ) -> AsyncIterator[Admission]:
     """Run admission for the life of the context and end its session after it."""
-    async with create_task_group() as tasks:
-        admission = Admission(identity, settings, dependencies, tasks)
-        tasks.start_soon(admission.ownership.renew_for_ever)
+    async with run_background(dependencies.events) as background:
+        admission = Admission(identity, settings, dependencies, background)
+        background.keep(admission.ownership.renew_for_ever)
         try:
             yield admission
         finally:
             admission.closed = True
-            tasks.cancel_scope.cancel()
     await admission.close()
--- a/primroseturn/limits/measurement.py
+++ b/primroseturn/limits/measurement.py
@@ -22,6 +22,7 @@
 )
 from primroseturn.limits.bucket import TokenBucket
 from primroseturn.settings.models import LimitSettings
+from primroseturn.standins.events import SimulationLog
 from primroseturn.standins.network import MemoryNetwork
 from primroseturn.standins.objects import MemoryObjects
 
@@ -234,7 +235,7 @@
         Random(vm),
         lambda: entries,
         by_name.get,
-        lambda event, **fields: None,
+        SimulationLog(vm),
     )
     identity = Identity(vm, f"{vm}@h:1", "i1")
     async with run_admission(identity, LimitSettings(), dependencies) as admission:
--- a/primroseturn/limits/ownership.py
+++ b/primroseturn/limits/ownership.py
@@ -62,6 +62,8 @@
     async def keep(self, share: Share) -> None:
         """Keep the ledger of one workspace as it should be, for ever."""
         delay = FIRST_DELAY_S
+        # After an error a write may have applied.
+        share.view.known = False
         while True:
             share.ledger_woken = Event()
             settled = False
--- a/primroseturn/limits/service.py
+++ b/primroseturn/limits/service.py
@@ -59,7 +59,7 @@
         Random(),
         find_members(kernel),
         find_limits(replica),
-        events.emit,
+        events,
     )
     identity = identify(settings, events.incarnation)
     async with run_admission(identity, settings.limits, dependencies) as admission:
--- a/primroseturn/membership/service.py
+++ b/primroseturn/membership/service.py
@@ -3,9 +3,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio import create_task_group
-
 from primroseturn.configuration.models import EntryVm
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.freshness import Freshness
@@ -68,10 +67,9 @@
         kernel.find("settings").control.heartbeat_interval_s,
     )
     kernel.find("bus").handle(Heartbeat, heartbeats.accept)
-    async with create_task_group() as tasks:
-        tasks.start_soon(heartbeats.run)
+    async with run_background(kernel.find("events")) as background:
+        background.keep(heartbeats.run)
         yield heartbeats
-        tasks.cancel_scope.cancel()
 
 
 @service("isolation", needs=("settings", "events", "membership", "freshness"))
--- a/primroseturn/observation/clocks.py
+++ b/primroseturn/observation/clocks.py
@@ -1,12 +1,14 @@
 """Exchanges probes with peers, so that time lines can repair clock offsets."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
+from itertools import count
 
-from anyio import create_task_group, sleep
+from anyio import sleep
 
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.listing import Listing
@@ -41,12 +43,12 @@
     return ring[(ring.index(vm) + steps) % len(ring)]
 
 
-async def send_probes(bus: Bus, listing: Listing, events: EventLog) -> None:
+async def send_probes(
+    bus: Bus, listing: Listing, events: EventLog, numbers: Iterator[int]
+) -> None:
     """Send a probe per interval for ever."""
-    number = 0
     await sleep(FIRST_PROBE_S)
-    while True:
-        number += 1
+    for number in numbers:
         peer = choose_peer(listing, events.vm, number)
         if peer is not None:
             probe = f"{events.vm}-{events.incarnation}-{number}"
@@ -60,12 +62,13 @@
 async def provide_clock_probes(kernel: Kernel) -> AsyncIterator[None]:
     """Log probes from and to peers."""
     bus, events = kernel.find("bus"), kernel.find("events")
+    # Goes on after an error, so that each probe has its own name.
+    numbers = count(1)
 
     async def receive(sender: Sender, body: ClockProbe) -> None:
         events.emit(CLOCK_PROBE_RECEIVED, probe=body.probe, peer=sender.vm)
 
     bus.handle(ClockProbe, receive)
-    async with create_task_group() as tasks:
-        tasks.start_soon(send_probes, bus, kernel.find("listing"), events)
+    async with run_background(events) as background:
+        background.keep(send_probes, bus, kernel.find("listing"), events, numbers)
         yield
-        tasks.cancel_scope.cancel()
--- a/primroseturn/observation/health.py
+++ b/primroseturn/observation/health.py
@@ -59,11 +59,14 @@
 async def provide_metrics(kernel: Kernel) -> AsyncIterator[int]:
     """Serve metrics and health and provide the port."""
     metrics = DaemonMetrics(kernel)
-    listeners = kernel.find("events").listeners
+    events = kernel.find("events")
+    listeners = events.listeners
     listeners.append(metrics.events.note_event)
     kernel.find("store").failure_listeners.append(report_store_failure(kernel))
     address = kernel.find("settings").metrics.address
     application = HealthApplication(kernel, metrics)
-    async with serve_application(application, address.host, address.port) as port:
+    async with serve_application(
+        application, address.host, address.port, events=events
+    ) as port:
         yield port
     listeners.remove(metrics.events.note_event)
--- a/primroseturn/observation/output.py
+++ b/primroseturn/observation/output.py
@@ -6,11 +6,14 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from anyio import create_task_group, Event, sleep
+from anyio import Event, sleep
 from eliot import add_destinations, remove_destination
 from msgspec.json import encode
 from prometheus_client import Counter
 
+from primroseturn.kernel.background import run_background
+from primroseturn.observation.events import EventLog
+
 # Lines that wait for a slow reader; beyond that the oldest are dropped.
 WAITING_LIMIT_LINES = 2_000
 # Pause in seconds before a full pipe is tried again.
@@ -70,23 +73,30 @@
     async def write_forever(self) -> None:
         """Write lines as they come."""
         while True:
-            await self.waiting.wait()
+            # Before any wait, because after an error lines are left.
             self.waiting = Event()
             while not self.write_some():
                 await sleep(RETRY_S)
+            await self.waiting.wait()
 
 
 @asynccontextmanager
-async def write_logs(descriptor: int) -> AsyncIterator[LogWriter]:
-    """Send eliot's messages to a descriptor for the life of the context."""
+async def write_logs(descriptor: int, events: EventLog) -> AsyncIterator[LogWriter]:
+    """Send eliot's messages to a descriptor for the life of the context.
+
+    Parameters
+    ----------
+    events
+        The log of the process. A line about an error of the writer waits with the
+        others until the writer has started again.
+    """
     os.set_blocking(descriptor, False)
     writer = LogWriter(descriptor)
     add_destinations(writer)
-    async with create_task_group() as tasks:
-        tasks.start_soon(writer.write_forever)
+    async with run_background(events) as background:
+        background.keep(writer.write_forever)
         try:
             yield writer
         finally:
             remove_destination(writer)
             writer.write_some()
-            tasks.cancel_scope.cancel()
--- a/primroseturn/observation/service.py
+++ b/primroseturn/observation/service.py
@@ -52,7 +52,7 @@
     settings = kernel.find("settings")
     volume = LogVolume({REQUEST_SERVED: SERVED_LINES_PER_S})
     with open_descriptor(settings.logs) as descriptor:
-        async with write_logs(descriptor):
-            events = EventLog(settings.identity.vm, volume=volume)
+        events = EventLog(settings.identity.vm, volume=volume)
+        async with write_logs(descriptor, events):
             with report_crash(events):
                 yield events
--- a/primroseturn/routing/loads.py
+++ b/primroseturn/routing/loads.py
@@ -6,6 +6,7 @@
 from msgspec.json import Decoder
 
 from primroseturn.configuration.models import Target
+from primroseturn.kernel.background import Background
 from primroseturn.routing.balancer import Balancer
 
 PROBE_LIMIT_S = 0.5
@@ -33,12 +34,18 @@
     """
 
     def __init__(
-        self, balancer: Balancer, http: AsyncClient, path: str, interval_s: float
+        self,
+        balancer: Balancer,
+        http: AsyncClient,
+        path: str,
+        interval_s: float,
+        background: Background,
     ) -> None:
         self.balancer = balancer
         self.http = http
         self.path = path
         self.interval_s = interval_s
+        self.background = background
 
     def near_targets(self) -> list[Target]:
         """Return the targets whose loads matter to this VM."""
@@ -54,7 +61,7 @@
             targets = self.near_targets()
             async with create_task_group() as tasks:
                 for target in targets:
-                    tasks.start_soon(self.probe, target)
+                    tasks.start_soon(self.background.run, self.probe, target)
                     await sleep(self.interval_s / len(targets))
             if not targets:
                 await sleep(self.interval_s)
--- a/primroseturn/routing/service.py
+++ b/primroseturn/routing/service.py
@@ -5,13 +5,14 @@
 from random import Random
 from ssl import create_default_context
 
-from anyio import create_task_group, current_time, sleep
+from anyio import current_time, sleep
 from httpx import AsyncClient
 
 from primroseturn.configuration.state import ConfigurationState
 from primroseturn.detection.evidence import Key
 from primroseturn.detection.profiles import profiles_by_name
 from primroseturn.ejection.events import PATH_SUSPECTED
+from primroseturn.kernel.background import run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.listing import Listing
@@ -30,15 +31,22 @@
 TICK_S = 0.05
 
 
-async def tick_forever(dispatcher: Dispatcher, events: EventLog) -> None:
-    """Let the dispatcher do what time alone makes due."""
-    suspected = False
-    while True:
-        await sleep(TICK_S)
-        dispatcher.tick(current_time())
-        if dispatcher.monitor.path_bad != suspected:
-            suspected = not suspected
-            events.emit(PATH_SUSPECTED, suspected=suspected)
+class Ticker:
+    """Lets the dispatcher do what time alone makes due."""
+
+    def __init__(self, dispatcher: Dispatcher, events: EventLog) -> None:
+        self.dispatcher = dispatcher
+        self.events = events
+        self.suspected = False
+
+    async def tick_forever(self) -> None:
+        """Tick, and emit an event when the own path begins or ends to be bad."""
+        while True:
+            await sleep(TICK_S)
+            self.dispatcher.tick(current_time())
+            if self.dispatcher.monitor.path_bad != self.suspected:
+                self.suspected = not self.suspected
+                self.events.emit(PATH_SUSPECTED, suspected=self.suspected)
 
 
 def follow_configuration(
@@ -88,10 +96,9 @@
     listing.subscribe(lambda name: dispatcher.use_list(listing, name, current_time()))
     follow_configuration(dispatcher, listing, replica.state)
     replica.subscribe(lambda state: follow_configuration(dispatcher, listing, state))
-    async with create_task_group() as tasks:
-        tasks.start_soon(tick_forever, dispatcher, events)
+    async with run_background(events) as background:
+        background.keep(Ticker(dispatcher, events).tick_forever)
         yield dispatcher
-        tasks.cancel_scope.cancel()
 
 
 @service("retries", needs=("dispatcher",))
@@ -118,7 +125,7 @@
     yield router
 
 
-@service("loads", needs=("settings", "dispatcher"))
+@service("loads", needs=("settings", "events", "dispatcher"))
 @asynccontextmanager
 async def provide_loads(kernel: Kernel) -> AsyncIterator[LoadPoller | None]:
     """Ask targets for their loads if the settings name the endpoint."""
@@ -129,12 +136,14 @@
     trust = create_default_context(cafile=settings.ca_file)
     async with (
         AsyncClient(timeout=PROBE_LIMIT_S, trust_env=False, verify=trust) as http,
-        create_task_group() as tasks,
+        run_background(kernel.find("events")) as background,
     ):
-        balancer = kernel.find("dispatcher").balancer
         poller = LoadPoller(
-            balancer, http, settings.load_path, settings.load_interval_s
+            kernel.find("dispatcher").balancer,
+            http,
+            settings.load_path,
+            settings.load_interval_s,
+            background,
         )
-        tasks.start_soon(poller.run)
+        background.keep(poller.run)
         yield poller
-        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/primroseturn/standins/events.py
@@ -0,0 +1,19 @@
+"""Log of a simulated VM."""
+
+from typing import Any
+
+from primroseturn.observation.catalogue import Event, TASK_FAILED
+from primroseturn.observation.events import EventLog
+
+
+class TaskFailed(Exception):
+    """A background task of a simulated VM failed."""
+
+
+class SimulationLog(EventLog):
+    """Writes nothing and ends the simulation when a background task fails."""
+
+    def emit(self, event: Event, **fields: Any) -> None:
+        """Raise for an error that a daemon would log and survive."""
+        if event is TASK_FAILED:
+            raise TaskFailed(fields)
