Spread a withdrawn key although one message or its record fails

An operator who withdrew a key got an error, and further VMs kept serving the key until heartbeats told them, when the message to one VM or the record raised.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -28,3 +28,8 @@
       | the poller of loads                 | LoadPoller.run           |
       | one probe of a load                 | LoadPoller.probe         |
       | the writer of the log               | LogWriter.write_forever  |
+
+  Scenario: A withdrawn key reaches a daemon through another one when its own message fails
+    Given 3 daemons that log, with 1 target
+    When a key is withdrawn while the messages to "vm2" fail
+    Then the withdrawal is recorded and in force at 3 daemons
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -236,3 +236,27 @@
 def step_further(context, status):
     answer = context.portal.call(order, context.fleet, "/order/2")
     assert answer.status_code == status, answer.text
+
+
+@when('a key is withdrawn while the messages to "{vm}" fail')
+def step_withdraw(context, vm):
+    fleet: Fleet = context.fleet
+    kernel = fleet.kernels_by_vm["vm1"]
+    key_id = fleet.key_ids_by_workspace["office"]
+    part = Part("withdrawals", "ask", lambda name, *rest: name == vm)
+
+    async def run():
+        breakage = Breakage(kernel, part, LookupError(ERROR_TEXT))
+        result = await kernel.find("withdrawals").withdraw(key_id, "test")
+        breakage.mend()
+        assert breakage.calls
+        context.withdrawal = result.ok
+
+    context.portal.call(run)
+
+
+@then("the withdrawal is recorded and in force at {count:d} daemons")
+def step_withdrawn(context, count):
+    result = context.withdrawal
+    assert result.state == "recorded", result
+    assert result.in_force == count, result
--- a/primroseturn/configuration/withdrawals.py
+++ b/primroseturn/configuration/withdrawals.py
@@ -103,15 +103,18 @@
         self.accepted_here.add(key_id)
         self.events.emit(KEY_WITHDRAWN, key_id=key_id, operation_id=operation_id)
         held = {self.members.this.vm}
-        recorded: list[int | None] = []
+        version: int | None = None
 
         async def record() -> None:
-            recorded.append(await self.record(key_id, author))
+            nonlocal version
+            version = await self.record(key_id, author)
 
+        # An error of the record must not end the spreading, or the other way round.
+        run = self.background.run
         async with create_task_group() as tasks:
-            tasks.start_soon(record)
-            tasks.start_soon(self.spread_to_all, {key_id: operation_id}, held)
-        return Ok(self.describe(held, recorded[0]))
+            tasks.start_soon(run, record)
+            tasks.start_soon(run, self.spread_to_all, {key_id: operation_id}, held)
+        return Ok(self.describe(held, version))
 
     def describe(self, held: set[str], version: int | None) -> WithdrawalResult:
         """Return the result for the VMs that hold a withdrawal."""
@@ -138,7 +141,9 @@
         message = KeyWithdrawal(operations, missing)
         async with create_task_group() as tasks:
             for helper in helpers:
-                tasks.start_soon(self.ask, helper, message, held, 1)
+                tasks.start_soon(
+                    self.background.run, self.ask, helper, message, held, 1
+                )
 
     async def spread(
         self, operations: dict[str, str], names: list[str], held: set[str]
@@ -147,7 +152,9 @@
         groups = [names[start::FAN_OUT] for start in range(min(FAN_OUT, len(names)))]
         async with create_task_group() as tasks:
             for group in groups:
-                tasks.start_soon(self.spread_group, operations, group, held)
+                tasks.start_soon(
+                    self.background.run, self.spread_group, operations, group, held
+                )
 
     async def spread_group(
         self, operations: dict[str, str], group: list[str], held: set[str]
