Drain callers also when an error ends the daemon

Callers were refused (connection refused) while the load balancer still sent them, when an error of another service ended the process: the listener closed at once. Cause: the code after the yield of `provide_callers` does not run when the context is left by an error, so the VM was never marked as draining and did not wait for drain_delay_s. The listener's own tasks report their errors to the process's log.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -33,3 +33,10 @@
     Given 3 daemons that log, with 1 target
     When a key is withdrawn while the messages to "vm2" fail
     Then the withdrawal is recorded and in force at 3 daemons
+
+  Scenario: Callers get their answers when an error ends their daemon
+    Given 1 daemon that logs, with 1 target
+    When a service of another daemon raises while an order is at its target
+    Then the order gets 200 and ran once
+    And a caller that came after the error got 200
+    And the other daemon was not ready after the error
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -1,13 +1,15 @@
 """Steps for errors in the background tasks of a daemon."""
 
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from anyio import Event, fail_after, sleep
+from anyio import create_task_group, Event, fail_after, sleep
 from behave import given, then, when
 
 from features.breakage import (
+    add_failing_service,
     ask_while_broken,
     Breakage,
     ERROR_TEXT,
@@ -22,6 +24,8 @@
 from primroseturn.configuration.messages import ConfigurationChange
 from primroseturn.configuration.models import Change
 from primroseturn.control.bus import Sender
+from primroseturn.daemon import DAEMON_SERVICES
+from primroseturn.kernel.kernel import run_kernel
 from primroseturn.observation import clocks
 from primroseturn.observation.output import LogWriter
 
@@ -260,3 +264,52 @@
     result = context.withdrawal
     assert result.state == "recorded", result
     assert result.in_force == count, result
+
+
+@when("a service of another daemon raises while an order is at its target")
+def step_fail_service(context):
+    fleet: Fleet = context.fleet
+    (upstream,) = fleet.upstreams_by_name.values()
+    upstream.service_time_s = WORK_S
+    callers = {"drain_delay_s": DRAIN_DELAY_S, "drain_limit_s": 1.0}
+    settings = fleet.daemon_settings("ending", callers=callers)
+    failing = add_failing_service(context, lambda: upstream.requests)
+
+    async def serve(tasks):
+        with suppress(ExceptionGroup):
+            async with run_kernel(
+                ("events", failing, *DAEMON_SERVICES), {"settings": settings}
+            ) as kernel:
+                fleet.list_daemon("ending", kernel)
+                await fleet.wait_ready()
+                tasks.start_soon(call)
+                tasks.start_soon(call_later, kernel)
+                await sleep(WAIT_S)
+
+    async def call():
+        context.answer = await order(fleet, "/order/1", "ending")
+
+    async def call_later(kernel):
+        with fail_after(WAIT_S):
+            while not upstream.requests:
+                await sleep(0.01)
+        await sleep(DRAIN_DELAY_S / 2)
+        context.reasons = kernel.find("readiness").reasons()
+        secret = fleet.secrets_by_workspace["shop"]
+        context.later = await fleet.request("ending", "GET", "/find/1", secret)
+
+    async def run():
+        async with create_task_group() as tasks:
+            tasks.start_soon(serve, tasks)
+
+    context.portal.call(run)
+
+
+@then("a caller that came after the error got {status:d}")
+def step_later(context, status):
+    assert context.later.status_code == status, context.later.text
+
+
+@then("the other daemon was not ready after the error")
+def step_not_ready(context):
+    assert "draining" in context.reasons, context.reasons
--- a/primroseturn/requestpath/service.py
+++ b/primroseturn/requestpath/service.py
@@ -56,11 +56,15 @@
             finish_limit_s=callers.drain_limit_s,
             header_limit_bytes=callers.header_limit_bytes,
             tls=callers.tls,
+            events=events,
         ) as port:
             events.emit(DAEMON_STARTED, port=port)
-            yield port
-            readiness.begin_drain()
-            events.emit(DAEMON_DRAINING, delay_s=callers.drain_delay_s)
-            with CancelScope(shield=True):
-                await sleep(callers.drain_delay_s)
+            try:
+                yield port
+            finally:
+                # Also when another service has failed and the process ends.
+                readiness.begin_drain()
+                events.emit(DAEMON_DRAINING, delay_s=callers.drain_delay_s)
+                with CancelScope(shield=True):
+                    await sleep(callers.drain_delay_s)
     events.emit(DAEMON_STOPPED)
