Keep background tasks until their service stops when an error ends a process

A caller whose order was in flight when an error ended its daemon got its answer, but a repeat of the order got "operation-in-doubt" for the whole retention, although it ran. Cause: an error in one task group cancels all groups within, at once. Callers get the time of a stop, but the tasks which their requests need (claims, limits, the bus) had ended by then, so the outcome could not be recorded. Change: the tasks of run_background run in shielded scopes which the end of their own context cancels.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -40,3 +40,4 @@
     Then the order gets 200 and ran once
     And a caller that came after the error got 200
     And the other daemon was not ready after the error
+    And a repeat of the order gets the recorded answer
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -310,6 +310,15 @@
     assert context.later.status_code == status, context.later.text
 
 
+@then("a repeat of the order gets the recorded answer")
+def step_repeated(context):
+    answer = context.portal.call(order, context.fleet, "/order/1")
+    assert answer.status_code == 200, answer.text
+    assert answer.content == context.answer.content
+    (upstream,) = context.fleet.upstreams_by_name.values()
+    assert upstream.executions_by_key == {"/order/1": 1}, upstream.executions_by_key
+
+
 @then("the other daemon was not ready after the error")
 def step_not_ready(context):
     assert "draining" in context.reasons, context.reasons
--- a/primroseturn/kernel/background.py
+++ b/primroseturn/kernel/background.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from anyio import (
+    CancelScope,
     create_task_group,
     current_effective_deadline,
     current_time,
@@ -43,19 +44,42 @@
 
 
 class Background:
-    """Starts tasks that run beside those that serve callers."""
+    """Starts tasks that run beside those that serve callers.
+
+    They run until the context ends, also when an error elsewhere cancels what runs in
+    it: requests in flight need them until their own service has stopped.
+    """
 
     def __init__(self, tasks: TaskGroup, events: EventLog) -> None:
         self.tasks = tasks
         self.events = events
+        self.scopes: set[CancelScope] = set()
+        self.ended = False
 
     def start_soon(self, function: TaskFunction, *arguments: Any) -> None:
         """Start a task that runs once. An error is logged and ends only this task."""
-        self.tasks.start_soon(self.run, function, *arguments)
+        self.tasks.start_soon(self.hold, self.run, function, *arguments)
 
     def keep(self, function: TaskFunction, *arguments: Any) -> None:
         """Start a task that starts again after an error, until the context ends."""
-        self.tasks.start_soon(self.run_again, function, *arguments)
+        self.tasks.start_soon(self.hold, self.run_again, function, *arguments)
+
+    async def hold(self, call: TaskFunction, *arguments: Any) -> None:
+        """Make a call that only the end of the context cancels."""
+        if self.ended:
+            return
+        with CancelScope(shield=True) as scope:
+            self.scopes.add(scope)
+            try:
+                await call(*arguments)
+            finally:
+                self.scopes.discard(scope)
+
+    def end(self) -> None:
+        """Cancel all tasks."""
+        self.ended = True
+        for scope in self.scopes:
+            scope.cancel()
 
     async def run(self, function: TaskFunction, *arguments: Any) -> bool:
         """Run a function and return whether it ended without an error."""
@@ -117,5 +141,8 @@
 async def run_background(events: EventLog) -> AsyncIterator[Background]:
     """Run background tasks for the life of the context."""
     async with create_task_group() as tasks:
-        yield Background(tasks, events)
-        tasks.cancel_scope.cancel()
+        background = Background(tasks, events)
+        try:
+            yield background
+        finally:
+            background.end()
