Tell subscribers of the configuration and the lists again after an error

A route or a target that was added stayed unknown at a daemon until the next change, when a subscriber raised once at the news; subscribers after it were not told at all, and the change was not relayed to other VMs. Before daemons survived such errors, the process ended, and the next start read everything again. Cause: the version is in force before subscribers are called, so nothing brings the same news again. Change: an error of one subscriber is logged (event 104) and no longer keeps the news from others. It is called again, after 0.05 to 1 s while it raises, with the state then in force.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -34,6 +34,17 @@
     When a key is withdrawn while the messages to "vm2" fail
     Then the withdrawal is recorded and in force at 3 daemons
 
+  Scenario Outline: <subscriber> that failed once takes the change over
+    Given 1 daemon that logs, with 1 target
+    When <subscriber> fails once at <change>
+    Then the daemon's log names the failed task "Listeners.repeat_forever"
+    And <result> within 2 s
+
+    Examples:
+      | subscriber    | change       | result                     |
+      | The router    | a new route  | the new route is served    |
+      | The balancer  | a new target | the new target gets orders |
+
   Scenario: Callers get their answers when an error ends their daemon
     Given 1 daemon that logs, with 1 target
     When a service of another daemon raises while an order is at its target
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -266,6 +266,73 @@
     assert result.in_force == count, result
 
 
+async def wait_until_broken(breakage: Breakage):
+    """Mend a part after its first failure."""
+    with fail_after(WAIT_S):
+        while not breakage.calls:
+            await sleep(0.01)
+    breakage.mend()
+
+
+@when("The router fails once at a new route")
+def step_fail_router(context):
+    fleet: Fleet = context.fleet
+    kernel = fleet.kernels_by_vm["vm1"]
+
+    async def run():
+        part = Part("router", "install")
+        breakage = Breakage(kernel, part, LookupError(ERROR_TEXT))
+        body = {"name": "late", "path_prefix": "/late", "service": "search"}
+        fleet.configure("route", "late", body)
+        await wait_until_broken(breakage)
+
+    context.portal.call(run)
+
+
+@then("the new route is served within {limit_s:g} s")
+def step_new_route(context, limit_s):
+    fleet: Fleet = context.fleet
+    secret = fleet.secrets_by_workspace["shop"]
+
+    async def run():
+        with fail_after(limit_s):
+            while True:
+                answer = await fleet.request("vm1", "GET", "/late/1", secret)
+                if answer.status_code == 200:
+                    return
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+@when("The balancer fails once at a new target")
+def step_fail_balancer(context):
+    fleet: Fleet = context.fleet
+    kernel = fleet.kernels_by_vm["vm1"]
+
+    async def run():
+        part = Part("dispatcher", "use_list")
+        breakage = Breakage(kernel, part, LookupError(ERROR_TEXT))
+        await fleet.add_upstream("target2", "search")
+        await wait_until_broken(breakage)
+
+    context.portal.call(run)
+
+
+@then("the new target gets orders within {limit_s:g} s")
+def step_new_target(context, limit_s):
+    fleet: Fleet = context.fleet
+
+    async def run():
+        number = 0
+        with fail_after(limit_s):
+            while not fleet.upstreams_by_name["target2"].requests:
+                number += 1
+                await order(fleet, f"/order/{number}")
+
+    context.portal.call(run)
+
+
 @when("a service of another daemon raises while an order is at its target")
 def step_fail_service(context):
     fleet: Fleet = context.fleet
--- a/primroseturn/configuration/replica.py
+++ b/primroseturn/configuration/replica.py
@@ -19,6 +19,7 @@
     EMPTY_STATE,
 )
 from primroseturn.failures import Failure
+from primroseturn.kernel.listeners import Listeners
 from primroseturn.membership.rings import hash_name
 
 RECENT_CHANGES = 2_000
@@ -53,7 +54,7 @@
         self.recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
         self.operations_by_withdrawn_id: dict[str, str] = {}
         self.withdrawals_hash = 0
-        self.callbacks: list[Callable[[ConfigurationState], None]] = []
+        self.listeners = Listeners()
         self.withdrawal_callbacks: list[Callable[[str], None]] = []
 
     def apply(self, change: Change) -> Result[int, Failure]:
@@ -118,10 +119,9 @@
 
     def subscribe(self, callback: Callable[[ConfigurationState], None]) -> None:
         """Call `callback` with each new state."""
-        self.callbacks.append(callback)
+        self.listeners.callbacks.append(lambda: callback(self.state))
 
     def notify(self) -> None:
         """Pass the state to all subscribers."""
         VERSION.set(self.state.version)
-        for callback in self.callbacks:
-            callback(self.state)
+        self.listeners.notify()
--- a/primroseturn/configuration/service.py
+++ b/primroseturn/configuration/service.py
@@ -79,10 +79,10 @@
     settings = kernel.find("settings")
     bus, events = kernel.find("bus"), kernel.find("events")
     store, members = kernel.find("store"), kernel.find("membership")
-    replica = kernel.find("replica")
+    replica, listing = kernel.find("replica"), kernel.find("listing")
     async with run_background(events) as background:
         relay = Relay(bus, members, replica, background)
-        listings = ListingRelay(bus, kernel.find("listing"), relay, background)
+        listings = ListingRelay(bus, listing, relay, background)
         writer = SnapshotWriter(store, f"{bus.vm}-{bus.incarnation}", events)
         follower = Follower(
             store,
@@ -112,5 +112,7 @@
             background.keep(follower.follow_log)
             background.keep(follower.follow_lists)
 
+        background.keep(replica.listeners.repeat_forever)
+        background.keep(listing.listeners.repeat_forever)
         background.start_soon(run)
         yield Configuration(relay, listings, follower)
--- a/primroseturn/membership/listing.py
+++ b/primroseturn/membership/listing.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode
 
 from primroseturn.configuration.models import EntryVm, Target
+from primroseturn.kernel.listeners import Listeners
 from primroseturn.membership.rings import hash_name
 
 LIST_PREFIX = "vmlist/"
@@ -38,7 +39,7 @@
         self.daemons_by_id: dict[str, EntryVm] = {}
         self.versions_by_list: dict[str, int] = {}
         self.versions_hash = 0
-        self.callbacks: list[Callable[[str], None]] = []
+        self.listeners = Listeners()
 
     def install(self, name: str, version: int, content: bytes) -> bool:
         """Take over a newer version of a list.
@@ -72,8 +73,7 @@
             self.versions_hash ^= hash_name(name, str(known))
         self.versions_hash ^= hash_name(name, str(version))
         self.versions_by_list[name] = version
-        for callback in self.callbacks:
-            callback(name)
+        self.listeners.notify(name)
         return True
 
     def members_of(self, name: str) -> dict[str, EntryVm] | dict[str, Target]:
@@ -84,4 +84,4 @@
 
     def subscribe(self, callback: Callable[[str], None]) -> None:
         """Call `callback` with the name of each list that changed."""
-        self.callbacks.append(callback)
+        self.listeners.callbacks.append(callback)
