Let a second signal or SIGHUP not cut a daemon's stop short

Callers in flight lost the connection when a daemon got a second SIGTERM while it drained, or a SIGHUP at any time. Cause: the receiver of signals was closed before the drain began, which restored the default action, and SIGHUP was never received. Change: the receiver lasts until all services have stopped, as in the entry VM. SIGHUP asks for a stop like SIGTERM, and a signal during the start is heeded after it.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -45,6 +45,11 @@
       | The router    | a new route  | the new route is served    |
       | The balancer  | a new target | the new target gets orders |
 
+  Scenario: An order in flight is answered although two signals come
+    Given 1 targets, 1 daemons and a store as separate processes
+    When the daemon gets SIGHUP and SIGTERM while an order is at its target
+    Then the order gets 200 and the process ends with code 0
+
   Scenario: Callers get their answers when an error ends their daemon
     Given 1 daemon that logs, with 1 target
     When a service of another daemon raises while an order is at its target
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -3,6 +3,7 @@
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
+from signal import Signals
 from tempfile import TemporaryDirectory
 
 from anyio import create_task_group, Event, fail_after, sleep
@@ -333,6 +334,43 @@
     context.portal.call(run)
 
 
+@when("the daemon gets {names} while an order is at its target")
+def step_signals(context, names):
+    fleet = context.processes
+
+    async def run():
+        await fleet.set_faults("target1", {"extra_delay_s": WORK_S})
+        async with create_task_group() as tasks:
+            tasks.start_soon(call)
+            with fail_after(WAIT_S):
+                while await count_requests() == before:
+                    await sleep(0.01)
+            process = fleet.processes_by_name.pop("vm1")
+            for name in names.split(" and "):
+                process.send_signal(Signals[name])
+                await sleep(EFFECT_S)
+        context.exit_code = await process.wait()
+
+    async def call():
+        headers = {"x-api-key": fleet.secret, "idempotency-key": "1"}
+        context.answer = await fleet.http.post(
+            fleet.url("vm1", "/order/1"), headers=headers, content=b"{}"
+        )
+
+    async def count_requests():
+        response = await fleet.http.get(fleet.url("target1", "/control/counters"))
+        return response.json()["requests"]
+
+    before = context.portal.call(count_requests)
+    context.portal.call(run)
+
+
+@then("the order gets {status:d} and the process ends with code {code:d}")
+def step_ended(context, status, code):
+    assert context.answer.status_code == status, context.answer.text
+    assert context.exit_code == code, context.exit_code
+
+
 @when("a service of another daemon raises while an order is at its target")
 def step_fail_service(context):
     fleet: Fleet = context.fleet
--- a/primroseturn/cli/processes.py
+++ b/primroseturn/cli/processes.py
@@ -2,7 +2,7 @@
 
 import gc
 from contextlib import AsyncExitStack
-from signal import SIGINT, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM
 
 from anyio import open_signal_receiver
 
@@ -37,11 +37,13 @@
 
 
 async def run_daemon(settings: DaemonSettings) -> None:
-    """Run a daemon until a signal."""
-    async with run_services(settings) as kernel:
-        limit_collections()
-        print(f"serving callers on port {kernel.find('callers')}", flush=True)
-        await wait_for_signal()
+    """Run a daemon until a signal; later ones don't cut its stop short."""
+    with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+        async with run_services(settings) as kernel:
+            limit_collections()
+            print(f"serving callers on port {kernel.find('callers')}", flush=True)
+            async for _ in signals:
+                break
 
 
 async def run_store(port: int) -> None:
