--- a/primroseturn/configuration/withdrawals.py
+++ b/primroseturn/configuration/withdrawals.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from anyio import create_task_group, current_time, sleep
-from anyio.abc import TaskGroup
 from expression import Ok, Result
 from msgspec import to_builtins
 from msgspec.structs import replace
@@ -20,6 +19,7 @@
 from primroseturn.configuration.replica import Replica
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import Background
 from primroseturn.membership.members import Members
 from primroseturn.membership.messages import Heartbeat
 from primroseturn.observation.events import EventLog
@@ -74,14 +74,14 @@
         replica: Replica,
         store: StoreClient,
         events: EventLog,
-        tasks: TaskGroup,
+        background: Background,
     ) -> None:
         self.bus = bus
         self.members = members
         self.replica = replica
         self.store = store
         self.events = events
-        self.tasks = tasks
+        self.background = background
         self.unrecorded_since: dict[str, float] = {}
         self.accepted_here: set[str] = set()
         replica.withdrawal_callbacks.append(self.note_withdrawal)
@@ -103,15 +103,18 @@
         self.accepted_here.add(key_id)
         self.events.emit(KEY_WITHDRAWN, key_id=key_id, operation_id=operation_id)
         held = {self.members.this.vm}
-        recorded: list[int | None] = []
+        version: int | None = None
 
         async def record() -> None:
-            recorded.append(await self.record(key_id, author))
+            nonlocal version
+            version = await self.record(key_id, author)
 
+        # An error of the record must not end the spreading, or the other way round.
+        run = self.background.run
         async with create_task_group() as tasks:
-            tasks.start_soon(record)
-            tasks.start_soon(self.spread_to_all, {key_id: operation_id}, held)
-        return Ok(self.describe(held, recorded[0]))
+            tasks.start_soon(run, record)
+            tasks.start_soon(run, self.spread_to_all, {key_id: operation_id}, held)
+        return Ok(self.describe(held, version))
 
     def describe(self, held: set[str], version: int | None) -> WithdrawalResult:
         """Return the result for the VMs that hold a withdrawal."""
@@ -138,7 +141,9 @@
         message = KeyWithdrawal(operations, missing)
         async with create_task_group() as tasks:
             for helper in helpers:
-                tasks.start_soon(self.ask, helper, message, held, 1)
+                tasks.start_soon(
+                    self.background.run, self.ask, helper, message, held, 1
+                )
 
     async def spread(
         self, operations: dict[str, str], names: list[str], held: set[str]
@@ -147,7 +152,9 @@
         groups = [names[start::FAN_OUT] for start in range(min(FAN_OUT, len(names)))]
         async with create_task_group() as tasks:
             for group in groups:
-                tasks.start_soon(self.spread_group, operations, group, held)
+                tasks.start_soon(
+                    self.background.run, self.spread_group, operations, group, held
+                )
 
     async def spread_group(
         self, operations: dict[str, str], group: list[str], held: set[str]
@@ -249,7 +256,7 @@
                     del self.unrecorded_since[key_id]
                     self.accepted_here.discard(key_id)
                 elif self.must_record(key_id):
-                    await self.record(key_id)
+                    await self.background.run(self.record, key_id)
 
     def is_recorded(self, key_id: str) -> bool:
         """Return whether the configuration in force has the withdrawal."""
