Say in the log that an overdue answer had no end

Cause: an attempt that ran out of time was logged with "no answer in time", also when its target had sent bytes all the while. Change: the event states how many bytes had arrived.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -1,5 +1,68 @@
 Feature: Bytes without end from a target end no request late, wrongly or for others
 
+  Scenario Outline: Idempotent work is answered by another target beside <mode>
+    Given an entry VM with 2 targets of which the first answers "<mode>"
+    And its work takes 0.2 s
+    When a caller sends 6 times GET /lookup/1
+    Then the caller gets 200 and the whole body each time
+    And no target sends an answer without end 0.5 s later
+    And answers without end are logged and count against their target
+
+    Examples:
+      | mode               |
+      | line fast          |
+      | line slow          |
+      | lines fast         |
+      | lines slow         |
+      | noise fast         |
+      | noise-lines fast   |
+      | empty-lines fast   |
+      | empty-lines slow   |
+      | digits fast        |
+      | chunks slow        |
+      | extension fast     |
+      | extension slow     |
+      | trailers fast      |
+      | trailers slow      |
+      | unframed slow      |
+      | terabytes slow     |
+      | error slow         |
+      | foreign slow       |
+      | foreigners fast    |
+      | foreigners slow    |
+
+  Scenario Outline: Work that must not repeat ends in time and truthfully after <mode>
+    Given an entry VM with 1 target that answers "<mode>"
+    When a patient caller sends POST /order/1
+    Then the caller gets <status> within 1.5 s
+    And each request ran exactly once
+    And no target sends an answer without end 0.5 s later
+    And answers without end are logged and count against their target
+
+    Examples:
+      | mode               | status |
+      | line fast          | 502    |
+      | line slow          | 504    |
+      | lines fast         | 502    |
+      | lines slow         | 504    |
+      | noise fast         | 502    |
+      | noise-lines fast   | 502    |
+      | empty-lines fast   | 502    |
+      | empty-lines slow   | 502    |
+      | digits fast        | 502    |
+      | chunks slow        | 504    |
+      | extension fast     | 502    |
+      | extension slow     | 504    |
+      | trailers fast      | 502    |
+      | trailers slow      | 504    |
+      | unframed slow      | 504    |
+      | terabytes slow     | 504    |
+      | error slow         | 504    |
+      | foreign fast       | 504    |
+      | foreign slow       | 504    |
+      | foreigners fast    | 502    |
+      | foreigners slow    | 502    |
+
   Scenario Outline: An answer that goes on after its start is visibly broken in time
     Given an entry VM with 1 target that answers "<mode> fast"
     When a patient caller sends <request>
@@ -18,6 +81,17 @@
       | terabytes | POST /order/1 |
       | error     | POST /order/1 |
 
+  Scenario Outline: Bytes without end after a whole answer reach no later request
+    Given an entry VM with 1 target that answers "after <pace>"
+    When a caller sends 4 times GET /lookup/1
+    Then the caller gets 200 each time
+    And no target sends an answer without end 2 s later
+
+    Examples:
+      | pace |
+      | fast |
+      | slow |
+
   Scenario Outline: An answer without end is no longer read when its caller has left
     Given an entry VM with 1 target that answers "<mode>"
     When a caller sends <request> and leaves after 0.4 s
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -75,7 +75,13 @@
 
 
 class Attempt:
-    """Sends a request to a target and reads its answer."""
+    """Sends a request to a target and reads its answer.
+
+    Attributes
+    ----------
+    received_bytes
+        Bytes that had arrived when its connection was closed.
+    """
 
     def __init__(self, request: EntryRequest, target: Target, pool: TargetPool) -> None:
         self.request = request
@@ -84,6 +90,8 @@
         self.connection: Connection | None = None
         self.sent = False
         self.stream: AnswerStream | None = None
+        self.consumed_before = 0
+        self.received_bytes = 0
 
     async def run(self, connection_limit: int) -> AttemptResult:
         """Run the attempt.
@@ -130,6 +138,7 @@
             raise ConnectTimeout("no connection within the limit") from error
         self.connection.sent = False
         self.connection.first_byte_at = None
+        self.consumed_before = self.connection.consumed
         self.connection.note_sent = self.note_sent
         limits = ExchangeLimits(self.request.left_s(), self.request.left_s())
         await self.connection.send_request(self.build_request(), limits)
@@ -219,9 +228,16 @@
     def close(self) -> None:
         """Close the connection."""
         if self.connection is not None:
+            self.received_bytes = self.connection.consumed - self.consumed_before
             self.pool.discard(self.connection)
             self.connection = None
 
+    def missing(self) -> str:
+        """Return what is missing of the answer of an attempt that was cancelled."""
+        if not self.received_bytes:
+            return "no answer in time"
+        return f"the answer had not ended after {self.received_bytes} bytes"
+
     def result(self, end: AttemptEnd, detail: str) -> AttemptResult:
         """Return an end without an answer."""
         return AttemptResult(end, self.target, detail)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -154,7 +154,8 @@
             return result
         finally:
             overdue = placement.end(target.id, number, current_time())
-            self.note_end(request, choice, result, started_at, overdue)
+            missing = attempt.missing() if overdue else None
+            self.note_end(request, choice, result, started_at, missing)
 
     def note_end(
         self,
@@ -162,17 +163,23 @@
         choice: Choice,
         result: AttemptResult | None,
         started_at: float,
-        overdue: bool,
+        missing: str | None,
     ) -> None:
-        """Pass on what an attempt showed about its target."""
+        """Pass on what an attempt showed about its target.
+
+        Parameters
+        ----------
+        missing
+            What an overdue attempt still waited for; None if it was in time.
+        """
         now = current_time()
         took_s = now - started_at
         target_id, placement = choice.target.id, self.placement
         if result is None:
             # The caller left, time was up or another attempt won.
-            if overdue:
+            if missing is not None:
                 placement.note_missing(target_id, now)
-                self.log_end(request, choice, "overdue", "no answer in time", took_s)
+                self.log_end(request, choice, "overdue", missing, took_s)
             return
         if result.head is not None and result.head.load is not None:
             placement.note_load(target_id, result.head.load, now)
