Close the connections of large answers that nobody reads

Cause: a second attempt may win against a target that failed with a body of more than 1 MiB. The rest of that body was never read and its connection never closed, so each such request used up one of the target's connections for good. Change: the results of a race that were not chosen are closed, also when the race is cancelled.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -26,6 +26,7 @@
       | trailers slow      |
       | unframed slow      |
       | terabytes slow     |
+      | error fast         |
       | error slow         |
       | foreign fast       |
       | foreign slow       |
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -80,12 +80,17 @@
         if choice is None:
             return None
         sender, receiver = create_memory_object_stream[AttemptResult](CONNECT_TRIES)
-        with sender, receiver:
-            async with create_task_group() as tasks:
-                race = Race(self, request, tasks, sender, receiver)
-                result = await race.run(choice)
-                tasks.cancel_scope.cancel()
-        return result
+        race = Race(self, request, sender, receiver)
+        chosen: AttemptResult | None = None
+        try:
+            with sender, receiver:
+                async with create_task_group() as tasks:
+                    result = await race.run(choice, tasks)
+                    tasks.cancel_scope.cancel()
+            chosen = result
+        finally:
+            race.close_unused(chosen)
+        return chosen
 
     def next_choice(
         self, request: EntryRequest, last: AttemptResult | None
@@ -239,20 +244,21 @@
         self,
         forwarder: Forwarder,
         request: EntryRequest,
-        tasks: TaskGroup,
         sender: MemoryObjectSendStream[AttemptResult],
         receiver: MemoryObjectReceiveStream[AttemptResult],
     ) -> None:
         self.forwarder = forwarder
         self.request = request
-        self.tasks = tasks
         self.sender = sender
         self.receiver = receiver
+        self.tasks: TaskGroup | None = None
         self.running = 0
         self.tries = 0
+        self.results: list[AttemptResult] = []
 
-    async def run(self, choice: Choice) -> AttemptResult:
+    async def run(self, choice: Choice, tasks: TaskGroup) -> AttemptResult:
         """Run attempts until one brings a good answer or none may follow."""
+        self.tasks = tasks
         self.start(choice)
         hedge_s = self.hedge_delay_s(choice)
         best: AttemptResult | None = None
@@ -285,6 +291,7 @@
 
     def start(self, choice: Choice) -> None:
         """Start an attempt beside those that run."""
+        assert self.tasks is not None
         self.running += 1
         self.tries += 1
         self.tasks.start_soon(self.run_attempt, choice)
@@ -292,8 +299,15 @@
     async def run_attempt(self, choice: Choice) -> None:
         """Run an attempt and hand over its result."""
         result = await self.forwarder.run_attempt(self.request, choice)
+        self.results.append(result)
         await self.sender.send(result)
 
+    def close_unused(self, chosen: AttemptResult | None) -> None:
+        """Close the connections of large answers that nobody will read."""
+        for result in self.results:
+            if result is not chosen and result.rest is not None:
+                result.rest.close()
+
     def add_attempt(self, last: AttemptResult | None, reason: str) -> None:
         """Start a further attempt if one may follow."""
         if self.tries >= CONNECT_TRIES:
