Use what a target states of a request that did not run, without its body

Cause: an answer with Not-Executed, or 421, counted only when its body had ended. Without end, work that must not repeat got 504 at its deadline, although it could go to another target or be refused truthfully. Change: such a body is read for 0.05 s or 64 KiB at most. Then the connection is closed, and the statement in the head holds.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -95,6 +95,34 @@
       | GET /sheet/1  |
       | POST /order/1 |
 
+  Scenario Outline: What an answer without end states of a request not run is used
+    Given an entry VM with 2 targets of which the first answers "<mode>"
+    When a caller sends 6 times POST /order/1
+    Then the caller gets 200 and the whole body each time
+    And each request ran exactly once
+    And no target sends an answer without end 0.5 s later
+
+    Examples:
+      | mode       |
+      | full fast  |
+      | full slow  |
+      | moved fast |
+      | moved slow |
+
+  Scenario Outline: A refusal after <mode> comes in time
+    Given an entry VM with 1 target that answers "<mode>"
+    When a patient caller sends POST /order/1
+    Then the caller gets 503 within 1.5 s
+    And no request ran
+    And no target sends an answer without end 0.5 s later
+
+    Examples:
+      | mode       |
+      | full fast  |
+      | full slow  |
+      | moved fast |
+      | moved slow |
+
   Scenario Outline: Bytes without end after a whole answer reach no later request
     Given an entry VM with 1 target that answers "after <pace>"
     When a caller sends 4 times GET /lookup/1
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from anyio import fail_after
+from anyio import fail_after, move_on_after
 from httpx import ConnectError, ConnectTimeout, HTTPError, Request
 
 from primroseturn.entry.models import Target
@@ -29,6 +29,10 @@
 # A target of the same region accepts a connection within a few milliseconds, one of
 # another region within some tens.
 CONNECT_LIMIT_S = 0.2
+# An answer that states that the request did not run has a short body, which comes with
+# its head. What it states holds without the rest, for which no attempt waits longer.
+NOT_RUN_BODY_LIMIT_BYTES = 65_536
+NOT_RUN_BODY_LIMIT_S = 0.05
 # Late answers to earlier requests that are skipped on one connection.
 SKIPPED_ANSWERS = 2
 
@@ -50,6 +54,7 @@
     BROKEN = "broken"
 
 
+NOT_RUN_ENDS = frozenset((AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED))
 RAN_ENDS = frozenset((AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.BROKEN))
 
 
@@ -112,19 +117,42 @@
         try:
             await self.connect(connection_limit)
             head = await self.read_head()
+            end = end_of(head)
+            if end in NOT_RUN_ENDS:
+                return await self.end_not_run(end, head)
             body = await self.read_body(head)
         except BaseException:
             self.close()
             raise
-        end = end_of(head)
-        if end in (AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED):
-            self.request.sent_attempts.discard(self)
         rest = self if self.stream is not None else None
         if rest is None:
             self.finish()
         detail = f"status {head.status}"
         return AttemptResult(end, self.target, detail, head, body, rest)
 
+    async def end_not_run(self, end: AttemptEnd, head: AnswerHead) -> AttemptResult:
+        """End an attempt whose target states that it did not run the request."""
+        detail = f"status {head.status}"
+        if await self.skip_body():
+            self.finish()
+        else:
+            self.close()
+            detail += ", body without end"
+        self.request.sent_attempts.discard(self)
+        return AttemptResult(end, self.target, detail, head)
+
+    async def skip_body(self) -> bool:
+        """Read a body that nobody gets; return whether it ended soon."""
+        assert self.connection is not None
+        size = 0
+        with move_on_after(NOT_RUN_BODY_LIMIT_S):
+            async for part in AnswerStream(self.connection, self.request.left_s()):
+                size += len(part)
+                if size > NOT_RUN_BODY_LIMIT_BYTES:
+                    return False
+            return True
+        return False
+
     async def connect(self, connection_limit: int) -> None:
         """Take a connection and send the request on it."""
         # Work that must not repeat must not meet a connection that went silent.
