Limit the time of a whole head and the number of informational answers

Cause: the limit of a head was one between two reads. Targets that send a few bytes at a time, or informational answers for ever, never met it; on the product's own interface downloads have no deadline that would end them. Change: a head must be whole within its limit, after 16 informational answers at most. Work that must not repeat got 504 at its deadline after informational answers, and gets 502 now.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -14,6 +14,8 @@
       | line slow          |
       | lines fast         |
       | lines slow         |
+      | informational fast |
+      | informational slow |
       | noise fast         |
       | noise-lines fast   |
       | empty-lines fast   |
@@ -47,6 +49,8 @@
       | line slow          | 504    |
       | lines fast         | 502    |
       | lines slow         | 504    |
+      | informational fast | 502    |
+      | informational slow | 502    |
       | noise fast         | 502    |
       | noise-lines fast   | 502    |
       | empty-lines fast   | 502    |
@@ -162,3 +166,15 @@
       | noise         |
       | foreign       |
       | extension     |
+
+  Scenario Outline: A head without end is given up within the limit of a head
+    Given a server that answers "<mode>"
+    When a connection with 0.5 s for a head sends a request there
+    Then the call ends without an answer within 0.5 s
+
+    Examples:
+      | mode               |
+      | line slow          |
+      | lines slow         |
+      | informational fast |
+      | informational slow |
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from math import inf
 from ssl import SSLContext
 from typing import NamedTuple
 
@@ -30,6 +31,9 @@
 READ_BYTES = 65_536
 ANSWER_HEADER_LIMIT_BYTES = 65_536
 BODILESS_STATUSES = (204, 304)
+# Informational answers before an answer. HTTP has three kinds, of which only 102 may
+# repeat, every 20 s or so.
+INFORMATIONAL_LIMIT = 16
 # Longest time in seconds that one connection holds the event loop: 20 of them together
 # stay within the 4.5 ms that a VM may add to other requests (DEVELOPERS.md).
 HOLD_LIMIT_S = 0.0002
@@ -137,13 +141,15 @@
         return Response(event.status_code, headers=headers, stream=stream)
 
     async def read_head(self, limit_s: float) -> h11.Response:
-        """Return the start of the next answer."""
-        while True:
-            event = await self.next_event(limit_s)
+        """Return the start of the next answer, which must be whole after `limit_s`."""
+        ends_at = current_time() + limit_s
+        for _ in range(INFORMATIONAL_LIMIT + 1):
+            event = await self.next_event(limit_s, ends_at)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise RemoteProtocolError("the target closed without an answer")
+        raise RemoteProtocolError("informational answers without end")
 
     async def skip_answer(self, limit_s: float) -> None:
         """Read an answer to an earlier request to its end and go on with the next.
@@ -201,12 +207,18 @@
         except OSError as error:
             raise WriteError(type(error).__name__) from error
 
-    async def next_event(self, limit_s: float) -> object:
-        """Return the next part of the answer, at most `limit_s` after the last byte."""
+    async def next_event(self, limit_s: float, ends_at: float = inf) -> object:
+        """Return the next part of the answer, at most `limit_s` after the last byte.
+
+        Parameters
+        ----------
+        ends_at
+            Monotonic time in seconds at which it is given up, whatever arrives.
+        """
         try:
             await self.yield_loop()
             while (event := self.state.next_event()) is h11.NEED_DATA:
-                with fail_after(limit_s):
+                with fail_after(min(limit_s, ends_at - current_time())):
                     data = await self.reader.read(READ_BYTES)
                 self.consumed += len(data)
                 if self.first_byte_at is None and data:
