Reject bytes that are no HTTP answer with the first of them

Cause: h11 looks at a status line only when the whole head is there. Slow bytes that are no HTTP were read until the deadline, and their target was not suspected before. Change: an incomplete head must start with "HTTP/1.".

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -17,7 +17,9 @@
       | informational fast |
       | informational slow |
       | noise fast         |
+      | noise slow         |
       | noise-lines fast   |
+      | noise-lines slow   |
       | empty-lines fast   |
       | empty-lines slow   |
       | digits fast        |
@@ -52,7 +54,9 @@
       | informational fast | 502    |
       | informational slow | 502    |
       | noise fast         | 502    |
+      | noise slow         | 502    |
       | noise-lines fast   | 502    |
+      | noise-lines slow   | 502    |
       | empty-lines fast   | 502    |
       | empty-lines slow   | 502    |
       | digits fast        | 502    |
@@ -178,3 +182,4 @@
       | lines slow         |
       | informational fast |
       | informational slow |
+      | noise slow         |
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -34,6 +34,8 @@
 # Informational answers before an answer. HTTP has three kinds, of which only 102 may
 # repeat, every 20 s or so.
 INFORMATIONAL_LIMIT = 16
+# Start of each answer that h11 reads.
+ANSWER_START = b"HTTP/1."
 # Longest time in seconds that one connection holds the event loop: 20 of them together
 # stay within the 4.5 ms that a VM may add to other requests (DEVELOPERS.md).
 HOLD_LIMIT_S = 0.0002
@@ -218,6 +220,7 @@
         try:
             await self.yield_loop()
             while (event := self.state.next_event()) is h11.NEED_DATA:
+                self.check_start()
                 with fail_after(min(limit_s, ends_at - current_time())):
                     data = await self.reader.read(READ_BYTES)
                 self.consumed += len(data)
@@ -242,6 +245,20 @@
             await checkpoint()
             self.yielded_at = self.reader.clock()
 
+    def check_start(self) -> None:
+        """Check the first bytes of an answer whose head is not complete.
+
+        Raises
+        ------
+        RemoteProtocolError
+            If no answer can start with them.
+        """
+        if self.state.their_state is not h11.SEND_RESPONSE:
+            return
+        start = self.state.trailing_data[0][: len(ANSWER_START)]
+        if not ANSWER_START.startswith(start):
+            raise RemoteProtocolError("bytes that are no HTTP answer")
+
     def finish(self) -> bool:
         """End an exchange and return whether the connection may carry another."""
         done = (
