Limit the bytes of the store's answers

Cause: httpx reads an answer whole. The limit in time ends a fast answer without end only after 2 s, when several hundred MB have been read. Change: an answer of more than 16 MiB ends the call like one that broke off.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -180,6 +180,20 @@
       | 2     |
       | 65536 |
 
+  Scenario Outline: An answer of the store without end is given up in time
+    Given a server that answers "<mode>"
+    When the store's client with 2 s for a call lists objects there
+    Then the call ends without an answer within 2 s
+    And at most 300 MB of it were read
+
+    Examples:
+      | mode          |
+      | chunks fast   |
+      | chunks slow   |
+      | unframed fast |
+      | line fast     |
+      | line slow     |
+
   Scenario Outline: A head without end is given up within the limit of a head
     Given a server that answers "<mode>"
     When a connection with 0.5 s for a head sends a request there
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -7,7 +7,7 @@
 from urllib.parse import quote
 
 from anyio import fail_after
-from httpx import AsyncClient, HTTPError, Response
+from httpx import AsyncClient, HTTPError, ReadError, Response
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode
 
@@ -19,6 +19,8 @@
 CONFLICT_STATUS = 409
 GONE_STATUS = 410
 UNLIMITED_CALLS_PER_S = 1e9
+# The platform's pages hold about 1 MB; a watch may bring many changes at once.
+ANSWER_LIMIT_BYTES = 16_777_216
 
 
 class HistoryLost(Failure):
@@ -294,9 +296,7 @@
         try:
             # httpx limits the time between bytes only, hence the limit on the whole.
             with fail_after(limit_s):
-                response = await self.http.request(
-                    method, path, timeout=limit_s, **options
-                )
+                response = await self.exchange(method, path, limit_s, options)
         except (HTTPError, TimeoutError) as error:
             STORE_CALLS.labels(method, "lost").inc()
             failure = StoreUnavailable(operation, type(error).__name__, write)
@@ -319,6 +319,28 @@
             listener()
         return response
 
+    async def exchange(
+        self, method: str, path: str, limit_s: float, options: dict[str, Any]
+    ) -> Response:
+        """Send a call and return its answer with the body read.
+
+        Raises
+        ------
+        ReadError
+            If the body exceeds `ANSWER_LIMIT_BYTES`.
+        """
+        body = bytearray()
+        async with self.http.stream(
+            method, path, timeout=limit_s, **options
+        ) as response:
+            async for part in response.aiter_bytes():
+                body += part
+                if len(body) > ANSWER_LIMIT_BYTES:
+                    raise ReadError("the answer is too large")
+        return Response(
+            response.status_code, content=bytes(body), request=response.request
+        )
+
 
 def path_of(kind: str, name: str | None = None) -> str:
     """Return the path of a kind or of one object."""
