Limit the whole time and the bytes of a target's report of its load

Cause: httpx limits the time between two reads only. A report that never ended held up all later reports, because a round waits for all its probes.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -194,6 +194,19 @@
       | line fast     |
       | line slow     |
 
+  Scenario Outline: A report of a load without end is given up in time
+    Given a server that answers "<mode>"
+    When a target there is asked for its load
+    Then the call ends without an answer within 0.5 s
+    And at most 300 MB of it were read
+
+    Examples:
+      | mode          |
+      | chunks fast   |
+      | chunks slow   |
+      | unframed fast |
+      | line slow     |
+
   Scenario Outline: A head without end is given up within the limit of a head
     Given a server that answers "<mode>"
     When a connection with 0.5 s for a head sends a request there
--- a/primroseturn/routing/loads.py
+++ b/primroseturn/routing/loads.py
@@ -1,6 +1,8 @@
 """Asks targets for the load that they report."""
 
-from anyio import create_task_group, current_time, sleep
+from contextlib import suppress
+
+from anyio import create_task_group, current_time, move_on_after, sleep
 from httpx import AsyncClient, HTTPError
 from msgspec import MsgspecError, Struct
 from msgspec.json import Decoder
@@ -61,14 +63,26 @@
 
     async def probe(self, target: Target) -> None:
         """Ask one target. A failed probe is weak evidence and counts as none."""
-        try:
-            answer = await self.http.get(f"{target.url}{self.path}")
-        except HTTPError:
-            return
-        if answer.status_code != 200 or len(answer.content) > BODY_LIMIT_BYTES:
+        content = None
+        # httpx limits the time between bytes only, hence the limit on the whole.
+        with move_on_after(PROBE_LIMIT_S), suppress(HTTPError):
+            content = await self.fetch(f"{target.url}{self.path}")
+        if content is None:
             return
         try:
-            body = decoder.decode(answer.content)
+            body = decoder.decode(content)
         except MsgspecError:
             return
         self.balancer.report_load(target.name, body.busy, current_time())
+
+    async def fetch(self, url: str) -> bytes | None:
+        """Return the body of a good answer, or None if it is none or too long."""
+        content = bytearray()
+        async with self.http.stream("GET", url) as answer:
+            if answer.status_code != 200:
+                return None
+            async for part in answer.aiter_bytes():
+                content += part
+                if len(content) > BODY_LIMIT_BYTES:
+                    return None
+        return bytes(content)
