Test that a caller that takes no bytes doesn't make its target look bad

The answer ends at the deadline, the target's connection is closed, and nothing counts against the target. It passes since large answers end at the deadline; the scenario fails when each unfinished answer counts as a missing one.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -154,6 +154,12 @@
       | chunks slow    | GET /lookup/1 |
       | terabytes fast | POST /order/1 |
 
+  Scenario: A caller that takes no bytes doesn't make the target look bad
+    Given an entry VM with 1 target that answers "chunks fast"
+    When a caller sends GET /sheet/1 and reads nothing for 1.75 s
+    Then no target sends an answer without end 0.1 s later
+    And nothing counts against the target
+
   Scenario Outline: 20 answers without end of <mode> leave other callers their VM
     Given an entry VM as a process beside a target that answers "<mode> fast"
     When 20 callers send GET /sheet/1 while others send GET /calm/1 for 3 s
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -10,7 +10,7 @@
 from tracemalloc import get_traced_memory, start, stop
 from types import SimpleNamespace
 
-from anyio import create_task_group, current_time, fail_after, sleep
+from anyio import connect_tcp, create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from h11 import Data
 from httpx import AsyncClient, HTTPError, Request, URL
@@ -116,6 +116,37 @@
     assert all(line["detail"] != "no answer in time" for line in ended), ended
 
 
+@when("a caller sends GET {path:S} and reads nothing for {seconds:g} s")
+def step_read_nothing(context, path, seconds):
+    fleet = context.entries
+
+    async def run():
+        headers = fleet.caller_headers(wait_ms=int(1000 * PATIENCE_S))
+        lines = [f"GET {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        port = fleet.entry_ports_by_vm["vm1"]
+        stream = await connect_tcp("127.0.0.1", port)
+        await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await sleep(seconds)
+        return stream
+
+    stream = context.portal.call(run)
+    context.cleanups.append(lambda: context.portal.call(stream.aclose))
+
+
+@then("nothing counts against the target")
+def step_no_evidence(context):
+    entries = context.entries
+    state = entries.kernels_by_vm["vm1"].find("placement").states_by_id["t1"]
+
+    async def run():
+        return state.way.advance(current_time())
+
+    way = context.portal.call(run)
+    assert way <= MISSING_ANSWERS.share, way
+    text = entries.log_files_by_vm["vm1"].read_text()
+    assert "entry-attempt-ended" not in text, text
+
+
 @given('an entry VM as a process beside a target that answers "{mode}"')
 def step_process_beside(context, mode):
     fleet = start_fleet(context)
