Let other tasks run only during a read that has not waited

Cause: the time for which a connection holds the event loop was counted from the arrival of its bytes. Beside other work, most ordinary answers had to wait for up to two more turns of the loop. Change: it is counted from the last wait of the connection itself.

--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -49,25 +49,15 @@
 
 
 class CountingReader(asyncio.StreamReader):
-    """Counts the bytes that arrived, so that unsolicited ones are noticed.
-
-    Attributes
-    ----------
-    fed_at
-        Time of the event loop at which the last ones arrived.
-    """
+    """Counts the bytes that arrived, so that unsolicited ones are noticed."""
 
     def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        super().__init__(limit=READ_BYTES, loop=loop)
+        super().__init__(limit=READ_BYTES, loop=asyncio.get_running_loop())
         self.arrived = 0
-        self.clock = loop.time
-        self.fed_at = self.clock()
 
     def feed_data(self, data: bytes) -> None:
         """Take in bytes from the transport."""
         self.arrived += len(data)
-        self.fed_at = self.clock()
         super().feed_data(data)
 
 
@@ -99,6 +89,8 @@
         Monotonic times in seconds of the connect and of the last clean exchange.
     sent
         Whether any byte of the current request may have left this process.
+    resumed_at
+        Monotonic time in seconds since which it may have kept other tasks waiting.
     """
 
     def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
@@ -112,7 +104,8 @@
         self.sent = False
         self.note_sent: Callable[[], None] = lambda: None
         self.first_byte_at: float | None = None
-        self.yielded_at = self.opened_at
+        self.clock = asyncio.get_running_loop().time
+        self.resumed_at = self.opened_at
 
     def is_usable(self) -> bool:
         """Return whether an idle connection can carry another exchange.
@@ -144,7 +137,8 @@
 
     async def read_head(self, limit_s: float) -> h11.Response:
         """Return the start of the next answer, which must be whole after `limit_s`."""
-        ends_at = current_time() + limit_s
+        self.resumed_at = self.clock()
+        ends_at = self.resumed_at + limit_s
         for _ in range(INFORMATIONAL_LIMIT + 1):
             event = await self.next_event(limit_s, ends_at)
             if isinstance(event, h11.Response):
@@ -222,7 +216,11 @@
             while (event := self.state.next_event()) is h11.NEED_DATA:
                 self.check_start()
                 with fail_after(min(limit_s, ends_at - current_time())):
+                    arrived = self.reader.arrived
                     data = await self.reader.read(READ_BYTES)
+                if self.reader.arrived != arrived:
+                    # The read has waited, so other tasks ran meanwhile.
+                    self.resumed_at = self.clock()
                 self.consumed += len(data)
                 if self.first_byte_at is None and data:
                     self.first_byte_at = current_time()
@@ -240,10 +238,9 @@
 
         Bytes that arrive faster than they are read never make it wait.
         """
-        ran_at = max(self.reader.fed_at, self.yielded_at)
-        if self.reader.clock() - ran_at > HOLD_LIMIT_S:
+        if self.clock() - self.resumed_at > HOLD_LIMIT_S:
             await checkpoint()
-            self.yielded_at = self.reader.clock()
+            self.resumed_at = self.clock()
 
     def check_start(self) -> None:
         """Check the first bytes of an answer whose head is not complete.
