--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from anyio import fail_after
+from anyio import fail_after, move_on_after
 from httpx import ConnectError, ConnectTimeout, HTTPError, Request
 
 from primroseturn.entry.models import Target
@@ -29,6 +29,10 @@
 # A target of the same region accepts a connection within a few milliseconds, one of
 # another region within some tens.
 CONNECT_LIMIT_S = 0.2
+# An answer that states that the request did not run has a short body, which comes with
+# its head. What it states holds without the rest, for which no attempt waits longer.
+NOT_RUN_BODY_LIMIT_BYTES = 65_536
+NOT_RUN_BODY_LIMIT_S = 0.05
 # Late answers to earlier requests that are skipped on one connection.
 SKIPPED_ANSWERS = 2
 
@@ -50,6 +54,7 @@
     BROKEN = "broken"
 
 
+NOT_RUN_ENDS = frozenset((AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED))
 RAN_ENDS = frozenset((AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.BROKEN))
 
 
@@ -75,7 +80,13 @@
 
 
 class Attempt:
-    """Sends a request to a target and reads its answer."""
+    """Sends a request to a target and reads its answer.
+
+    Attributes
+    ----------
+    received_bytes
+        Bytes that had arrived when its connection was closed.
+    """
 
     def __init__(self, request: EntryRequest, target: Target, pool: TargetPool) -> None:
         self.request = request
@@ -84,6 +95,8 @@
         self.connection: Connection | None = None
         self.sent = False
         self.stream: AnswerStream | None = None
+        self.consumed_before = 0
+        self.received_bytes = 0
 
     async def run(self, connection_limit: int) -> AttemptResult:
         """Run the attempt.
@@ -104,19 +117,42 @@
         try:
             await self.connect(connection_limit)
             head = await self.read_head()
+            end = end_of(head)
+            if end in NOT_RUN_ENDS:
+                return await self.end_not_run(end, head)
             body = await self.read_body(head)
         except BaseException:
             self.close()
             raise
-        end = end_of(head)
-        if end in (AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED):
-            self.request.sent_attempts.discard(self)
         rest = self if self.stream is not None else None
         if rest is None:
             self.finish()
         detail = f"status {head.status}"
         return AttemptResult(end, self.target, detail, head, body, rest)
 
+    async def end_not_run(self, end: AttemptEnd, head: AnswerHead) -> AttemptResult:
+        """End an attempt whose target states that it did not run the request."""
+        detail = f"status {head.status}"
+        if await self.skip_body():
+            self.finish()
+        else:
+            self.close()
+            detail += ", body without end"
+        self.request.sent_attempts.discard(self)
+        return AttemptResult(end, self.target, detail, head)
+
+    async def skip_body(self) -> bool:
+        """Read a body that nobody gets; return whether it ended soon."""
+        assert self.connection is not None
+        size = 0
+        with move_on_after(NOT_RUN_BODY_LIMIT_S):
+            async for part in AnswerStream(self.connection, self.request.left_s()):
+                size += len(part)
+                if size > NOT_RUN_BODY_LIMIT_BYTES:
+                    return False
+            return True
+        return False
+
     async def connect(self, connection_limit: int) -> None:
         """Take a connection and send the request on it."""
         # Work that must not repeat must not meet a connection that went silent.
@@ -130,6 +166,7 @@
             raise ConnectTimeout("no connection within the limit") from error
         self.connection.sent = False
         self.connection.first_byte_at = None
+        self.consumed_before = self.connection.consumed
         self.connection.note_sent = self.note_sent
         limits = ExchangeLimits(self.request.left_s(), self.request.left_s())
         await self.connection.send_request(self.build_request(), limits)
@@ -189,15 +226,14 @@
             async for _ in stream:
                 raise AnswerRejected("a body where none may be")
             return b""
-        parts: list[bytes] = []
-        size = 0
+        # A list of small parts would take many times their size.
+        body = bytearray()
         async for part in stream:
-            parts.append(part)
-            size += len(part)
-            if size >= WHOLE_ANSWER_LIMIT_BYTES:
+            body += part
+            if len(body) >= WHOLE_ANSWER_LIMIT_BYTES:
                 self.stream = stream
                 break
-        return b"".join(parts)
+        return bytes(body)
 
     async def rest_parts(self) -> AsyncIterator[bytes]:
         """Yield the rest of a large body and end the exchange."""
@@ -219,9 +255,16 @@
     def close(self) -> None:
         """Close the connection."""
         if self.connection is not None:
+            self.received_bytes = self.connection.consumed - self.consumed_before
             self.pool.discard(self.connection)
             self.connection = None
 
+    def missing(self) -> str:
+        """Return what is missing of the answer of an attempt that was cancelled."""
+        if not self.received_bytes:
+            return "no answer in time"
+        return f"the answer had not ended after {self.received_bytes} bytes"
+
     def result(self, end: AttemptEnd, detail: str) -> AttemptResult:
         """Return an end without an answer."""
         return AttemptResult(end, self.target, detail)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -80,12 +80,17 @@
         if choice is None:
             return None
         sender, receiver = create_memory_object_stream[AttemptResult](CONNECT_TRIES)
-        with sender, receiver:
-            async with create_task_group() as tasks:
-                race = Race(self, request, tasks, sender, receiver)
-                result = await race.run(choice)
-                tasks.cancel_scope.cancel()
-        return result
+        race = Race(self, request, sender, receiver)
+        chosen: AttemptResult | None = None
+        try:
+            with sender, receiver:
+                async with create_task_group() as tasks:
+                    result = await race.run(choice, tasks)
+                    tasks.cancel_scope.cancel()
+            chosen = result
+        finally:
+            race.close_unused(chosen)
+        return chosen
 
     def next_choice(
         self, request: EntryRequest, last: AttemptResult | None
@@ -154,7 +159,8 @@
             return result
         finally:
             overdue = placement.end(target.id, number, current_time())
-            self.note_end(request, choice, result, started_at, overdue)
+            missing = attempt.missing() if overdue else None
+            self.note_end(request, choice, result, started_at, missing)
 
     def note_end(
         self,
@@ -162,17 +168,23 @@
         choice: Choice,
         result: AttemptResult | None,
         started_at: float,
-        overdue: bool,
+        missing: str | None,
     ) -> None:
-        """Pass on what an attempt showed about its target."""
+        """Pass on what an attempt showed about its target.
+
+        Parameters
+        ----------
+        missing
+            What an overdue attempt still waited for; None if it was in time.
+        """
         now = current_time()
         took_s = now - started_at
         target_id, placement = choice.target.id, self.placement
         if result is None:
             # The caller left, time was up or another attempt won.
-            if overdue:
+            if missing is not None:
                 placement.note_missing(target_id, now)
-                self.log_end(request, choice, "overdue", "no answer in time", took_s)
+                self.log_end(request, choice, "overdue", missing, took_s)
             return
         if result.head is not None and result.head.load is not None:
             placement.note_load(target_id, result.head.load, now)
@@ -195,6 +207,16 @@
                 placement.note_unreachable(target_id, now)
         self.log_end(request, choice, result.end.value, result.detail, took_s)
 
+    def note_broken(
+        self, request: EntryRequest, result: AttemptResult, detail: str
+    ) -> None:
+        """Take note that a large answer had no end after a good start."""
+        now = current_time()
+        target_id, end = result.target.id, AttemptEnd.BROKEN.value
+        self.placement.note_missing(target_id, now)
+        choice = Choice(result.target, False, 0.0)
+        self.log_end(request, choice, end, detail, now - request.started_at)
+
     def log_end(
         self,
         request: EntryRequest,
@@ -222,20 +244,21 @@
         self,
         forwarder: Forwarder,
         request: EntryRequest,
-        tasks: TaskGroup,
         sender: MemoryObjectSendStream[AttemptResult],
         receiver: MemoryObjectReceiveStream[AttemptResult],
     ) -> None:
         self.forwarder = forwarder
         self.request = request
-        self.tasks = tasks
         self.sender = sender
         self.receiver = receiver
+        self.tasks: TaskGroup | None = None
         self.running = 0
         self.tries = 0
+        self.results: list[AttemptResult] = []
 
-    async def run(self, choice: Choice) -> AttemptResult:
+    async def run(self, choice: Choice, tasks: TaskGroup) -> AttemptResult:
         """Run attempts until one brings a good answer or none may follow."""
+        self.tasks = tasks
         self.start(choice)
         hedge_s = self.hedge_delay_s(choice)
         best: AttemptResult | None = None
@@ -268,6 +291,7 @@
 
     def start(self, choice: Choice) -> None:
         """Start an attempt beside those that run."""
+        assert self.tasks is not None
         self.running += 1
         self.tries += 1
         self.tasks.start_soon(self.run_attempt, choice)
@@ -275,8 +299,15 @@
     async def run_attempt(self, choice: Choice) -> None:
         """Run an attempt and hand over its result."""
         result = await self.forwarder.run_attempt(self.request, choice)
+        self.results.append(result)
         await self.sender.send(result)
 
+    def close_unused(self, chosen: AttemptResult | None) -> None:
+        """Close the connections of large answers that nobody will read."""
+        for result in self.results:
+            if result is not chosen and result.rest is not None:
+                result.rest.close()
+
     def add_attempt(self, last: AttemptResult | None, reason: str) -> None:
         """Start a further attempt if one may follow."""
         if self.tries >= CONNECT_TRIES:
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -6,11 +6,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from math import inf
 from ssl import SSLContext
 from typing import NamedTuple
 
 import h11
 from anyio import current_time, fail_after
+from anyio.lowlevel import checkpoint
 from httpx import (
     AsyncBaseTransport,
     AsyncByteStream,
@@ -29,6 +31,14 @@
 READ_BYTES = 65_536
 ANSWER_HEADER_LIMIT_BYTES = 65_536
 BODILESS_STATUSES = (204, 304)
+# Informational answers before an answer. HTTP has three kinds, of which only 102 may
+# repeat, every 20 s or so.
+INFORMATIONAL_LIMIT = 16
+# Start of each answer that h11 reads.
+ANSWER_START = b"HTTP/1."
+# Longest time in seconds that one connection holds the event loop: 20 of them together
+# stay within the 4.5 ms that a VM may add to other requests (DEVELOPERS.md).
+HOLD_LIMIT_S = 0.0002
 
 
 class ExchangeLimits(NamedTuple):
@@ -79,6 +89,8 @@
         Monotonic times in seconds of the connect and of the last clean exchange.
     sent
         Whether any byte of the current request may have left this process.
+    resumed_at
+        Monotonic time in seconds since which it may have kept other tasks waiting.
     """
 
     def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
@@ -92,6 +104,8 @@
         self.sent = False
         self.note_sent: Callable[[], None] = lambda: None
         self.first_byte_at: float | None = None
+        self.clock = asyncio.get_running_loop().time
+        self.resumed_at = self.opened_at
 
     def is_usable(self) -> bool:
         """Return whether an idle connection can carry another exchange.
@@ -122,13 +136,16 @@
         return Response(event.status_code, headers=headers, stream=stream)
 
     async def read_head(self, limit_s: float) -> h11.Response:
-        """Return the start of the next answer."""
-        while True:
-            event = await self.next_event(limit_s)
+        """Return the start of the next answer, which must be whole after `limit_s`."""
+        self.resumed_at = self.clock()
+        ends_at = self.resumed_at + limit_s
+        for _ in range(INFORMATIONAL_LIMIT + 1):
+            event = await self.next_event(limit_s, ends_at)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise RemoteProtocolError("the target closed without an answer")
+        raise RemoteProtocolError("informational answers without end")
 
     async def skip_answer(self, limit_s: float) -> None:
         """Read an answer to an earlier request to its end and go on with the next.
@@ -186,12 +203,24 @@
         except OSError as error:
             raise WriteError(type(error).__name__) from error
 
-    async def next_event(self, limit_s: float) -> object:
-        """Return the next part of the answer, at most `limit_s` after the last byte."""
+    async def next_event(self, limit_s: float, ends_at: float = inf) -> object:
+        """Return the next part of the answer, at most `limit_s` after the last byte.
+
+        Parameters
+        ----------
+        ends_at
+            Monotonic time in seconds at which it is given up, whatever arrives.
+        """
         try:
+            await self.yield_loop()
             while (event := self.state.next_event()) is h11.NEED_DATA:
-                with fail_after(limit_s):
+                self.check_start()
+                with fail_after(min(limit_s, ends_at - current_time())):
+                    arrived = self.reader.arrived
                     data = await self.reader.read(READ_BYTES)
+                if self.reader.arrived != arrived:
+                    # The read has waited, so other tasks ran meanwhile.
+                    self.resumed_at = self.clock()
                 self.consumed += len(data)
                 if self.first_byte_at is None and data:
                     self.first_byte_at = current_time()
@@ -204,6 +233,29 @@
             raise RemoteProtocolError(str(error)) from error
         return event
 
+    async def yield_loop(self) -> None:
+        """Let other tasks run if this one has read for long without a wait.
+
+        Bytes that arrive faster than they are read never make it wait.
+        """
+        if self.clock() - self.resumed_at > HOLD_LIMIT_S:
+            await checkpoint()
+            self.resumed_at = self.clock()
+
+    def check_start(self) -> None:
+        """Check the first bytes of an answer whose head is not complete.
+
+        Raises
+        ------
+        RemoteProtocolError
+            If no answer can start with them.
+        """
+        if self.state.their_state is not h11.SEND_RESPONSE:
+            return
+        start = self.state.trailing_data[0][: len(ANSWER_START)]
+        if not ANSWER_START.startswith(start):
+            raise RemoteProtocolError("bytes that are no HTTP answer")
+
     def finish(self) -> bool:
         """End an exchange and return whether the connection may carry another."""
         done = (
