--- a/features/steps/background_tasks.py
+++ b/features/steps/background_tasks.py
@@ -13,6 +13,7 @@
 from features.breakage import (
     add_failing_service,
     ask_while_broken,
+    Breakage,
     ERROR_TEXT,
     Part,
     wait_for_failed_task,
