Pass the counts of digests on once, whoever gets them

Callers within the rate of their workspace got 429, for as long as several VMs of a data centre spoke at once. What reached a VM that did not take itself for the speaker was lost. Change: a digest says whether it relays, what was relayed is not passed on, and who gets the counts of a VM or of another data centre passes them on.

--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -135,6 +135,17 @@
     names = [f"a{number}" for number in range(1, first + 1)]
     names += [f"b{number}" for number in range(1, second + 1)]
     context.vms = [EntryVm(name, "h", 1, name[0], "r") for name in names]
+    context.speakers_by_vm = {}
+
+
+@given("each of them takes itself for the speaker")
+def step_all_speak(context):
+    context.speakers_by_vm = {vm.name: vm.name for vm in context.vms}
+
+
+@given('"{name}" takes "{other}" for the speaker')
+def step_takes(context, name, other):
+    context.speakers_by_vm = {name: other}
 
 
 @when('"{name}" sees a failure of a target and admits {count:d} requests')
@@ -145,6 +156,9 @@
             network = MemoryNetwork(tasks, 1)
             for vm in context.vms:
                 found[vm.name] = start_exchange(network, vm, context.vms)
+                speaker = context.speakers_by_vm.get(vm.name)
+                if speaker is not None:
+                    found[vm.name].fleet.speaker = lambda now, name=speaker: name
                 tasks.start_soon(found[vm.name].send_forever)
             await sleep(1.0)
             exchange = found[name]
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -61,6 +61,10 @@
     reached
         Number of VMs whose digests reach the sender, with itself; in the sum of a data
         centre, those of that one.
+    relayed
+        Whether it holds what the sender got from others. The receiver passes on only
+        what was not relayed to it, so that counts don't go round between VMs that all
+        take themselves for the speaker.
     """
 
     center: str = ""
@@ -69,6 +73,7 @@
     outcomes: tuple[OutcomeCount, ...] = ()
     loads: tuple[LoadReport, ...] = ()
     usage: tuple[Usage, ...] = ()
+    relayed: bool = False
 
 
 class Collection:
@@ -130,7 +135,11 @@
         return left
 
     def digests(
-        self, center: str = "", live: tuple[str, ...] = (), reached: int = 1
+        self,
+        center: str = "",
+        live: tuple[str, ...] = (),
+        reached: int = 1,
+        relayed: bool = False,
     ) -> list[Digest]:
         """Return what was collected, in digests that fit a datagram."""
         outcomes = [
@@ -151,6 +160,7 @@
                     tuple(outcomes[:PART_ITEMS]),
                     tuple(loads[:PART_ITEMS]),
                     tuple(usage[:PART_ITEMS]),
+                    relayed,
                 )
             )
             outcomes, loads = outcomes[PART_ITEMS:], loads[PART_ITEMS:]
@@ -246,22 +256,35 @@
                 await self.woken.wait()
                 await sleep(LEAST_GAP_S)
             self.woken = Event()
-            now = current_time()
-            self.own.waiting.add_usage(self.quota.drain_usage(now))
-            speaker = self.fleet.speaker(now)
-            if speaker == self.fleet.own.name:
-                await self.speak(now)
-            elif self.own.is_due(now):
-                for digest in self.own.drain(now).digests():
-                    await self.bus.send(speaker, digest)
+            await self.send_due(current_time())
+
+    async def send_due(self, now: float) -> None:
+        """Send what is due at a time."""
+        self.own.waiting.add_usage(self.quota.drain_usage(now))
+        speaker = self.fleet.speaker(now)
+        if speaker == self.fleet.own.name:
+            await self.speak(now)
+            return
+        if self.holds_others():
+            # Others took this VM for the speaker; nobody else has what they sent.
+            await self.relay(now)
+        if self.own.is_due(now):
+            for digest in self.own.drain(now).digests():
+                await self.bus.send(speaker, digest)
+
+    def holds_others(self) -> bool:
+        """Return whether counts of other VMs wait to be passed on."""
+        channels = (self.center, *self.sums_by_region.values())
+        return any(channel.waiting.has_content() for channel in channels)
 
     async def speak(self, now: float) -> None:
-        """Send what this data centre and the others saw."""
+        """Send what this VM, this data centre and the others saw."""
         self.quota.note_reached(self.fleet.reach(now), now)
-        own = self.own.drain(now)
-        self.add_part(self.fleet.own.name, own)
-        for channel in self.sums_by_region.values():
-            channel.waiting.add_collection(own)
+        self.add_own(self.fleet.own.name, self.own.drain(now))
+        await self.relay(now)
+
+    async def relay(self, now: float) -> None:
+        """Send what was collected from others."""
         if self.center.is_due(now):
             await self.send_center(now)
         contacts = self.fleet.contacts(now).values()
@@ -288,29 +311,32 @@
         live, reached = self.fleet.live(now), self.fleet.reach(now)
         for vm in self.fleet.neighbours():
             left = whole.without(parts.get(vm.name, Collection()))
-            for digest in left.digests(live=live, reached=reached):
+            for digest in left.digests(live=live, reached=reached, relayed=True):
                 await self.bus.send(vm.name, digest)
 
-    def add_part(self, vm: str, part: Collection) -> None:
-        """Add what a VM saw to what goes to all of them."""
+    def add_own(self, vm: str, part: Collection) -> None:
+        """Add what a VM of this data centre saw to what goes to all VMs."""
         self.center.waiting.add_collection(part)
         self.parts_by_vm.setdefault(vm, Collection()).add_collection(part)
+        for channel in self.sums_by_region.values():
+            channel.waiting.add_collection(part)
 
     async def receive(self, sender: Sender, body: Message) -> None:
-        """Take in a digest of a VM, of the speaker or of another data centre."""
+        """Take in an arriving digest."""
         assert isinstance(body, Digest)
-        now = current_time()
+        self.take(sender, body, current_time())
+
+    def take(self, sender: Sender, body: Digest, now: float) -> None:
+        """Take in a digest of a VM, of the speaker or of another data centre."""
         if body.center:
             self.fleet.note_center_heard(body.center, sender.vm, body.reached, now)
             self.center.waiting.add_digest(body)
         else:
             self.fleet.note_heard(sender.vm, now, body.live)
-            if self.fleet.is_speaker(now):
+            if not body.relayed:
                 part = Collection()
                 part.add_digest(body)
-                self.add_part(sender.vm, part)
-                for channel in self.sums_by_region.values():
-                    channel.waiting.add_collection(part)
+                self.add_own(sender.vm, part)
             elif sender.vm == self.fleet.speaker(now):
                 self.quota.note_reached(body.reached, now)
         if self.center.waiting.urgent:
