Keep whole rates while VMs stop, start and leave in series

Callers within the rate of their workspace got 429 during and after planned stops in series. Causes: a VM that had just started spoke for its data centre before it heard the others, and told them that hardly anybody was in reach; VMs that started at the same time did not know each other for 5 to 12 s; a stopped VM counted until the next list; a silent speaker was replaced after 2 s, when VMs take themselves for cut off after 1.2 s; the next speaker had not heard the other data centres. Change: a VM announces its start and its stop to all; one that starts is quiet for 2 s, hears the fleet before it is ready (0.6 s at most), and lists the VMs again at once; a speaker is replaced after 0.6 s of silence, and one that takes over knows the voices of the other data centres. Digests say how many VMs are missing, and name VMs four times a second only. Replaced test: a speaker that fell silent had 2.1 s before; the scenario asks for its replacement after 0.7 s now.

--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -7,9 +7,34 @@
     Then "vm2" speaks
     When "vm1" is heard
     Then "vm1" speaks
-    When 1.3 s pass for the fleet
-    And "vm1" stays silent for its patience
+    When 1 s pass for the fleet
+    And "vm1" is heard
+    Then "vm1" speaks
+    When 0.7 s pass for the fleet
+    Then "vm2" speaks
+
+  Scenario: A VM that has just started or stops does not speak
+    Given VM "vm2" of a fleet with "vm1, vm3"
+    When 3 s pass for the fleet
+    And "vm1" is heard
+    And "vm3" is heard
+    And "vm1" announces its start
+    Then "vm2" speaks
+    When 2.1 s pass for the fleet
+    And "vm1" is heard
+    Then "vm1" speaks
+    When "vm1" announces its stop
     Then "vm2" speaks
+    And 2 VMs count
+
+  Scenario: A VM that starts unlisted is known from its notice until lists have it
+    Given VM "vm2" of a fleet with "vm1, vm3"
+    When "vm4" announces its start
+    And a list with "vm1, vm3" arrives
+    Then 4 VMs count
+    When 6.1 s pass for the fleet
+    And a list with "vm1, vm3" arrives
+    Then 3 VMs count
 
   Scenario: A fleet of unknown size is taken to be of the usual size
     Given VM "vm2" before the first list
--- a/primroseturn/entry/connections.py
+++ b/primroseturn/entry/connections.py
@@ -54,7 +54,7 @@
         configuration = self.view.configuration
         if configuration is not None:
             limit = configuration.connections_by_service.get(target.service, limit)
-        return max(LEAST_CONNECTIONS, USED_FACTOR * limit // self.fleet.size)
+        return max(LEAST_CONNECTIONS, USED_FACTOR * limit // self.fleet.registered)
 
     async def prune_forever(self) -> None:
         """Close idle connections in time and forget targets that left."""
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -6,6 +6,7 @@
 VMs, and the bytes between data centres do not.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from anyio import current_time, Event, move_on_after, sleep
@@ -13,14 +14,16 @@
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
 from primroseturn.limits.quota import FleetQuota, Usage
-from primroseturn.membership.fleet import Fleet
+from primroseturn.membership.fleet import EntryVm, Fleet, LIVE_S
 from primroseturn.routing.placement import Placement
 
 # Interval of digests in seconds; loads of targets and rates of workspaces are shared
 # with this delay.
 DIGEST_INTERVAL_S = 0.1
 # An empty digest shows that the VM lives.
-HEARTBEAT_S = 0.4
+HEARTBEAT_S = 0.25
+# Time in seconds after which a notice is sent again.
+NOTICE_GAP_S = 0.3
 # Interval of the digests between regions, whose link is paid by volume.
 REGION_INTERVAL_S = 0.3
 # Shortest time in seconds between two digests that failures bring forward.
@@ -48,6 +51,29 @@
     held: int
 
 
+class VoiceReport(NamedTuple):
+    """A data centre of which the sender heard, and how many seconds ago.
+
+    Attributes
+    ----------
+    vms
+        VMs that its speaker hears, with itself.
+    """
+
+    center: str
+    speaker: str
+    vms: int
+    age_s: float
+
+
+@message("entry-vm-notice")
+class VmNotice(Message, frozen=True, array_like=True):
+    """Says that the sender has started, or that it is about to stop."""
+
+    vm: EntryVm
+    stops: bool = False
+
+
 @message("entry-digest")
 class Digest(Message, frozen=True, array_like=True):
     """What one VM, or one data centre, saw since its last digest.
@@ -59,12 +85,15 @@
     live
         VMs of the sender's data centre that the sender hears.
     reached
-        Number of VMs whose digests reach the sender, with itself; in the sum of a data
-        centre, those of that one.
+        Number of VMs of the sender's data centre whose digests reach it, with itself.
+    missing
+        Number of VMs of the fleet whose digests don't reach it.
     relayed
         Whether it holds what the sender got from others. The receiver passes on only
         what was not relayed to it, so that counts don't go round between VMs that all
         take themselves for the speaker.
+    voices
+        The other data centres that the sender hears, for the VM that speaks next.
     """
 
     center: str = ""
@@ -74,6 +103,8 @@
     loads: tuple[LoadReport, ...] = ()
     usage: tuple[Usage, ...] = ()
     relayed: bool = False
+    voices: tuple[VoiceReport, ...] = ()
+    missing: int = 0
 
 
 class Collection:
@@ -140,6 +171,8 @@
         live: tuple[str, ...] = (),
         reached: int = 1,
         relayed: bool = False,
+        voices: tuple[VoiceReport, ...] = (),
+        missing: int = 0,
     ) -> list[Digest]:
         """Return what was collected, in digests that fit a datagram."""
         outcomes = [
@@ -152,20 +185,25 @@
         ]
         found = []
         while True:
+            # Names and voices fill a datagram in large data centres.
+            names, live = live[:LIVE_ITEMS], live[LIVE_ITEMS:]
+            items = PART_ITEMS if len(names) + len(voices) <= PART_ITEMS else 0
             found.append(
                 Digest(
                     center,
-                    live[:LIVE_ITEMS] if not found else (),
+                    names,
                     reached,
-                    tuple(outcomes[:PART_ITEMS]),
-                    tuple(loads[:PART_ITEMS]),
-                    tuple(usage[:PART_ITEMS]),
+                    tuple(outcomes[:items]),
+                    tuple(loads[:items]),
+                    tuple(usage[:items]),
                     relayed,
+                    voices,
+                    missing,
                 )
             )
-            outcomes, loads = outcomes[PART_ITEMS:], loads[PART_ITEMS:]
-            usage = usage[PART_ITEMS:]
-            if not (outcomes or loads or usage):
+            voices = ()
+            outcomes, loads, usage = outcomes[items:], loads[items:], usage[items:]
+            if not (outcomes or loads or usage or live):
                 return found
 
 
@@ -236,8 +274,14 @@
             True: Channel(DIGEST_INTERVAL_S),
             False: Channel(REGION_INTERVAL_S),
         }
+        # When the VMs that are heard were last named (monotonic, in seconds).
+        self.named_at = 0.0
         self.woken = Event()
+        # Notices that are still to be sent, and when (monotonic, in seconds).
+        self.notices: list[tuple[float, VmNotice]] = []
+        self.vm_listeners: list[Callable[[EntryVm], None]] = []
         bus.handle(Digest, self.receive)
+        bus.handle(VmNotice, self.receive_notice)
 
     def note_outcome(self, target: str, failed: bool) -> None:
         """Count an outcome that this VM saw."""
@@ -260,6 +304,7 @@
 
     async def send_due(self, now: float) -> None:
         """Send what is due at a time."""
+        await self.send_notices(now)
         self.own.waiting.add_usage(self.quota.drain_usage(now))
         speaker = self.fleet.speaker(now)
         if speaker == self.fleet.own.name:
@@ -272,6 +317,49 @@
             for digest in self.own.drain(now).digests():
                 await self.bus.send(speaker, digest)
 
+    def announce(self, now: float, stops: bool = False) -> None:
+        """Tell all VMs that this one has started or is about to stop.
+
+        A notice may be lost, so it is sent again. Without any, the others learn of it
+        from the list of VMs some seconds later.
+        """
+        self.fleet.stopping = stops
+        notice = VmNotice(self.fleet.own, stops)
+        self.notices = [(now, notice), (now + NOTICE_GAP_S, notice)]
+        self.woken.set()
+
+    async def send_notices(self, now: float) -> None:
+        """Send the notices that are due."""
+        while self.notices and self.notices[0][0] <= now:
+            _, notice = self.notices.pop(0)
+            for name in self.fleet.vms_by_name:
+                await self.bus.send(name, notice)
+
+    async def receive_notice(self, sender: Sender, body: Message) -> None:
+        """Take in an arriving notice."""
+        assert isinstance(body, VmNotice)
+        self.take_notice(sender, body, current_time())
+
+    def take_notice(self, sender: Sender, body: VmNotice, now: float) -> None:
+        """Take note of a VM that has started or stops."""
+        if body.vm.name != sender.vm:
+            return
+        if body.stops:
+            self.fleet.note_stopping(sender.vm, now)
+        else:
+            self.fleet.note_started(body.vm, now)
+            for listener in self.vm_listeners:
+                listener(body.vm)
+        self.quota.fleet_size = self.fleet.size
+
+    def voices(self, now: float) -> tuple[VoiceReport, ...]:
+        """Return what was heard of the other data centres lately."""
+        return tuple(
+            VoiceReport(center, voice.speaker, voice.vms, now - voice.heard_at)
+            for center, voice in self.fleet.voices_by_center.items()
+            if now - voice.heard_at < LIVE_S
+        )
+
     def holds_others(self) -> bool:
         """Return whether counts of other VMs wait to be passed on."""
         channels = (self.center, *self.sums_by_region.values())
@@ -308,10 +396,16 @@
         """Send each VM of this data centre what all others saw."""
         whole = self.center.drain(now)
         parts, self.parts_by_vm = self.parts_by_vm, {}
-        live, reached = self.fleet.live(now), self.fleet.reach(now)
+        reached, missing = 1 + len(self.fleet.live(now)), self.fleet.missing(now)
+        names: tuple[str, ...] = ()
+        voices: tuple[VoiceReport, ...] = ()
+        # Names make up most of a digest in large data centres.
+        if now - self.named_at >= HEARTBEAT_S - LEAST_GAP_S:
+            self.named_at = now
+            names, voices = self.fleet.live(now), self.voices(now)
         for vm in self.fleet.neighbours():
             left = whole.without(parts.get(vm.name, Collection()))
-            for digest in left.digests(live=live, reached=reached, relayed=True):
+            for digest in left.digests("", names, reached, True, voices, missing):
                 await self.bus.send(vm.name, digest)
 
     def add_own(self, vm: str, part: Collection) -> None:
@@ -338,7 +432,10 @@
                 part.add_digest(body)
                 self.add_own(sender.vm, part)
             elif sender.vm == self.fleet.speaker(now):
-                self.quota.note_reached(body.reached, now)
+                reached = max(1, self.fleet.size - body.missing)
+                self.quota.note_reached(reached, now)
+            for voice in body.voices:
+                self.fleet.note_center_heard(*voice[:3], now - voice.age_s)
         if self.center.waiting.urgent:
             self.woken.set()
         self.learn(body, now)
--- a/primroseturn/entry/readiness.py
+++ b/primroseturn/entry/readiness.py
@@ -1,5 +1,7 @@
 """Tells the load balancer whether this VM should get new connections."""
 
+from collections.abc import Callable
+
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.events import READINESS_CHANGED
 from primroseturn.entry.view import FleetView
@@ -9,11 +11,20 @@
 
 
 class EntryReadiness:
-    """Ready while requests can be served: with fresh keys and listed targets."""
+    """Ready while requests can be served: with fresh keys and listed targets.
+
+    Parameters
+    ----------
+    awaits_fleet
+        Returns whether this VM has just started and is about to hear the others.
+    """
 
-    def __init__(self, view: FleetView, events: EventLog) -> None:
+    def __init__(
+        self, view: FleetView, events: EventLog, awaits_fleet: Callable[[], bool]
+    ) -> None:
         self.view = view
         self.events = events
+        self.awaits_fleet = awaits_fleet
         self.stopping = False
         self.was_ready = False
 
@@ -29,6 +40,8 @@
             time_since_boot()
         ):
             return "keys not confirmed"
+        if self.awaits_fleet():
+            return "fleet not heard"
         return None
 
     async def __call__(self, scope: dict, receive: object, send: object) -> None:
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -74,11 +74,17 @@
                 self.events.emit(VM_REGISTERED, host=own.host, port=own.port)
                 return
 
-    async def list_vms(self) -> list[StoredValue]:
-        """Return the objects of all VMs."""
+    async def list_vms(self, stale: bool) -> list[StoredValue]:
+        """Return the objects of all VMs.
+
+        Parameters
+        ----------
+        stale
+            Whether a list that is seconds old will do.
+        """
         while True:
             try:
-                _, values = await self.store.list_values(VMS_KIND, stale=True)
+                _, values = await self.store.list_values(VMS_KIND, stale)
             except StoreUnavailable:
                 await sleep(LATER_RETRY_S if self.fleet.listed else RETRY_S)
             else:
@@ -86,17 +92,19 @@
 
     async def follow(self) -> None:
         """Register this VM and list all of them again and again."""
-        values = await self.list_vms()
+        values = await self.list_vms(stale=True)
         known = [value.name for value in values]
         if known:
             self.use_vms(self.read_vms(values))
         if self.registered_at == inf:
             await self.register(self.fleet.own.name in known)
-        if not self.fleet.listed:
-            # When all VMs start for the first time, the others register meanwhile.
-            await sleep(FIRST_INTERVAL_S)
+        # VMs that start at the same time register meanwhile. Of two, the later one
+        # lists the earlier one and announces itself to it.
+        await sleep(FIRST_INTERVAL_S)
+        stale = False
         while True:
-            values = await self.list_vms()
+            values = await self.list_vms(stale)
+            stale = True
             self.use_vms(self.read_vms(values))
             await self.remove_lost()
             if self.was_removed(values):
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -199,25 +199,42 @@
 
 @service(
     "vm-registry",
-    needs=("objects", "fleet", "peers", "datagrams", "quota", "arrivals", "events"),
+    needs=(
+        "objects",
+        "fleet",
+        "peers",
+        "datagrams",
+        "quota",
+        "arrivals",
+        "digest-exchange",
+        "events",
+    ),
 )
 @asynccontextmanager
 async def provide_registry(kernel: Kernel) -> AsyncIterator[VmRegistry]:
     """Register this VM and follow the list of the others."""
     buses = (kernel.find("peers"), kernel.find("datagrams"))
-    fleet = kernel.find("fleet")
+    fleet, exchange = kernel.find("fleet"), kernel.find("digest-exchange")
     quota, arrivals = kernel.find("quota"), kernel.find("arrivals")
 
+    def use_address(vm: EntryVm) -> None:
+        for bus in buses:
+            bus.learn_address(vm.name, PeerAddress(vm.host, vm.port))
+
     def use_vms(vms: list[EntryVm]) -> None:
         for name in fleet.use(vms, current_time()):
             for bus in buses:
                 bus.forget_address(name)
         for vm in fleet.vms_by_name.values():
-            for bus in buses:
-                bus.learn_address(vm.name, PeerAddress(vm.host, vm.port))
-        quota.fleet_size = arrivals.fleet_size = fleet.size
-
-    quota.fleet_size = arrivals.fleet_size = fleet.size
+            use_address(vm)
+        if fleet.is_starting(current_time()):
+            exchange.announce(current_time())
+        quota.fleet_size = fleet.size
+        # VMs that stop may still send repeats, so all registered ones share them.
+        arrivals.fleet_size = fleet.registered
+
+    exchange.vm_listeners.append(use_address)
+    quota.fleet_size, arrivals.fleet_size = fleet.size, fleet.registered
     events = kernel.find("events")
     registry = VmRegistry(kernel.find("objects"), fleet, events, use_vms)
     async with run_background(events) as background:
@@ -225,11 +242,16 @@
         yield registry
 
 
-@service("entry-readiness", needs=("view", "events", "settings"))
+@service("entry-readiness", needs=("view", "fleet", "quota", "events", "settings"))
 @asynccontextmanager
 async def provide_readiness(kernel: Kernel) -> AsyncIterator[EntryReadiness]:
     """Answer the load balancer's questions."""
-    readiness = EntryReadiness(kernel.find("view"), kernel.find("events"))
+    fleet, quota = kernel.find("fleet"), kernel.find("quota")
+    readiness = EntryReadiness(
+        kernel.find("view"),
+        kernel.find("events"),
+        lambda: fleet.is_new(current_time()) and not quota.hears_fleet(current_time()),
+    )
     address = kernel.find("settings").readiness
     async with serve_application(
         readiness, address.host, address.port, events=kernel.find("events")
@@ -311,6 +333,7 @@
             finally:
                 # Also when another service has failed and the process ends.
                 readiness.stopping = True
+                kernel.find("digest-exchange").announce(current_time(), stops=True)
                 events.emit(ENTRY_STOPPING)
                 with CancelScope(shield=True):
                     await sleep(LISTEN_SHARE * stop_limit_s)
--- a/primroseturn/membership/fleet.py
+++ b/primroseturn/membership/fleet.py
@@ -5,13 +5,30 @@
 speaker only send more, and nothing depends on there being one.
 """
 
+from collections import Counter
 from math import inf
 from typing import NamedTuple
 
 # A VM counts as live this many seconds after it was last heard.
 LIVE_S = 1.2
-# A VM that is taken for the speaker has this many seconds to be heard.
+# A speaker that was silent for this many seconds is replaced; its digests come at least
+# each quarter of a second, and a VM takes itself for cut off after 1.2 s.
+SPEAKER_SILENT_S = 0.6
+# A VM that has not been heard as the speaker yet has this many seconds.
+NEXT_PATIENCE_S = 0.3
+# The same while no speaker is known, after a start.
 PATIENCE_S = 0.8
+# A VM that has just started speaks only after this many seconds, when it has heard the
+# others: what it says of the fleet is what all VMs of its data centre go by.
+START_QUIET_S = 2.0
+# A VM that has just started waits this many seconds for the others before it counts as
+# ready; they send digests each tenth of a second.
+FIRST_HEARING_S = 0.6
+# A VM that announced its stop has ended after this many seconds, so that one that is
+# heard then has started anew.
+STOP_HOLD_S = 3.5
+# A VM that announced its start may be missing in lists for this many seconds.
+GREETED_S = 6.0
 # A VM that cannot reach the store, or did not answer, is not asked for what the store
 # says for this many seconds.
 STORELESS_S = 3.0
@@ -48,6 +65,13 @@
     vms: int
 
 
+class Office(NamedTuple):
+    """The VM that is taken for the speaker, and since when (monotonic, in seconds)."""
+
+    name: str
+    since: float
+
+
 class Fleet:
     """The registered VMs and when each was heard.
 
@@ -58,7 +82,21 @@
     vms_by_name
         All registered VMs but this one.
     heard_by_vm
-        Monotonic time in seconds at which each VM of this data centre was heard.
+        Monotonic time in seconds at which each VM of this data centre was heard, by
+        this VM or its speaker.
+    spoke_by_vm
+        The same for what came from the VM itself.
+    silent
+        VMs that were silent as speakers and have not been heard since.
+    quiet_until_by_vm
+        Until when VMs that have just started don't speak.
+    stopping_by_vm
+        When VMs announced their stop. They serve on for some seconds, but count no
+        longer and speak for nobody.
+    greeted_by_vm
+        When VMs announced their start.
+    stopping
+        Whether this VM stops.
     listed
         Whether the registered VMs are known.
     registered_by_vm
@@ -75,33 +113,96 @@
         self.own = own
         self.vms_by_name: dict[str, EntryVm] = {}
         self.listed = False
+        self.listed_at = -inf
         self.registered_by_vm: dict[str, float] = {}
         self.heard_by_vm: dict[str, float] = {}
         self.storeless_by_vm: dict[str, float] = {}
         self.voices_by_center: dict[str, CenterVoice] = {}
         self.tried_by_vm: dict[str, float] = {}
         self.turns_by_center: dict[str, int] = {}
+        self.spoke_by_vm: dict[str, float] = {}
+        self.silent: set[str] = set()
+        self.quiet_until_by_vm: dict[str, float] = {}
+        self.stopping_by_vm: dict[str, float] = {}
+        self.greeted_by_vm: dict[str, float] = {}
+        self.stopping = False
+        self.office = Office("", -inf)
 
     @property
-    def size(self) -> int:
+    def registered(self) -> int:
         """Return the number of VMs, with this one; a usual one while it is unknown."""
         return len(self.vms_by_name) + 1 if self.listed else ASSUMED_VMS
 
+    @property
+    def size(self) -> int:
+        """Return the number of VMs that don't stop, with this one."""
+        return self.registered - len(self.stopping_by_vm)
+
     def use(self, vms: list[EntryVm], now: float) -> set[str]:
         """Take over the registered VMs and return the names of those that left."""
+        if not self.listed:
+            self.quiet_until_by_vm[self.own.name] = now + START_QUIET_S
+            self.listed_at = now
         self.listed = True
         listed = {vm.name: vm for vm in vms if vm.name != self.own.name}
+        for name, at in list(self.greeted_by_vm.items()):
+            if now - at >= GREETED_S:
+                del self.greeted_by_vm[name]
+            elif name in self.vms_by_name:
+                listed.setdefault(name, self.vms_by_name[name])
         gone = self.vms_by_name.keys() - listed.keys()
         self.vms_by_name = listed
         for name in gone:
-            self.heard_by_vm.pop(name, None)
-            self.tried_by_vm.pop(name, None)
-            self.storeless_by_vm.pop(name, None)
-            self.registered_by_vm.pop(name, None)
+            self.forget(name)
         for name in listed:
             self.registered_by_vm.setdefault(name, now)
         return set(gone)
 
+    def forget(self, name: str) -> None:
+        """Drop what is known of a VM that left."""
+        for known in (
+            self.heard_by_vm,
+            self.spoke_by_vm,
+            self.tried_by_vm,
+            self.storeless_by_vm,
+            self.registered_by_vm,
+            self.quiet_until_by_vm,
+            self.stopping_by_vm,
+        ):
+            known.pop(name, None)
+        self.silent.discard(name)
+
+    def is_new(self, now: float) -> bool:
+        """Return whether this VM is about to hear the others for the first time."""
+        return now - self.listed_at < FIRST_HEARING_S
+
+    def is_starting(self, now: float) -> bool:
+        """Return whether other VMs may not know of this one's start yet."""
+        return not self.stopping and now - self.listed_at < START_QUIET_S
+
+    def note_started(self, vm: EntryVm, now: float) -> None:
+        """Take in a VM that announced its start."""
+        if vm.name == self.own.name:
+            return
+        self.vms_by_name[vm.name] = vm
+        self.registered_by_vm.setdefault(vm.name, now)
+        self.greeted_by_vm[vm.name] = now
+        self.stopping_by_vm.pop(vm.name, None)
+        self.quiet_until_by_vm[vm.name] = now + START_QUIET_S
+        if vm.data_center == self.own.data_center:
+            self.note_heard(vm.name, now)
+
+    def note_stopping(self, name: str, now: float) -> None:
+        """Count a VM no longer that announced its stop."""
+        if name in self.vms_by_name:
+            self.stopping_by_vm[name] = now
+
+    def is_quiet(self, name: str, now: float) -> bool:
+        """Return whether a VM doesn't speak, since it has just started or stops."""
+        if name in self.stopping_by_vm or (name == self.own.name and self.stopping):
+            return True
+        return now < self.quiet_until_by_vm.get(name, -inf)
+
     def lost(self, now: float) -> list[str]:
         """Return the VMs that have been silent for long and concern this speaker.
 
@@ -142,6 +243,10 @@
         """
         for vm in (name, *live):
             self.heard_by_vm[vm] = now
+            if now - self.stopping_by_vm.get(vm, now) >= STOP_HOLD_S:
+                del self.stopping_by_vm[vm]
+        self.spoke_by_vm[name] = now
+        self.silent.discard(name)
         self.tried_by_vm.pop(name, None)
 
     def live(self, now: float) -> tuple[str, ...]:
@@ -149,20 +254,50 @@
         return tuple(
             vm.name
             for vm in self.neighbours()
-            if now - self.last_heard(vm.name) < LIVE_S
+            if self.is_heard(vm.name, now) and vm.name not in self.stopping_by_vm
         )
 
+    def is_heard(self, name: str, now: float) -> bool:
+        """Return whether a VM of this data centre was heard and did not fall silent."""
+        return now - self.last_heard(name) < LIVE_S and name not in self.silent
+
     def note_center_heard(
         self, center: str, speaker: str, vms: int, now: float
     ) -> None:
         """Note that a VM spoke for another data centre, in which it hears some VMs."""
-        self.voices_by_center[center] = CenterVoice(speaker, now, vms)
+        known = self.voices_by_center.get(center)
+        if known is None or known.heard_at <= now:
+            self.voices_by_center[center] = CenterVoice(speaker, now, vms)
+
+    def missing(self, now: float) -> int:
+        """Return how many VMs that don't stop are out of this speaker's reach."""
+        own = self.own.data_center
+        counts_by_center = Counter(
+            vm.data_center
+            for vm in self.vms_by_name.values()
+            if vm.name not in self.stopping_by_vm and not self.is_greeting(vm.name, now)
+        )
+        heard = [name for name in self.live(now) if not self.is_greeting(name, now)]
+        missing = counts_by_center.pop(own, 0) - len(heard)
+        for center, count in counts_by_center.items():
+            voice = self.voices_by_center.get(center)
+            if voice is None and now - self.listed_at < LIVE_S:
+                # This VM has just started; nothing shows that it is cut off.
+                continue
+            known = voice is not None and now - voice.heard_at < LIVE_S
+            missing += max(0, count - voice.vms) if known else count
+        return missing
+
+    def is_greeting(self, name: str, now: float) -> bool:
+        """Return whether a VM has announced its start so lately that it is in reach.
+
+        The digests of the others name it only some tenths of a second later.
+        """
+        return now - self.greeted_by_vm.get(name, -inf) < LIVE_S
 
     def reach(self, now: float) -> int:
         """Return how many VMs' digests reach this speaker, with itself."""
-        voices = self.voices_by_center.values()
-        others = sum(voice.vms for voice in voices if now - voice.heard_at < LIVE_S)
-        return 1 + len(self.live(now)) + others
+        return self.size - self.missing(now)
 
     def neighbours(self) -> list[EntryVm]:
         """Return the other VMs of this data centre."""
@@ -172,15 +307,41 @@
     def speaker(self, now: float) -> str:
         """Return the name of the VM that speaks for this data centre.
 
-        A VM that is not heard although it was taken for the speaker is passed over
-        until it is heard again.
+        It is the first by name of those that are heard, without those that have just
+        started or stop. One that stays silent is passed over until it is heard again.
         """
-        for name in sorted(vm.name for vm in self.neighbours()):
-            if name > self.own.name:
-                break
-            if self.may_answer(name, now):
-                return name
-        return self.own.name
+        own = self.own.name
+        names = sorted([own, *(vm.name for vm in self.neighbours())])
+        for name in names:
+            if self.is_quiet(name, now):
+                continue
+            if name == own:
+                return self.take_office(own, now)
+            if self.is_heard(name, now) and not self.falls_silent(name, now):
+                return self.take_office(name, now)
+        # All of those that are heard have just started or stop.
+        for name in names:
+            if name == own or self.may_answer(name, now):
+                return self.take_office(name, now)
+        return own
+
+    def take_office(self, name: str, now: float) -> str:
+        """Note who is taken for the speaker and return its name."""
+        if self.office.name != name:
+            self.office = Office(name, now)
+        return name
+
+    def falls_silent(self, name: str, now: float) -> bool:
+        """Return whether a VM that is taken for the speaker is not heard in time."""
+        if self.office.name != name:
+            return False
+        spoke_at = self.spoke_by_vm.get(name, -inf)
+        known = spoke_at >= self.office.since
+        silent_s = now - max(spoke_at, self.office.since)
+        if silent_s < (SPEAKER_SILENT_S if known else NEXT_PATIENCE_S):
+            return False
+        self.silent.add(name)
+        return True
 
     def may_answer(self, name: str, now: float) -> bool:
         """Return whether a VM is heard, or has not had the time to be."""
@@ -211,6 +372,8 @@
         for name in sorted([own, *(vm.name for vm in self.neighbours())]):
             if name == own:
                 usable = reaches_store
+            elif name in self.stopping_by_vm:
+                continue
             else:
                 storeless_s = now - self.storeless_by_vm.get(name, -inf)
                 usable = storeless_s >= STORELESS_S and self.may_answer(name, now)
