Count a restarted VM again whose notices were lost

Cause: a VM of another data centre that announced its stop counted as stopping until it announced its start; if both notices of that were lost, for ever. Change: one that is still listed 12 s later counts again. The digest has a tag of its own, since its layout has changed.

--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -27,6 +27,15 @@
     Then "vm2" speaks
     And 2 VMs count
 
+  Scenario: A stopped VM whose notices of its new start were lost counts again
+    Given VM "vm2" of a fleet with "vm1, vm3"
+    When "vm3" announces its stop
+    And a list with "vm1, vm3" arrives
+    Then 2 VMs count
+    When 12.1 s pass for the fleet
+    And a list with "vm1, vm3" arrives
+    Then 3 VMs count
+
   Scenario: A VM that starts unlisted is known from its notice until lists have it
     Given VM "vm2" of a fleet with "vm1, vm3"
     When "vm4" announces its start
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -74,7 +74,7 @@
     stops: bool = False
 
 
-@message("entry-digest")
+@message("entry-digest-2")
 class Digest(Message, frozen=True, array_like=True):
     """What one VM, or one data centre, saw since its last digest.
 
--- a/primroseturn/membership/fleet.py
+++ b/primroseturn/membership/fleet.py
@@ -1,8 +1,8 @@
 """The entry VMs of the fleet, which of them are heard, and who speaks for a centre.
 
 The VMs of a data centre talk to its speaker, which is the first by name of those that
-are heard. It is no leader: two VMs that both take themselves for the
-speaker only send more, and nothing depends on there being one.
+are heard. It is no leader: two VMs that both take themselves for the speaker only send
+more, and nothing depends on there being one.
 """
 
 from collections import Counter
@@ -27,6 +27,9 @@
 # A VM that announced its stop has ended after this many seconds, so that one that is
 # heard then has started anew.
 STOP_HOLD_S = 3.5
+# After this many seconds lists no longer show its object. A VM that is listed then has
+# started anew, and its notices were lost.
+STOPPED_S = 12.0
 # A VM that announced its start may be missing in lists for this many seconds.
 GREETED_S = 6.0
 # A VM that cannot reach the store, or did not answer, is not asked for what the store
@@ -156,6 +159,8 @@
             self.forget(name)
         for name in listed:
             self.registered_by_vm.setdefault(name, now)
+            if now - self.stopping_by_vm.get(name, now) >= STOPPED_S:
+                del self.stopping_by_vm[name]
         return set(gone)
 
     def forget(self, name: str) -> None:
