Give the load poller of a test its background tasks

The documented test command changed with the runner, so the scenario that reads the README asks for the new line; it is as strict as before.

--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -11,4 +11,4 @@
 
   Scenario: The README names the two commands that do all set-up
     Then the README has the line "    pip install -e '.[dev]' && primroseturn demo"
-    And the README has the line "    pip install -e '.[dev]' && behave"
+    And the README has the line "    pip install -e '.[dev]' && python -m features.run"
--- a/features/run.py
+++ b/features/run.py
@@ -9,7 +9,7 @@
 
 FEATURES = Path(__file__).parent
 # Scenarios wait most of their time, so this many processes take about one core.
-PROCESSES = 3
+PROCESSES = 4
 CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
 
 
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -24,6 +24,8 @@
 from primroseturn.entry.attempt import Attempt
 from primroseturn.entry.request import RequestLine
 from primroseturn.failures import Failure
+from primroseturn.kernel.background import run_background
+from primroseturn.observation.events import EventLog
 from primroseturn.platform.headers import read_answer_head
 from primroseturn.platform.objects import ObjectClient
 from primroseturn.requestpath.connection import ExchangeLimits, open_connection
@@ -289,8 +291,11 @@
     async def call():
         reports = LoadReports()
         target = Target("t1", "search", context.url, "dc1", "region1")
-        async with AsyncClient(timeout=PROBE_LIMIT_S, trust_env=False) as http:
-            await LoadPoller(reports, http, "/load", 1.0).probe(target)
+        async with (
+            AsyncClient(timeout=PROBE_LIMIT_S, trust_env=False) as http,
+            run_background(EventLog("vm1")) as background,
+        ):
+            await LoadPoller(reports, http, "/load", 1.0, background).probe(target)
         return reports.loads or None
 
     run_call(context, call)
