Name failed scenarios at the end of a run

On its last run one scenario of 530 failed, and its name was in the part that was cut, as the progress formatter names failures only after each process's features. Each process now prints a line with the place, the step and the error of a failed scenario, and the closing run prints them again last.

Tried with a step put wrong in one scenario (a trial on a scratch copy): the run's last lines name the file, the line, the step and the error.

--- a/features/environment.py
+++ b/features/environment.py
@@ -19,9 +19,21 @@
     }
 
 
+def describe_failure(scenario) -> str:
+    """Return a line with the place of a failed scenario, its step and the error."""
+    for step in scenario.all_steps:
+        if step.exception is not None:
+            reason = f"{step.keyword} {step.name}: {step.exception!r}"
+            break
+    else:
+        reason = scenario.error_message or scenario.status.name
+    return " ".join(f"FAILED {scenario.location} {scenario.name}: {reason}".split())
+
+
 def before_all(context):
     """Count the results for the closing line."""
     context.counts = Counter()
+    context.failures = []
     context.known_red = known_red_names()
 
 
@@ -47,9 +59,12 @@
         context.counts["passed"] += 1
     elif scenario.status.name != "skipped":
         context.counts["failed"] += 1
+        context.failures.append(describe_failure(scenario))
 
 
 def after_all(context):
-    """Print the closing line."""
+    """Print a line for each failed scenario and the closing line."""
     counts = context.counts
+    for line in context.failures:
+        print(f"\n{line}")
     print(f"\n{counts['passed']} passed, {counts['failed']} failed")
--- a/features/run.py
+++ b/features/run.py
@@ -11,6 +11,7 @@
 # Scenarios wait most of their time, so this many processes take about one core.
 PROCESSES = 4
 CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
+FAILED_SCENARIO = re.compile(r"^FAILED .*$", re.MULTILINE)
 
 
 def share_files(files: list[Path], count: int) -> list[list[Path]]:
@@ -26,10 +27,14 @@
 
 
 def main() -> int:
-    """Run the scenarios and return 0 if all passed."""
+    """Run the scenarios and return 0 if all passed.
+
+    The failed scenarios are named last, since a log is often cut to its end.
+    """
     shares = share_files(list(FEATURES.glob("*.feature")), PROCESSES)
     passed = failed = 0
     good = True
+    failures: list[str] = []
     with ExitStack() as stack:
         outputs = [stack.enter_context(TemporaryFile("w+")) for _ in shares]
         processes = [
@@ -49,6 +54,11 @@
             good = good and process.returncode == 0 and len(counts) == 1
             passed += sum(int(found[0]) for found in counts)
             failed += sum(int(found[1]) for found in counts)
+            failures += FAILED_SCENARIO.findall(text)
+            if process.returncode < 0 or not counts:
+                failures.append(f"FAILED behave ended early: {process.returncode}")
+    for line in failures:
+        print(line)
     print(f"{passed} passed, {failed} failed")
     return 0 if good else 1
 
