Keep a request running when one of its attempts or a listener of events fails

What callers saw: an unexpected error in one attempt, in the notes about it or in the choice of a second target ended the task group of the request, and with it the attempt beside it; the caller got 500 although another target answered or could have answered. An attempt that a library cancelled left the result unbound, which gave 500 too. An error in a listener of events came out of whatever had emitted the event and ended the process.

Attempts ran in a plain task group, and listeners ran in the task of whoever emitted an event.

Change: contain_errors logs (event 105) and counts an error of a part instead of raising it. An attempt that fails so counts as broken, or as unreachable if nothing was sent, so idempotent work goes to another target and work that must not repeat gets 502. Errors of the notes about an attempt leave its answer as it is. Listeners of events are called one by one.

--- /dev/null
+++ b/features/steps/attempt_errors.py
@@ -0,0 +1,85 @@
+"""Steps for errors in the attempts of a request."""
+
+from asyncio import CancelledError
+from functools import partial
+
+from behave import then, when
+
+from features.breakage import ERROR_TEXT, Part, wait_for_events
+from primroseturn.entry.attempt import Attempt
+
+parts_by_name = {
+    "the reading of the answer": Part(Attempt, "read_head"),
+    "the note of the answer": Part("placement", "note_answer"),
+    "the placing of work": Part("placement", "begin"),
+}
+errors_by_name = {
+    "LookupError": LookupError(ERROR_TEXT),
+    "Cancelled": CancelledError(),
+}
+
+
+def fail_at(context, owner, method, error, calls):
+    """Make some calls of a method raise, by their numbers from 1."""
+    usual = getattr(owner, method)
+    context.broken_calls = []
+
+    def call(*arguments, **options):
+        context.broken_calls.append(method)
+        if len(context.broken_calls) in calls:
+            raise error
+        return usual(*arguments, **options)
+
+    setattr(owner, method, call)
+    context.cleanups.append(partial(setattr, owner, method, usual))
+
+
+def ask(context, method, path):
+    """Send one request and keep its answer."""
+    fleet = context.entries
+    context.responses = [context.portal.call(partial(fleet.ask, path, method=method))]
+
+
+@when("{name} raises {error} once while a caller sends {method:w} {path:S}")
+def step_raise(context, name, error, method, path):
+    part = parts_by_name[name]
+    owner = part.owner
+    if isinstance(owner, str):
+        owner = context.entries.kernels_by_vm["vm1"].find(owner)
+    fail_at(context, owner, part.method, errors_by_name[error], {1})
+    ask(context, method, path)
+    assert context.broken_calls, f"{part.method} was not called"
+
+
+@when("the second attempt raises {error} while a caller sends {method:w} {path:S}")
+def step_raise_second(context, error, method, path):
+    fail_at(context, Attempt, "read_head", errors_by_name[error], {2})
+    ask(context, method, path)
+    assert len(context.broken_calls) >= 2, "there was no second attempt"
+
+
+@when("the choice of a second target raises while a caller sends {method:w} {path:S}")
+def step_raise_choice(context, method, path):
+    placement = context.entries.kernels_by_vm["vm1"].find("placement")
+    fail_at(context, placement, "choose", errors_by_name["LookupError"], {2})
+    ask(context, method, path)
+    assert len(context.broken_calls) >= 2, "no second target was chosen"
+
+
+@when("a listener of events raises while a caller sends {method:w} {path:S}")
+def step_raise_listener(context, method, path):
+    events = context.entries.kernels_by_vm["vm1"].find("events")
+
+    def fail(event, fields):
+        raise LookupError(ERROR_TEXT)
+
+    events.listeners.append(fail)
+    ask(context, method, path)
+
+
+@then('the log names the contained error in "{part}"')
+def step_contained(context, part):
+    path = context.entries.log_files_by_vm["vm1"]
+    context.portal.call(
+        wait_for_events, path, "part-failed", lambda item: item["part"] == part
+    )
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -16,6 +16,7 @@
 from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_DENIED, ATTEMPT_ENDED
 from primroseturn.entry.request import EntryRequest
+from primroseturn.kernel.background import contain_errors
 from primroseturn.observation.events import EventLog
 from primroseturn.retries.arrivals import ArrivalBudget
 from primroseturn.routing.placement import Choice, Placement
@@ -146,21 +147,36 @@
         )
 
     async def run_attempt(self, request: EntryRequest, choice: Choice) -> AttemptResult:
-        """Run one attempt and take note of what it showed."""
+        """Run one attempt and take note of what it showed.
+
+        An unexpected error ends the attempt, but neither the request nor an attempt
+        beside it.
+        """
+        attempt = Attempt(request, choice.target, self.pools.pool_of(choice.target))
+        with contain_errors(self.events, "Forwarder.run_attempt"):
+            return await self.follow_attempt(request, choice, attempt)
+        end = AttemptEnd.BROKEN if attempt.sent else AttemptEnd.UNREACHABLE
+        return attempt.result(end, "internal error")
+
+    async def follow_attempt(
+        self, request: EntryRequest, choice: Choice, attempt: Attempt
+    ) -> AttemptResult:
+        """Run an attempt between the notes of its start and its end."""
         target, work = choice.target, request.work
         request.tried.add(target.id)
         placement = self.placement
         started_at = current_time()
         number = placement.begin(target.id, work, started_at)
         result: AttemptResult | None = None
-        attempt = Attempt(request, target, self.pools.pool_of(target))
         try:
             result = await attempt.run(self.pools.limit_of(target))
             return result
         finally:
-            overdue = placement.end(target.id, number, current_time())
-            missing = attempt.missing() if overdue else None
-            self.note_end(request, choice, result, started_at, missing)
+            # The answer must reach the caller also if the notes about it fail.
+            with contain_errors(self.events, "Forwarder.follow_attempt"):
+                overdue = placement.end(target.id, number, current_time())
+                missing = attempt.missing() if overdue else None
+                self.note_end(request, choice, result, started_at, missing)
 
     def note_end(
         self,
@@ -266,13 +282,13 @@
             result = await self.wait_result(hedge_s)
             hedge_s = None
             if result is None:
-                self.add_attempt(None, "late")
+                self.try_to_add(None, "late")
                 continue
             self.running -= 1
             if result.end is AttemptEnd.ANSWERED:
                 return result
             best = better(best, result)
-            self.add_attempt(result, result.end.value)
+            self.try_to_add(result, result.end.value)
             if not self.running:
                 return best
 
@@ -308,6 +324,11 @@
             if result is not chosen and result.rest is not None:
                 result.rest.close()
 
+    def try_to_add(self, last: AttemptResult | None, reason: str) -> None:
+        """Start a further attempt; an error here ends no attempt that runs."""
+        with contain_errors(self.forwarder.events, "Race.add_attempt"):
+            self.add_attempt(last, reason)
+
     def add_attempt(self, last: AttemptResult | None, reason: str) -> None:
         """Start a further attempt if one may follow."""
         if self.tries >= CONNECT_TRIES:
--- a/primroseturn/kernel/background.py
+++ b/primroseturn/kernel/background.py
@@ -5,8 +5,8 @@
 """
 
 from asyncio import current_task
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 from math import inf
 from typing import Any
@@ -22,8 +22,8 @@
 from anyio.abc import TaskGroup
 from prometheus_client import Counter
 
-from primroseturn.observation.catalogue import TASK_FAILED
-from primroseturn.observation.errors import describe_error
+from primroseturn.observation.catalogue import PART_FAILED, TASK_FAILED
+from primroseturn.observation.errors import describe_error, PART_FAILURES
 from primroseturn.observation.events import EventLog
 
 # Pause in seconds before a failed task starts again. It doubles with each failure, so
@@ -107,9 +107,7 @@
         try:
             await call()
         except get_cancelled_exc_class() as error:
-            # A library may cancel what a task waits for, such as a socket that is
-            # closed; neither the task nor its scope is cancelled then.
-            if current_effective_deadline() == -inf or is_cancelled():
+            if is_cancelled():
                 raise
             self.report(call.func, error, pause_s)
             return False
@@ -131,11 +129,37 @@
 
 
 def is_cancelled() -> bool:
-    """Return whether the running task itself was cancelled."""
+    """Return whether the running task or its scope was cancelled.
+
+    A library may also cancel only what a task waits for, such as a socket that is
+    closed.
+    """
+    if current_effective_deadline() == -inf:
+        return True
     task = current_task()
     return task is not None and task.cancelling() > 0
 
 
+@contextmanager
+def contain_errors(events: EventLog, part: str) -> Iterator[None]:
+    """Log and count an error of a part instead of raising it."""
+    try:
+        yield
+    except get_cancelled_exc_class() as error:
+        if is_cancelled():
+            raise
+        report_part(events, part, error)
+    except Exception as error:
+        report_part(events, part, error)
+
+
+def report_part(events: EventLog, part: str, error: BaseException) -> None:
+    """Log and count an error that was contained."""
+    PART_FAILURES.labels(part).inc()
+    for found in describe_error(error):
+        events.emit(PART_FAILED, part=part, **found._asdict())
+
+
 @asynccontextmanager
 async def run_background(events: EventLog) -> AsyncIterator[Background]:
     """Run background tasks for the life of the context."""
--- a/primroseturn/observation/catalogue.py
+++ b/primroseturn/observation/catalogue.py
@@ -34,6 +34,11 @@
     "task-failed",
     "An unexpected error ended a background task; the process goes on.",
 )
+PART_FAILED = define_event(
+    105,
+    "part-failed",
+    "An unexpected error of a part; the request or the loop that used it went on.",
+)
 CLOCK_PROBE_SENT = define_event(
     110, "clock-probe-sent", "A probe was sent, which dates the clocks of two VMs."
 )
--- a/primroseturn/observation/errors.py
+++ b/primroseturn/observation/errors.py
@@ -4,6 +4,14 @@
 from traceback import extract_tb
 from typing import NamedTuple
 
+from prometheus_client import Counter
+
+PART_FAILURES = Counter(
+    "primroseturn_part_failures_total",
+    "Errors of parts that ended neither a request nor a task.",
+    ["part"],
+)
+
 # Innermost calls of an error in its log line.
 SHOWN_CALLS = 6
 
--- a/primroseturn/observation/events.py
+++ b/primroseturn/observation/events.py
@@ -7,9 +7,12 @@
 
 from eliot import log_message
 
-from primroseturn.observation.catalogue import Event, LINES_LEFT_OUT
+from primroseturn.observation.catalogue import Event, LINES_LEFT_OUT, PART_FAILED
+from primroseturn.observation.errors import describe_error, PART_FAILURES
 from primroseturn.observation.volume import LogVolume
 
+Listener = Callable[[Event, dict[str, Any]], None]
+
 
 class EventLog:
     """Emits the events of one daemon.
@@ -32,12 +35,30 @@
         self.volume = volume
         self.incarnation = incarnation or uuid4().hex[:12]
         self.sequence = 0
-        self.listeners: list[Callable[[Event, dict[str, Any]], None]] = []
+        self.listeners: list[Listener] = []
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Write an event with its fields. Fields must hold no secrets."""
         for listener in self.listeners:
+            self.call_listener(listener, event, fields)
+        self.write_limited(event, fields)
+
+    def call_listener(
+        self, listener: Listener, event: Event, fields: dict[str, Any]
+    ) -> None:
+        """Call a listener; an error of it must not reach whoever emits an event."""
+        try:
             listener(event, fields)
+        except Exception as error:
+            PART_FAILURES.labels("listener of events").inc()
+            # Written past the listeners, which could fail again.
+            for found in describe_error(error):
+                self.write_limited(
+                    PART_FAILED, {"part": "listener of events", **found._asdict()}
+                )
+
+    def write_limited(self, event: Event, fields: dict[str, Any]) -> None:
+        """Write the line of an event unless too many of its kind come."""
         if self.volume is not None:
             now = monotonic()
             for number, lines in self.volume.drain_left_out(now).items():
