Send on to other peers when the address of one can't be used

An error in a send to one peer, such as a key or a port that no socket can use, came out of the loop over all peers: heartbeats, digests and changes to the peers after it were not sent in any round. On UDP asyncio closed the socket for an address with a port above 65,535, so the VM heard and said nothing more. The socket of a connection that failed stayed open.

Over UDP a port is checked before the socket gets it.

features/control.feature: 2 of 2 new scenarios failed before (the messages to the second peer were not sent; over UDP the socket was closed) and pass now.

--- a/features/control.feature
+++ b/features/control.feature
@@ -24,3 +24,15 @@
     Then the second bus answers the first
     When the first bus forgets the second and learns it again
     Then the second bus answers the first
+
+  Scenario Outline: A peer that <how> takes no message from the other peers
+    Given two buses over <carrier>
+    And the first bus knows "third", a peer that <how>
+    When the first bus sends a message to "third" and then to "second"
+    Then the second bus gets the message
+    And the first bus has dropped 1 message that could not be handed over
+
+    Examples:
+      | carrier             | how                               |
+      | TCP with CURVE keys | has a key that is no CURVE key    |
+      | UDP                 | has a port that no socket can use |
--- a/features/steps/control_bus.py
+++ b/features/steps/control_bus.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 
 from features.control_checks import wait_until
+from primroseturn.control.datagrams import run_datagram_bus
 from primroseturn.control.messages import Message, message, MESSAGE_LIMIT_BYTES
 from primroseturn.control.zeromq import CurveKeys, PeerAddress, run_bus
+from primroseturn.observation.events import EventLog
 
 SEED_BYTES = b"\xc1junk"
 
@@ -40,6 +42,15 @@
     return bus
 
 
+def open_datagram_bus(context, name):
+    """Run a bus over UDP for the scenario. Returns it with its address."""
+    running = run_datagram_bus(EventLog(name), "127.0.0.1", 0)
+    manager = context.portal.wrap_async_context_manager(running)
+    bus = manager.__enter__()
+    context.cleanups.append(lambda: manager.__exit__(None, None, None))
+    return bus, PeerAddress(*bus.transport.get_extra_info("sockname"))
+
+
 def ask(context, bus, text="hello", timeout_s=2.0):
     """Return the result of a request to the second bus."""
     return context.portal.call(bus.request, "second", Echo(text), timeout_s)
@@ -57,6 +68,13 @@
     open_pair(context, context.keys[0], context.keys[1], allowed)
 
 
+@given("two buses over UDP")
+def step_datagram_buses(context):
+    context.second, context.address = open_datagram_bus(context, "second")
+    context.first, _ = open_datagram_bus(context, "first")
+    context.portal.call(connect_pair, context)
+
+
 def open_pair(context, first_keys, second_keys, allowed):
     """Run two buses of which the first knows the second."""
     context.second = open_bus(context, "second", second_keys, allowed)
@@ -64,11 +82,13 @@
     public_key = second_keys.public_key if second_keys else None
     context.address = PeerAddress("127.0.0.1", context.second.port, public_key)
 
-    async def connect():
-        context.second.handle(Echo, answer_echo)
-        context.first.learn_address("second", context.address)
+    context.portal.call(connect_pair, context)
 
-    context.portal.call(connect)
+
+async def connect_pair(context):
+    """Let the first bus reach the second."""
+    context.second.handle(Echo, answer_echo)
+    context.first.learn_address("second", context.address)
 
 
 @when(
@@ -161,3 +181,43 @@
             tasks.cancel_scope.cancel()
 
     context.portal.call(run)
+
+
+unusable_addresses = {
+    "has a port that no socket can use": PeerAddress("127.0.0.1", 70_000),
+    "has a key that is no CURVE key": PeerAddress("127.0.0.1", 1, "no key"),
+}
+
+
+@given('the first bus knows "{peer}", a peer that {how}')
+def step_unusable(context, peer, how):
+    async def learn():
+        context.first.learn_address(peer, unusable_addresses[how])
+
+    context.portal.call(learn)
+
+
+@when('the first bus sends a message to "{peer}" and then to "{other}"')
+def step_send_both(context, peer, other):
+    async def send():
+        await context.first.send(peer, Echo("hello"))
+        # An error may close a socket only after the call.
+        await sleep(0.1)
+        await context.first.send(other, Echo("hello"))
+
+    context.portal.call(send)
+
+
+@then("the second bus gets the message")
+def step_gets(context):
+    def arrived():
+        return context.second.counts["frames_received"] == 1
+
+    context.portal.call(wait_until, arrived, 2.0)
+
+
+@then(
+    "the first bus has dropped {count:d} message that could not be handed over",
+)
+def step_not_handed_over(context, count):
+    assert context.first.counts["dropped_failed"] == count, context.first.counts
--- a/primroseturn/control/datagrams.py
+++ b/primroseturn/control/datagrams.py
@@ -18,6 +18,7 @@
 
 # Fits the usual MTU of 1,500 bytes with the headers of IP and UDP.
 DATAGRAM_LIMIT_BYTES = 1_400
+LAST_PORT = 65_535
 # Datagrams that wait for this process; beyond that the oldest are dropped.
 WAITING_LIMIT = 1_000
 
@@ -48,7 +49,7 @@
         arrivals: Arrivals,
         background: Background,
     ) -> None:
-        super().__init__(vm, incarnation)
+        super().__init__(vm, incarnation, background.events)
         self.background = background
         self.transport = transport
         self.arrivals = arrivals
@@ -71,7 +72,17 @@
             self.send_frame(frame, (address.host, address.port))
 
     def send_frame(self, frame: bytes, address: Address) -> None:
-        """Send a frame if it fits a datagram."""
+        """Send a frame if it fits a datagram.
+
+        Raises
+        ------
+        ValueError
+            If the port of the address does not exist.
+        """
+        _, port = address
+        if not 0 < port <= LAST_PORT:
+            # asyncio would close the socket.
+            raise ValueError(f"there is no port {port}")
         if len(frame) > DATAGRAM_LIMIT_BYTES:
             self.drop("oversized")
         elif self.transport.get_write_buffer_size():
--- a/primroseturn/control/endpoint.py
+++ b/primroseturn/control/endpoint.py
@@ -21,6 +21,8 @@
     FRAMES_RECEIVED,
     FRAMES_SENT,
 )
+from primroseturn.kernel.background import contain_errors
+from primroseturn.observation.events import EventLog
 
 Reply = Callable[[bytes], None]
 Verify = Callable[[Envelope], bool]
@@ -37,9 +39,10 @@
         Frames and bytes by direction, and dropped frames by reason.
     """
 
-    def __init__(self, vm: str, incarnation: str) -> None:
+    def __init__(self, vm: str, incarnation: str, events: EventLog) -> None:
         self.vm = vm
         self.incarnation = incarnation
+        self.events = events
         self.number = 0
         self.handlers_by_kind: dict[type[Message], Handler] = {}
         self.replies_by_number: dict[int, Message] = {}
@@ -56,7 +59,7 @@
 
     async def send(self, peer: str, message: Message) -> None:
         """Send a message without waiting for a reply."""
-        self.transmit(peer, self.encode(message, 0))
+        self.hand_over(peer, self.encode(message, 0))
 
     async def request(
         self, peer: str, message: Message, timeout_s: float
@@ -66,7 +69,7 @@
         number = self.number
         arrived = self.waiting_by_number[number] = Event()
         try:
-            self.transmit(peer, frame)
+            self.hand_over(peer, frame)
             with move_on_after(timeout_s):
                 await arrived.wait()
         finally:
@@ -74,6 +77,13 @@
             reply = self.replies_by_number.pop(number, None)
         return Error(PeerUnavailable(peer)) if reply is None else Ok(reply)
 
+    def hand_over(self, peer: str, frame: bytes) -> None:
+        """Transmit a frame; an error must not end a caller's loop over its peers."""
+        with contain_errors(self.events, "Endpoint.transmit"):
+            self.transmit(peer, frame)
+            return
+        self.drop("failed")
+
     def encode(self, message: Message, reply_to: int) -> bytes:
         """Return the frame of a message under the next number."""
         self.number += 1
--- a/primroseturn/control/zeromq.py
+++ b/primroseturn/control/zeromq.py
@@ -91,7 +91,7 @@
         keys: CurveKeys | None = None,
         allowed_keys: tuple[str, ...] = (),
     ) -> None:
-        super().__init__(vm, incarnation)
+        super().__init__(vm, incarnation, background.events)
         self.background = background
         self.keys = keys
         self.allowed_keys = {*allowed_keys, *([keys.public_key] if keys else [])}
@@ -169,10 +169,14 @@
         if address is None:
             return None
         socket = self.create_socket(zmq.DEALER)
-        if self.keys is not None:
-            server_key = address.public_key or self.keys.public_key
-            socket.curve_serverkey = server_key.encode()
-        socket.connect(f"tcp://{address.host}:{address.port}")
+        try:
+            if self.keys is not None:
+                server_key = address.public_key or self.keys.public_key
+                socket.curve_serverkey = server_key.encode()
+            socket.connect(f"tcp://{address.host}:{address.port}")
+        except Exception:
+            socket.close()
+            raise
         connection = Connection(peer, address, socket, current_time(), CancelScope())
         self.connections_by_vm[peer] = connection
         self.background.start_soon(self.serve_peer, connection)
--- a/primroseturn/standins/events.py
+++ b/primroseturn/standins/events.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
-from primroseturn.observation.catalogue import Event, TASK_FAILED
+from primroseturn.observation.catalogue import Event, PART_FAILED, TASK_FAILED
 from primroseturn.observation.events import EventLog
 
 
 class TaskFailed(Exception):
-    """A background task of a simulated VM failed."""
+    """A background task or a part of a simulated VM failed."""
 
 
 class SimulationLog(EventLog):
@@ -15,5 +15,5 @@
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Raise for an error that a daemon would log and survive."""
-        if event is TASK_FAILED:
+        if event in (PART_FAILED, TASK_FAILED):
             raise TaskFailed(fields)
--- a/primroseturn/standins/network.py
+++ b/primroseturn/standins/network.py
@@ -12,6 +12,7 @@
 from primroseturn.control.endpoint import Endpoint
 from primroseturn.control.messages import decode_message
 from primroseturn.control.zeromq import PeerAddress
+from primroseturn.standins.events import SimulationLog
 
 
 class NetworkFaults(Struct):
@@ -112,7 +113,7 @@
     """Bus of one VM on a `MemoryNetwork`."""
 
     def __init__(self, network: MemoryNetwork, vm: str, incarnation: str) -> None:
-        super().__init__(vm, incarnation)
+        super().__init__(vm, incarnation, SimulationLog(vm, incarnation))
         self.network = network
         self.port = 0
 
