Serve on when a recorded trace finds no space

What callers saw: with logs.record_file on a full disk, the write of a line raised in the task of the request, whose caller got 500, or ended a background task; closing the file raised at the daemon's stop.

features/replay.feature, a trace to /dev/full: failed before (the readiness of the fleet and its stop raised), passes now; all 120 requests get 200.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -41,3 +41,9 @@
     Given a fleet whose daemon records a trace
     When the workspace "shop" repeats 30 times GET "/find/cartridge" through "vm1"
     Then the recorded trace replays with 30 requests
+
+  Scenario: A full disk under the recorded trace takes no answer from callers
+    Given a fleet whose daemon records a trace to a full disk
+    When the workspace "shop" repeats 120 times GET "/find/cartridge" through "vm1"
+    Then each of the 120 requests got 200
+    And the daemon stops without an error
--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -18,6 +18,8 @@
 DURATION_S = 4.4
 SIZES_BY_NAME = {size.name: size for size in SIZES}
 SHIPPED = Path(primroseturn.replay.__file__).parent / "traces"
+# Every write to it fails for want of space.
+FULL_DISK = Path("/dev/full")
 FLEET_LINE = '{"kind":"fleet","seed":1,"duration_s":2,"vms":2}'
 SMALL_TRACE = f"""{FLEET_LINE}
 {{"kind":"service","name":"s","targets":3,"slots":2,"median_s":0.01}}
@@ -107,6 +109,17 @@
 @given("a fleet whose daemon records a trace")
 def step_recording_fleet(context):
     write_file(context, "")
+    start_recording_fleet(context)
+
+
+@given("a fleet whose daemon records a trace to a full disk")
+def step_full_disk(context):
+    context.path = FULL_DISK
+    start_recording_fleet(context)
+
+
+def start_recording_fleet(context):
+    """Run a fleet whose daemon writes its trace to the scenario's path."""
     manager = context.portal.wrap_async_context_manager(run_fleet())
     context.fleet = manager.__enter__()
     context.cleanups.append(lambda: manager.__exit__(None, None, None))
@@ -120,6 +133,17 @@
     context.portal.call(add_daemon)
 
 
+@then("each of the {count:d} requests got 200")
+def step_got(context, count):
+    found = [answer.status_code for answer in context.answers]
+    assert found == [200] * count, found
+
+
+@then("the daemon stops without an error")
+def step_stops(context):
+    context.portal.call(context.fleet.stop, "vm1")
+
+
 @then("the recorded trace replays with {count:d} requests")
 def step_recorded(context, count):
     context.portal.call(context.fleet.stop, "vm1")
--- a/primroseturn/replay/recorder.py
+++ b/primroseturn/replay/recorder.py
@@ -9,9 +9,11 @@
 
 from primroseturn.configuration.state import ConfigurationState
 from primroseturn.detection.observations import Observation
+from primroseturn.kernel.background import contain_errors
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.membership.listing import Listing
+from primroseturn.observation.events import EventLog
 from primroseturn.replay.trace import (
     Arrival,
     Exchange,
@@ -28,10 +30,14 @@
 
 
 class Recorder:
-    """Writes lines in the order in which they become known."""
+    """Writes lines in the order in which they become known.
 
-    def __init__(self, stream: BinaryIO, listing: Listing) -> None:
+    Requests go on without the trace if its file takes no more.
+    """
+
+    def __init__(self, stream: BinaryIO, listing: Listing, events: EventLog) -> None:
         self.stream = stream
+        self.events = events
         self.listing = listing
         self.started_at = current_time()
         self.services: set[str] = set()
@@ -42,7 +48,8 @@
 
     def write(self, line: Line) -> None:
         """Append a line."""
-        self.stream.write(encode(line) + b"\n")
+        with contain_errors(self.events, "Recorder.write"):
+            self.stream.write(encode(line) + b"\n")
 
     def describe(self, service: str, demand: Demand) -> None:
         """Write the service and the route before their first use."""
@@ -93,13 +100,17 @@
 
 
 @contextmanager
-def open_record(path: str) -> Iterator[BinaryIO]:
+def open_record(path: str, events: EventLog) -> Iterator[BinaryIO]:
     """Yield the buffered trace file, replaced at each start."""
-    with open(path, "wb") as stream:
+    stream = open(path, "wb")  # noqa: SIM115 - closing may fail, too
+    try:
         yield stream
+    finally:
+        with contain_errors(events, "Recorder.close"):
+            stream.close()
 
 
-@service("recorder", needs=("settings", "dispatcher", "replica", "listing"))
+@service("recorder", needs=("settings", "events", "dispatcher", "replica", "listing"))
 @asynccontextmanager
 async def provide_recorder(kernel: Kernel) -> AsyncIterator[Recorder | None]:
     """Record a trace if the settings name a file."""
@@ -108,8 +119,9 @@
         yield None
         return
     dispatcher = kernel.find("dispatcher")
-    with open_record(path) as stream:
-        recorder = Recorder(stream, kernel.find("listing"))
+    events = kernel.find("events")
+    with open_record(path, events) as stream:
+        recorder = Recorder(stream, kernel.find("listing"), events)
         replica = kernel.find("replica")
         recorder.state = replica.state
 
