Count and name a scenario whose end fails

An error while a scenario's parts stop left the closing line at "0 passed, 0 failed"; only behave's exit code told. The scenario now counts as failed and is named at the end.

--- a/features/environment.py
+++ b/features/environment.py
@@ -51,10 +51,16 @@
 
 def after_scenario(context, scenario):
     """Stop what the scenario started, in reverse order."""
-    for cleanup in reversed(context.cleanups):
-        cleanup()
-    if context.portal_context is not None:
-        context.portal_context.__exit__(None, None, None)
+    try:
+        for cleanup in reversed(context.cleanups):
+            cleanup()
+        if context.portal_context is not None:
+            context.portal_context.__exit__(None, None, None)
+    except BaseException as error:
+        context.counts["failed"] += 1
+        line = f"FAILED {scenario.location} {scenario.name}: at its end: {error!r}"
+        context.failures.append(" ".join(line.split()))
+        raise
     if scenario.status.name == "passed":
         context.counts["passed"] += 1
     elif scenario.status.name != "skipped":
