Answer a request whose wait a library cancels

What callers saw: an empty 500, from hypercorn, without a word on whether the request may have run.

Cause: a CancelledError that comes from what a request waits for, such as a closed socket, is no Exception, so no handler of the request path met it. In a race of attempts it ended the task group without an error.

Change: report_foreign_cancellation tells by the task and its scopes whether a cancellation is the task's own, and raises CancelledByLibrary if not. Both request paths answer it like any unexpected error: 500 with ran unknown.

--- a/features/attempt_errors.feature
+++ b/features/attempt_errors.feature
@@ -43,3 +43,9 @@
     When a listener of events raises while a caller sends GET /lookup/1
     Then the caller gets 200 and the whole body
     And the log names the contained error in "listener of events"
+
+  Scenario: A request whose wait a library cancels gets a truthful answer
+    Given an entry VM with 1 target
+    When the choice of a target raises Cancelled once while a caller sends POST /order/1
+    Then the caller is told that it got an "internal-error"
+    And a further caller gets 200
--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -45,6 +45,18 @@
       | The router    | a new route  | the new route is served    |
       | The balancer  | a new target | the new target gets orders |
 
+  Scenario Outline: A request of a daemon whose <part> a library cancels gets an answer
+    Given 1 daemon that logs, with 1 target
+    When <part> is cancelled once while a caller sends <method>
+    Then the daemon's answer states an "internal-error"
+    And a further order gets 200
+
+    Examples:
+      | part                   | method |
+      | the choice of a target | POST   |
+      | the choice of a target | GET    |
+      | a hedged attempt       | GET    |
+
   Scenario: An order in flight is answered although two signals come
     Given 1 targets, 1 daemons and a store as separate processes
     When the daemon gets SIGHUP and SIGTERM while an order is at its target
--- a/features/steps/attempt_errors.py
+++ b/features/steps/attempt_errors.py
@@ -11,6 +11,7 @@
 parts_by_name = {
     "the reading of the answer": Part(Attempt, "read_head"),
     "the note of the answer": Part("placement", "note_answer"),
+    "the choice of a target": Part("placement", "choose"),
     "the placing of work": Part("placement", "begin"),
 }
 errors_by_name = {
@@ -83,3 +84,11 @@
     context.portal.call(
         wait_for_events, path, "part-failed", lambda item: item["part"] == part
     )
+
+
+@then('the caller is told that it got an "{kind}"')
+def step_told(context, kind):
+    (answer,) = context.responses
+    assert answer.status_code == 500, answer.status_code
+    told = answer.json()
+    assert (told["type"], told["ran"]) == (kind, "unknown"), told
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -1,5 +1,6 @@
 """Steps for errors in the background tasks of a daemon."""
 
+from asyncio import CancelledError
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
@@ -444,3 +445,31 @@
 @then("the other daemon was not ready after the error")
 def step_not_ready(context):
     assert "draining" in context.reasons, context.reasons
+
+
+@when("{name} is cancelled once while a caller sends {method:w}")
+def step_cancel(context, name, method):
+    fleet: Fleet = context.fleet
+    kernel = fleet.kernels_by_vm["vm1"]
+    secret = fleet.secrets_by_workspace["shop"]
+    dispatcher = kernel.find("dispatcher")
+
+    async def run():
+        if name == "a hedged attempt":
+            # Makes each request a race of attempts.
+            dispatcher.hedging.delay_s = lambda *arguments: WAIT_S
+        breakage = Breakage(kernel, Part("dispatcher", "acquire"), CancelledError())
+        if method == "POST":
+            context.answer = await order(fleet, "/order/1")
+        else:
+            context.answer = await fleet.request("vm1", "GET", "/find/1", secret)
+        breakage.mend()
+        assert breakage.calls
+
+    context.portal.call(run)
+
+
+@then('the daemon\'s answer states an "{kind}"')
+def step_states(context, kind):
+    assert context.answer.status_code == 500, context.answer.status_code
+    assert context.answer.json()["type"] == kind, context.answer.text
--- a/primroseturn/kernel/background.py
+++ b/primroseturn/kernel/background.py
@@ -140,6 +140,27 @@
     return task is not None and task.cancelling() > 0
 
 
+class CancelledByLibrary(Exception):
+    """A library cancelled what a task waited for, but not the task."""
+
+
+@contextmanager
+def report_foreign_cancellation() -> Iterator[None]:
+    """Raise a cancellation that is not the running task's own as an error.
+
+    Raises
+    ------
+    CancelledByLibrary
+        The task would otherwise end without telling whoever waits for it.
+    """
+    try:
+        yield
+    except get_cancelled_exc_class() as error:
+        if is_cancelled():
+            raise
+        raise CancelledByLibrary from error
+
+
 @contextmanager
 def contain_errors(events: EventLog, part: str) -> Iterator[None]:
     """Log and count an error of a part instead of raising it."""
--- a/primroseturn/requestpath/forward.py
+++ b/primroseturn/requestpath/forward.py
@@ -15,6 +15,7 @@
 from primroseturn.configuration.models import Target
 from primroseturn.detection.observations import Outcome
 from primroseturn.failures import Refusal
+from primroseturn.kernel.background import report_foreign_cancellation
 from primroseturn.requestpath.answers import deliver, deliver_rest, Extent
 from primroseturn.requestpath.context import RequestContext
 from primroseturn.requestpath.events import ANSWER_RESUMED, REQUEST_HEDGED
@@ -168,9 +169,10 @@
         with CancelScope() as scope:
             race.scopes.append(scope)
             try:
-                await self.attempt(
-                    context, excluded, None, False, hedge, lambda: race.win(scope)
-                )
+                with report_foreign_cancellation():
+                    await self.attempt(
+                        context, excluded, None, False, hedge, lambda: race.win(scope)
+                    )
             except Exception as failure:  # Raised again by the task that waits.
                 race.lose(scope, failure)
 
