--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -15,3 +15,11 @@
     When the VM is stopped
     Then the kept connections were closed 1.3 s after the stop began
     And the VM was gone 2 s after it was asked to stop
+
+  Scenario: Connections whose first request comes as they are closed don't hold up a stop
+    Given an entry VM with 2 targets
+    And its work takes 0.2 s
+    And 80 connections without a request
+    When the VM is asked to stop and their requests come in the turns around their close
+    Then no request of them ran without an answer
+    And the VM was gone 1.7 s after it was asked to stop
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -1,7 +1,10 @@
 """Steps for the connections of callers during a planned stop of an entry VM."""
 
+from contextlib import suppress
+from itertools import count, islice
+from math import inf
 from random import Random
-from socket import SO_RCVBUF, SO_SNDBUF, socket, SOL_SOCKET
+from socket import create_connection, SO_RCVBUF, SO_SNDBUF, socket, SOL_SOCKET
 
 from anyio import (
     connect_tcp,
@@ -11,15 +14,19 @@
     fail_after,
     sleep,
 )
+from anyio.lowlevel import checkpoint
 from behave import given, then, when
 from hypercorn.asyncio.tcp_server import TCPServer
 
 from features.entry_fleet import HOST, KEY, LOOPBACK
 from primroseturn.entry.service import LISTEN_SHARE
+from primroseturn.serving.idle import IdleConnections
 
 STOP_LIMIT_S = 2.0
 # Around the close of the listener, in which the callers send their requests.
 SPREAD_S = 0.05
+# Turns of the event loop before and after the close, in which requests come.
+TURNS = 20
 READ_BYTES = 65_536
 SMALL_BUFFER_BYTES = 4_096
 
@@ -146,3 +153,61 @@
 @then("the kept connections were closed {limit_s:g} s after the stop began")
 def step_closed(context, limit_s):
     assert context.closed_after_s <= limit_s, context.closed_after_s
+
+
+@given("{count:d} connections without a request")
+def step_fresh(context, count):
+    fleet = context.entries
+    context.sockets = []
+    for _ in range(count):
+        caller = create_connection((LOOPBACK, fleet.entry_ports_by_vm["vm1"]))
+        caller.setblocking(False)
+        context.cleanups.append(caller.close)
+        context.sockets.append(caller)
+    # Lets the listener accept them.
+    context.portal.call(sleep, 0.1)
+
+
+@when("the VM is asked to stop and their requests come in the turns around their close")
+def step_first_requests(context):
+    usual = IdleConnections.close_since
+    turns = count()
+
+    async def send():
+        for turn in islice(turns, TURNS):
+            for index, caller in enumerate(context.sockets):
+                if index % (2 * TURNS) == turn:
+                    head = request_bytes("POST", f"/order/{index}", f"order-{index}")
+                    caller.send(head)
+            await checkpoint()
+
+    async def close_since(self, time):
+        if time == inf:
+            await send()
+            tasks.start_soon(send)
+        await usual(self, time)
+
+    async def run():
+        nonlocal tasks
+        async with create_task_group() as tasks:
+            IdleConnections.close_since = close_since
+            await stop(context)
+
+    tasks = None
+    try:
+        context.portal.call(run)
+    finally:
+        IdleConnections.close_since = usual
+
+
+@then("no request of them ran without an answer")
+def step_first_answered(context):
+    targets = context.entries.entry_targets_by_id.values()
+    runs = {attempt for target in targets for attempt in target.runs}
+    answered = set()
+    for index, caller in enumerate(context.sockets):
+        with suppress(OSError):
+            if caller.recv(READ_BYTES).startswith(b"HTTP/1.1 200"):
+                answered.add(f"order-{index}")
+    assert answered, "no request came before the close"
+    assert runs <= answered, runs - answered
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import hypercorn.asyncio.run
 import hypercorn.protocol
 from h11 import (
     Data,
@@ -12,6 +13,7 @@
     Request,
     Response,
 )
+from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
@@ -72,6 +74,11 @@
         """Return the idle connections of this listener."""
         return self.config.idle_connections  # type: ignore[attr-defined]
 
+    async def initiate(self) -> None:
+        """Count a new connection as idle until its first request."""
+        await super().initiate()
+        self.idle_connections.note_idle(self)
+
     async def handle(self, event: Event) -> None:
         """Take in an event, and close when the caller has closed.
 
@@ -143,6 +150,18 @@
         await self._send_h11_event(EndOfMessage())
 
 
+class PlainConnection(TCPServer):
+    """Leaves the closing of idle connections to `IdleConnections`.
+
+    hypercorn 0.18 closes a connection without a request in a task that its reader
+    cancels when a request comes. At a stop, each can wait for the other for ever.
+    """
+
+    async def _idle_timeout(self) -> None:
+        """Close nothing."""
+
+
 def install_protocol() -> None:
-    """Make hypercorn use `PlainProtocol`; it has no setting for this."""
+    """Make hypercorn use the classes of this module; it has no setting for this."""
     hypercorn.protocol.H11Protocol = PlainProtocol  # type: ignore[misc]
+    hypercorn.asyncio.run.TCPServer = PlainConnection  # type: ignore[misc]
