Let an order keep its answer when the record of its outcome fails

What callers saw: an order that had run and was answered whole got 500 when the record of its outcome raised anything but a failure of ours, or was cancelled by a library, and the log did not say that the outcome is missing.

Cause: the record, which runs before the answer is passed on, and the release of a claim caught only Failure.

The claim stays, so a repeat is in doubt and never runs twice.

--- a/features/daemon_tasks.feature
+++ b/features/daemon_tasks.feature
@@ -45,6 +45,17 @@
       | The router    | a new route  | the new route is served    |
       | The balancer  | a new target | the new target gets orders |
 
+  Scenario Outline: An order keeps its answer when the record of its outcome raises <error>
+    Given 1 daemon that logs, with 1 target
+    When the record of outcomes raises <error> while an order is sent
+    Then the order gets 200 and ran once
+    And the daemon's log names "outcome-not-recorded"
+
+    Examples:
+      | error       |
+      | LookupError |
+      | Cancelled   |
+
   Scenario Outline: A request of a daemon whose <part> a library cancels gets an answer
     Given 1 daemon that logs, with 1 target
     When <part> is cancelled once while a caller sends <method>
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -16,6 +16,7 @@
     Breakage,
     ERROR_TEXT,
     Part,
+    wait_for_events,
     wait_for_failed_task,
 )
 from features.fleet import Fleet, run_fleet
@@ -473,3 +474,25 @@
 def step_states(context, kind):
     assert context.answer.status_code == 500, context.answer.status_code
     assert context.answer.json()["type"] == kind, context.answer.text
+
+
+errors_by_name = {"LookupError": LookupError(ERROR_TEXT), "Cancelled": CancelledError()}
+
+
+@when("the {method} of {things} raises {error} while an order is sent")
+def step_claims_raise(context, method, things, error):
+    fleet: Fleet = context.fleet
+    kernel = fleet.kernels_by_vm["vm1"]
+
+    async def run():
+        breakage = Breakage(kernel, Part("claims", method), errors_by_name[error])
+        context.answer = await order(fleet, "/order/1")
+        breakage.mend()
+        assert breakage.calls
+
+    context.portal.call(run)
+
+
+@then('the daemon\'s log names "{name}"')
+def step_named(context, name):
+    context.portal.call(wait_for_events, context.log_file, name, lambda event: True)
--- a/primroseturn/requestpath/once.py
+++ b/primroseturn/requestpath/once.py
@@ -1,5 +1,6 @@
 """Runs operations that must not repeat: claim, one exchange, recorded outcome."""
 
+from contextlib import AbstractContextManager
 from hashlib import sha256
 from typing import Any
 
@@ -12,6 +13,7 @@
     RecordedOutcome,
 )
 from primroseturn.failures import Failure, Refusal
+from primroseturn.kernel.background import contain_errors
 from primroseturn.requestpath.answers import (
     pass_parts,
     send_whole,
@@ -178,7 +180,7 @@
     async def record(self, operation: Operation, outcome: RecordedOutcome) -> None:
         """Record an outcome, whether or not the caller still waits."""
         done = False
-        with move_on_after(RECORD_LIMIT_S, shield=True):
+        with move_on_after(RECORD_LIMIT_S, shield=True), self.contain("record"):
             try:
                 await self.services.claims.record(operation, outcome)
                 done = True
@@ -190,13 +192,17 @@
 
     async def release(self, operation: Operation) -> None:
         """Release the claim of an operation that certainly did not run."""
-        with move_on_after(RECORD_LIMIT_S, shield=True):
+        with move_on_after(RECORD_LIMIT_S, shield=True), self.contain("release"):
             try:
                 await self.services.claims.release(operation)
             except Failure:
                 # The claim stays, which refuses a repeat but never runs one twice.
                 pass
 
+    def contain(self, step: str) -> AbstractContextManager[None]:
+        """Return a context whose errors don't take the order's answer."""
+        return contain_errors(self.services.events, f"OnceForwarder.{step}")
+
 
 def outcome_of(exchange: Exchange, body: bytes | None) -> RecordedOutcome:
     """Return what is recorded of an answer; None stands for a body not kept."""
