Keep a stop's order when its announcement to other VMs fails

Cause: an error in the announcement skipped the time in which a stopping VM still takes callers and the removal of its object, and cancelled requests that came meanwhile. Change: the error is contained and logged (event 105).

--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -24,7 +24,7 @@
 from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.view import FleetView
 from primroseturn.entry.vouching import ViewSharing
-from primroseturn.kernel.background import run_background
+from primroseturn.kernel.background import contain_errors, run_background
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
 from primroseturn.limits.quota import FleetQuota
@@ -333,7 +333,8 @@
             finally:
                 # Also when another service has failed and the process ends.
                 readiness.stopping = True
-                kernel.find("digest-exchange").announce(current_time(), stops=True)
+                with contain_errors(events, "DigestExchange.announce"):
+                    kernel.find("digest-exchange").announce(current_time(), stops=True)
                 events.emit(ENTRY_STOPPING)
                 with CancelScope(shield=True):
                     await sleep(LISTEN_SHARE * stop_limit_s)
