Tell callers the truth when sending, a kept connection or a note raises

Change: an attempt that an error of this VM ended before anything was sent has an end of its own, which becomes 500 with ran "no".

--- a/features/attempt_errors.feature
+++ b/features/attempt_errors.feature
@@ -47,5 +47,33 @@
   Scenario: A request whose wait a library cancels gets a truthful answer
     Given an entry VM with 1 target
     When the choice of a target raises Cancelled once while a caller sends POST /order/1
-    Then the caller is told that it got an "internal-error"
+    Then the caller is told that it got an "internal-error" and may have run
     And a further caller gets 200
+
+  Scenario Outline: Work whose sending always raises is told that it did not run
+    Given an entry VM with 2 targets
+    When the forming of a request always raises while a caller sends <method> <path>
+    Then the caller is told that it got an "internal-error" and did not run
+    And no request ran
+
+    Examples:
+      | method | path      |
+      | GET    | /lookup/1 |
+      | POST   | /order/1  |
+
+  Scenario: An error of a connection after a whole answer takes no answer
+    Given an entry VM with 1 target
+    When the return of a connection raises LookupError once while a caller sends POST /order/1
+    Then the caller gets 200 and the whole body
+    And each request ran exactly once
+
+  Scenario: A refusal reaches its caller although the note of it raises
+    Given an entry VM with 1 target
+    When the age of the view raises LookupError once while a caller sends GET /nowhere/1
+    Then the caller gets 404
+
+  Scenario: A stop serves late callers although its announcement raises
+    Given an entry VM with 1 target
+    And the announcement of its stop raises
+    When the VM is asked to stop, and 0.5 s later a caller sends POST /order/1
+    Then the caller gets 200 and the whole body
--- a/features/steps/attempt_errors.py
+++ b/features/steps/attempt_errors.py
@@ -3,15 +3,18 @@
 from asyncio import CancelledError
 from functools import partial
 
-from behave import then, when
+from behave import given, then, when
 
 from features.breakage import ERROR_TEXT, Part, wait_for_events
 from primroseturn.entry.attempt import Attempt
+from primroseturn.requestpath.pool import TargetPool
 
 parts_by_name = {
     "the reading of the answer": Part(Attempt, "read_head"),
     "the note of the answer": Part("placement", "note_answer"),
     "the choice of a target": Part("placement", "choose"),
+    "the return of a connection": Part(TargetPool, "give_back"),
+    "the age of the view": Part("view", "age_s"),
     "the placing of work": Part("placement", "begin"),
 }
 errors_by_name = {
@@ -67,6 +70,19 @@
     assert len(context.broken_calls) >= 2, "no second target was chosen"
 
 
+@when("the forming of a request always raises while a caller sends {method:w} {path:S}")
+def step_raise_always(context, method, path):
+    error = errors_by_name["LookupError"]
+    fail_at(context, Attempt, "build_request", error, range(1, 100))
+    ask(context, method, path)
+
+
+@given("the announcement of its stop raises")
+def step_raise_announcement(context):
+    exchange = context.entries.kernels_by_vm["vm1"].find("digest-exchange")
+    fail_at(context, exchange, "announce", errors_by_name["LookupError"], {1})
+
+
 @when("a listener of events raises while a caller sends {method:w} {path:S}")
 def step_raise_listener(context, method, path):
     events = context.entries.kernels_by_vm["vm1"].find("events")
@@ -86,9 +102,19 @@
     )
 
 
-@then('the caller is told that it got an "{kind}"')
-def step_told(context, kind):
+@then('the caller is told that it got an "{kind}" and may have run')
+def step_may_have_run(context, kind):
+    check_told(context, kind, "unknown")
+
+
+@then('the caller is told that it got an "{kind}" and did not run')
+def step_not_run(context, kind):
+    check_told(context, kind, "no")
+
+
+def check_told(context, kind, ran):
+    """Check a refusal for an error of the VM and what it states of the request."""
     (answer,) = context.responses
     assert answer.status_code == 500, answer.status_code
     told = answer.json()
-    assert (told["type"], told["ran"]) == (kind, "unknown"), told
+    assert (told["type"], told["ran"]) == (kind, ran), told
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -346,7 +346,7 @@
     head = read_answer_head(200, [])
 
     async def run():
-        attempt = Attempt(request, None, None)
+        attempt = Attempt(request, None, None, None)
         attempt.connection = PartSource(size)
         start()
         try:
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -30,7 +30,7 @@
 from primroseturn.entry.request import EntryRequest, RequestLine
 from primroseturn.entry.view import FleetView
 from primroseturn.failures import Failure, Refusal
-from primroseturn.kernel.background import report_foreign_cancellation
+from primroseturn.kernel.background import contain_errors, report_foreign_cancellation
 from primroseturn.limits.quota import ADMISSION_WAIT_S, FleetQuota
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.headers import caller_headers, read_caller_headers
@@ -346,6 +346,9 @@
 
     def no_answer(self, request: EntryRequest, result: AttemptResult) -> RequestRefused:
         """Return the refusal of a request whose attempts brought no answer."""
+        if result.end is AttemptEnd.ERROR and not request.may_have_run:
+            refusal = Refusal("internal-error", 500, "internal error", "no")
+            return RequestRefused(refusal)
         if not request.may_have_run:
             wait_s = self.forwarder.placement.usual_s(request.work)
             detail = "the targets had no room for the request"
@@ -363,6 +366,15 @@
         refusal: Refusal,
     ) -> None:
         """Send a refusal and log why."""
+        with contain_errors(self.events, "EntryApplication.note_refusal"):
+            self.note_refusal(request, headers, refusal)
+        await body.drain()
+        await send_refusal(send, refusal)
+
+    def note_refusal(
+        self, request: EntryRequest | None, headers: HeaderList, refusal: Refusal
+    ) -> None:
+        """Count and log a refusal."""
         service = request.service if request else ""
         OUTCOMES.labels(refusal.kind, service).inc()
         fields = request.log_fields() if request else refused_fields(headers)
@@ -378,8 +390,6 @@
             view_age_s=round(min(1e6, self.view.age_s(time_since_boot())), 3),
             **fields,
         )
-        await body.drain()
-        await send_refusal(send, refusal)
 
     def note_failed(self, request: EntryRequest | None, detail: str) -> None:
         """Log an answer that broke off."""
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -9,6 +9,8 @@
 
 from primroseturn.entry.models import Target
 from primroseturn.entry.request import EntryRequest
+from primroseturn.kernel.background import contain_errors
+from primroseturn.observation.events import EventLog
 from primroseturn.platform.headers import (
     AnswerHead,
     attempt_headers,
@@ -50,11 +52,14 @@
     MISDIRECTED = "misdirected"
     # There was no connection; nothing was sent.
     UNREACHABLE = "unreachable"
+    # An unexpected error of this VM ended it before anything was sent.
+    ERROR = "error"
     # The answer is missing, cut or not the target's; the request may have run.
     BROKEN = "broken"
 
 
 NOT_RUN_ENDS = frozenset((AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED))
+UNSENT_ENDS = frozenset((AttemptEnd.UNREACHABLE, AttemptEnd.ERROR))
 RAN_ENDS = frozenset((AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.BROKEN))
 
 
@@ -88,10 +93,17 @@
         Bytes that had arrived when its connection was closed.
     """
 
-    def __init__(self, request: EntryRequest, target: Target, pool: TargetPool) -> None:
+    def __init__(
+        self,
+        request: EntryRequest,
+        target: Target,
+        pool: TargetPool,
+        events: EventLog,
+    ) -> None:
         self.request = request
         self.target = target
         self.pool = pool
+        self.events = events
         self.connection: Connection | None = None
         self.sent = False
         self.stream: AnswerStream | None = None
@@ -248,9 +260,11 @@
 
     def finish(self) -> None:
         """Keep the connection if the exchange ended cleanly, else close it."""
-        if self.connection is not None:
-            self.pool.give_back(self.connection)
-            self.connection = None
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            # The answer is whole whatever becomes of its connection.
+            with contain_errors(self.events, "TargetPool.give_back"):
+                self.pool.give_back(connection)
 
     def close(self) -> None:
         """Close the connection."""
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -11,7 +11,13 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from primroseturn.entry.attempt import Attempt, AttemptEnd, AttemptResult, RAN_ENDS
+from primroseturn.entry.attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptResult,
+    RAN_ENDS,
+    UNSENT_ENDS,
+)
 from primroseturn.entry.connections import TargetPools
 from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_DENIED, ATTEMPT_ENDED
@@ -124,7 +130,7 @@
         last
             The failed attempt; None for a second attempt beside a late one.
         """
-        unsent = last is not None and last.end is AttemptEnd.UNREACHABLE
+        unsent = last is not None and last.end in UNSENT_ENDS
         useful_s = USEFUL_SHARE * self.placement.usual_s(request.work)
         if not unsent and len(request.tried) >= request.route.attempt_limit:
             reason = f"the route allows {request.route.attempt_limit} targets"
@@ -152,10 +158,11 @@
         An unexpected error ends the attempt, but neither the request nor an attempt
         beside it.
         """
-        attempt = Attempt(request, choice.target, self.pools.pool_of(choice.target))
+        pool = self.pools.pool_of(choice.target)
+        attempt = Attempt(request, choice.target, pool, self.events)
         with contain_errors(self.events, "Forwarder.run_attempt"):
             return await self.follow_attempt(request, choice, attempt)
-        end = AttemptEnd.BROKEN if attempt.sent else AttemptEnd.UNREACHABLE
+        end = AttemptEnd.BROKEN if attempt.sent else AttemptEnd.ERROR
         return attempt.result(end, "internal error")
 
     async def follow_attempt(
