Wait for the event of a failed administration call

The step read the events file at once, while a task of the daemon writes the lines, possibly after the answer of the call.

--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -149,7 +149,11 @@
     wait_until(lambda: received() == {"vm1", "vm2"}, limit)
 
 
-@then("the events file holds event {number:d}")
-def step_event_emitted(context, number):
-    lines = map(json.loads, context.events_file.read_text().splitlines())
-    assert number in {item.get("event") for item in lines}
+@then("the events file holds event {number:d} within {limit:d} s")
+def step_event_emitted(context, number, limit):
+    def emitted():
+        lines = map(json.loads, context.events_file.read_text().splitlines())
+        return number in {item.get("event") for item in lines}
+
+    # A task of its own writes the lines, possibly after the answer.
+    wait_until(emitted, limit)
