Let callers of scenarios leave after a target got their request

The caller of "The order of a caller that left runs once" left 0.1 s after it began to connect. Beside load its order had not reached the daemon by then: a trace shows no claim and no run of it, so the second order was granted, ran for the first time and took the target's delay of 0.3 s. The bound was not the fault. The steps now wait until a target has the request and leave after that; the bounds are unchanged.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -144,7 +144,7 @@
 
   Scenario Outline: An answer without end is no longer read when its caller has left
     Given an entry VM with 1 target that answers "<mode>"
-    When a caller sends <request> and leaves after 0.4 s
+    When a caller sends <request> and leaves 0.4 s after a target got it
     Then no target sends an answer without end 0.5 s later
 
     Examples:
--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -78,13 +78,13 @@
 
   Scenario: Work for a caller that has left ends at the target
     Given an entry VM with 1 target that answers "hang"
-    When a caller sends GET /lookup/1 and leaves after 0.2 s
+    When a caller sends GET /lookup/1 and leaves 0.2 s after a target got it
     Then the target sees the end of the work within 0.5 s
 
   Scenario: Work that must not repeat goes on when its caller leaves
     Given an entry VM with 1 target
     And its work takes 0.6 s
-    When a caller sends POST /order/1 and leaves after 0.2 s
+    When a caller sends POST /order/1 and leaves 0.2 s after a target got it
     Then the target finishes the work
 
   Scenario: A request has its final answer at the time-out of its route
--- a/features/once.feature
+++ b/features/once.feature
@@ -41,7 +41,7 @@
   Scenario: The order of a caller that left runs once and its outcome is kept
     Given 1 targets behind relays and 2 daemons
     And target "target1" has the faults {"extra_delay_s": 0.3}
-    When a caller leaves 0.1 s after its POST "/order"
+    When a caller leaves 0.1 s after an upstream got its POST "/order"
     And 0.5 s pass
     And a caller orders with operation "left" through "vm2"
     Then all answers name the path "/order" and come within 0.2 s
@@ -50,7 +50,7 @@
   Scenario: A caller that leaves cancels its idempotent request at the upstream
     Given 1 targets behind relays and 1 daemon
     And target "target1" has the faults {"extra_delay_s": 5.0}
-    When a caller leaves 0.1 s after its GET "/find/item"
+    When a caller leaves 0.1 s after an upstream got its GET "/find/item"
     Then target "target1" cancelled 1 request within 0.5 s
 
   Scenario: The remaining deadline reaches the upstream and ends the request
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -1,11 +1,15 @@
 """Steps for the requests of an entry VM."""
 
-from anyio import create_task_group, current_time, fail_after, move_on_after, sleep
+from functools import partial
+
+from anyio import create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from httpx import HTTPError
 
 from features.entry_fleet import route, run_entry_fleet
 
+ARRIVAL_LIMIT_S = 10.0
+
 
 def start_fleet(context):
     """Run the scenario's fleet until its end."""
@@ -175,11 +179,20 @@
     context.responses, context.error = context.portal.call(run)
 
 
-@when("a caller sends {method:w} {path:S} and leaves after {seconds:g} s")
+@when(
+    "a caller sends {method:w} {path:S} and leaves {seconds:g} s after a target got it"
+)
 def step_leave(context, method, path, seconds):
+    targets = context.entries.entry_targets_by_id.values()
+
     async def run():
-        with move_on_after(seconds):
-            await context.entries.ask(path, method=method)
+        async with create_task_group() as tasks:
+            tasks.start_soon(partial(context.entries.ask, path, method=method))
+            with fail_after(ARRIVAL_LIMIT_S):
+                while not any(target.heads for target in targets):
+                    await sleep(0.01)
+            await sleep(seconds)
+            tasks.cancel_scope.cancel()
 
     context.portal.call(run)
 
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -17,6 +17,7 @@
 from primroseturn.standins.upstream import UpstreamFaults
 
 CLOSE_WAIT = "08"
+ARRIVAL_LIMIT_S = 10.0
 ROUTES = {
     "find": {"deadline_s": 5.0},
     "quick": {"hedge": True},
@@ -213,20 +214,26 @@
     )
 
 
-@when('a caller leaves {seconds:g} s after its {method} "{path}"')
+@when('a caller leaves {seconds:g} s after an upstream got its {method} "{path}"')
 def step_leave(context, seconds, method, path):
-    async def leave():
+    upstreams = context.fleet.upstreams_by_name.values()
+
+    async def request():
         headers = {"x-api-key": context.key, "idempotency-key": "left"}
         content = b"{}" if method == "POST" else None
         port = context.fleet.kernels_by_vm["vm1"].find("callers")
+        url = f"http://127.0.0.1:{port}{path}"
         async with AsyncClient(trust_env=False) as http:
-            try:
-                url = f"http://127.0.0.1:{port}{path}"
-                await http.request(
-                    method, url, headers=headers, timeout=seconds, content=content
-                )
-            except HTTPError:
-                pass
+            await http.request(method, url, headers=headers, content=content)
+
+    async def leave():
+        async with create_task_group() as tasks:
+            tasks.start_soon(request)
+            with fail_after(ARRIVAL_LIMIT_S):
+                while not sum(item.requests for item in upstreams):
+                    await sleep(0.01)
+            await sleep(seconds)
+            tasks.cancel_scope.cancel()
 
     context.portal.call(leave)
 
