Test bad and long input from callers of an entry VM

Cause: malformed and oversized requests were tested at the daemon of the product's own interface only (features/keys.feature), and no test had a target that answers a long request before it has read it.

Change: features/entry_input.feature sends 16 kinds of bad input and 3 that break off, and long requests to a target that answers early and reads on, at once or after the request's time. The target of the tests notes when requests arrive.

--- /dev/null
+++ b/features/entry_input.feature
@@ -0,0 +1,51 @@
+Feature: Bad input from callers gets a typed refusal and harms no other request
+
+  Scenario Outline: <input> reaches no target and ends nothing
+    Given an entry VM with 1 target
+    When a caller sends the bytes of <input>
+    Then the first answer is the refusal "<type>" with status <status> that did not run
+    And no request ran
+    And a further caller is served and the log names no error
+
+    Examples:
+      | input                                 | status | type                 |
+      | a line that is no request             | 400    | request-invalid      |
+      | a TLS greeting                        | 400    | request-invalid      |
+      | the preface of HTTP/2                 | 404    | route-missing        |
+      | a request without a host              | 400    | request-invalid      |
+      | a request with two hosts              | 400    | request-invalid      |
+      | two different lengths                 | 400    | request-invalid      |
+      | a negative length                     | 400    | request-invalid      |
+      | a length beside a transfer coding     | 400    | length-ambiguous     |
+      | an unknown transfer coding            | 501    | encoding-unsupported |
+      | a space before the colon of a header  | 400    | request-invalid      |
+      | a NUL in a header                     | 400    | request-invalid      |
+      | a header of 200 KB without end        | 431    | headers-too-large    |
+      | a body above the limit                | 413    | body-too-large       |
+      | an absolute target                    | 404    | route-missing        |
+      | a connection option that hides Host   | 400    | header-invalid       |
+      | two keys                              | 401    | key-refused          |
+
+  Scenario Outline: <input> is no request that a target may run
+    Given an entry VM with 1 target
+    When a caller sends the bytes of <input>
+    Then no request ran
+    And a further caller is served and the log names no error
+
+    Examples:
+      | input                         |
+      | a chunk with a wrong length   |
+      | a body that ends early        |
+      | a chunked body without an end |
+
+  Scenario Outline: The rest of a long request that is answered early is its own, <mode>
+    Given an entry VM with 1 target that answers "<mode>"
+    When 3 callers send <size> bytes to POST /order/ one after the other
+    Then each caller got 413, 504 or saw its connection end
+    And the target read nothing but bytes of its caller's body
+
+    Examples:
+      | mode                      | size     |
+      | early                     | 3000000  |
+      | early, then reads on late | 3000000  |
+      | early, then reads on late | 30000000 |
--- a/features/entry_target.py
+++ b/features/entry_target.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 
 import h11
-from anyio import create_task_group, create_tcp_listener, EndOfStream, sleep
+from anyio import create_task_group, create_tcp_listener, current_time, sleep
 from anyio.abc import SocketAttribute, SocketStream
 from anyio.streams.stapled import MultiListener
 
@@ -13,6 +13,8 @@
 READ_BYTES = 65_536
 # Longer than any request of a scenario.
 HANG_S = 30.0
+# Longer than the time that callers of long requests wait.
+READ_ON_LATE_S = 2.0
 
 
 class EntryTarget:
@@ -26,6 +28,8 @@
         Ids of the attempts that it ran, in order.
     heads
         Method, path and headers of all requests.
+    arrived_at
+        Monotonic times in seconds at which they arrived.
     cut_runs
         Ids of the attempts whose connection closed before the answer.
     endless
@@ -40,6 +44,7 @@
         self.body = b"whole body of " + target_id.encode()
         self.runs: list[str] = []
         self.heads: list[tuple[str, str, dict[str, str]]] = []
+        self.arrived_at: list[float] = []
         self.bodies: list[bytes] = []
         self.cut_runs: list[str] = []
         self.endless = EndlessSender()
@@ -57,7 +62,12 @@
                 request, body = await self.read_request(stream, state)
                 if request is None:
                     return
-                keep = await self.answer(stream, state, request, body)
+                if state.our_state is h11.DONE:
+                    # It was answered before its body was read.
+                    self.bodies.append(body)
+                    keep = True
+                else:
+                    keep = await self.answer(stream, state, request, body)
                 if not keep or state.our_state is not h11.DONE:
                     return
                 state.start_next_cycle()
@@ -65,17 +75,22 @@
     async def read_request(self, stream, state):
         """Return the next request and its body, or None at the end."""
         request, body = None, b""
+        early = self.usual_mode.startswith("early")
         while True:
             event = state.next_event()
             if event is h11.NEED_DATA:
                 try:
                     state.receive_data(await stream.receive(READ_BYTES))
-                except (EndOfStream, OSError):
-                    return None, b""
                 except Exception:
+                    if early and request is not None:
+                        self.bodies.append(body)
                     return None, b""
             elif isinstance(event, h11.Request):
                 request = event
+                if early:
+                    await self.answer_early(stream, state, request)
+                    if self.usual_mode == "early, then reads on late":
+                        await sleep(READ_ON_LATE_S)
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -83,11 +98,20 @@
             else:
                 return None, b""
 
+    async def answer_early(self, stream, state, request) -> None:
+        """Answer before the body is read, and let the connection stay."""
+        headers = {k.decode(): v.decode() for k, v in request.headers}
+        self.heads.append((request.method.decode(), request.target.decode(), headers))
+        attempt = headers.get("attempt-id", "")
+        good = [("attempt-id", attempt), ("response-signature", f"s-{attempt}")]
+        await self.send(stream, state, 413, good, b"too long")
+
     async def answer(self, stream, state, request, body) -> bool:
         """Answer one request as the next mode says."""
         headers = {k.decode(): v.decode() for k, v in request.headers}
         path = request.target.decode()
         self.heads.append((request.method.decode(), path, headers))
+        self.arrived_at.append(current_time())
         self.bodies.append(body)
         attempt = headers.get("attempt-id", "")
         mode = self.modes.pop(0) if self.modes else self.usual_mode
--- /dev/null
+++ b/features/steps/entry_input.py
@@ -0,0 +1,149 @@
+"""Steps for bad and long input from callers of an entry VM."""
+
+import json
+from re import search
+
+from anyio import (
+    BrokenResourceError,
+    connect_tcp,
+    EndOfStream,
+    fail_after,
+    move_on_after,
+    sleep,
+)
+from behave import then, when
+from httpx import HTTPError, Response
+
+from features.entry_fleet import HOST, KEY, LOOPBACK
+
+READ_BYTES = 65_536
+ANSWER_LIMIT_S = 5.0
+# Events of unexpected errors: 103, 104 and 1116 (docs/events.md).
+ERROR_EVENTS = ("process-crashed", "task-failed", "entry-internal-error")
+
+HEAD = (
+    f"Host: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+    "Attempt-Id: bad-input\r\nDeadline-Ms: 1500\r\n"
+)
+GET = f"GET /lookup/1 HTTP/1.1\r\n{HEAD}"
+POST = f"POST /order/1 HTTP/1.1\r\n{HEAD}"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+
+inputs_by_name = {
+    "a line that is no request": "nonsense\r\n\r\n",
+    "a TLS greeting": "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + 200 * "\x00",
+    "the preface of HTTP/2": "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    "a request without a host": "GET /lookup/1 HTTP/1.1\r\nAttempt-Id: x\r\n\r\n",
+    "a request with two hosts": f"{GET}Host: other.example\r\n\r\n",
+    "two different lengths": f"{POST}Content-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+    "a negative length": f"{POST}Content-Length: -1\r\n\r\nab",
+    "a length beside a transfer coding": (
+        f"{POST}Content-Length: 2\r\n{CHUNKED}\r\n0\r\n\r\n"
+    ),
+    "an unknown transfer coding": f"{POST}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "a space before the colon of a header": f"{GET}X-A : 1\r\n\r\n",
+    "a NUL in a header": f"{GET}X-A: a\x00b\r\n\r\n",
+    "a header of 200 KB without end": f"{GET}X-A: {200_000 * 'x'}",
+    "a body above the limit": f"{POST}Content-Length: 99999999999\r\n\r\nab",
+    "an absolute target": f"GET http://{HOST}/lookup/1 HTTP/1.1\r\n{HEAD}\r\n",
+    "a connection option that hides Host": f"{GET}Connection: Host\r\n\r\n",
+    "two keys": f"{GET}Authorization: Bearer other\r\n\r\n",
+    "a chunk with a wrong length": f"{POST}{CHUNKED}\r\nzz\r\nab\r\n0\r\n\r\n",
+    "a body that ends early": f"{POST}Content-Length: 10\r\n\r\nab",
+    "a chunked body without an end": f"{POST}{CHUNKED}\r\n2\r\nab\r\n",
+}
+# After these the caller closes its side, as one that has gone.
+UNFINISHED = ("a body that ends early", "a chunked body without an end")
+
+
+def is_whole(answer):
+    """Return whether the first answer has arrived with its body."""
+    head, separator, body = answer.lower().partition(b"\r\n\r\n")
+    length = search(rb"content-length: (\d+)", head)
+    return bool(separator and length) and len(body) >= int(length[1])
+
+
+@when("a caller sends the bytes of {name}")
+def step_bytes(context, name):
+    data = inputs_by_name[name].encode("latin-1")
+    context.answer = b""
+
+    async def run():
+        port = context.entries.entry_ports_by_vm["vm1"]
+        async with await connect_tcp(LOOPBACK, port) as stream:
+            try:
+                await stream.send(data)
+                if name in UNFINISHED:
+                    await stream.send_eof()
+                with fail_after(ANSWER_LIMIT_S):
+                    while not is_whole(context.answer):
+                        context.answer += await stream.receive(READ_BYTES)
+            except (EndOfStream, BrokenResourceError):
+                return
+
+    context.portal.call(run)
+
+
+@then(
+    'the first answer is the refusal "{kind}" with status {status:d} that did not run'
+)
+def step_refusal(context, kind, status):
+    head, _, body = context.answer.partition(b"\r\n\r\n")
+    assert head.split()[1] == str(status).encode(), context.answer
+    assert b"response-signature" not in head.lower(), head
+    refusal, _ = json.JSONDecoder().raw_decode(body.decode())
+    assert (refusal["type"], refusal["ran"]) == (kind, "no"), refusal
+
+
+@then("a further caller is served and the log names no error")
+def step_no_error(context):
+    fleet = context.entries
+    response: Response = context.portal.call(fleet.ask, "/lookup/2")
+    assert response.status_code == 200, response.text
+    lines = fleet.log_files_by_vm["vm1"].read_text().splitlines()
+    found = [line for line in lines if any(f'"{e}"' in line for e in ERROR_EVENTS)]
+    assert not found, found
+
+
+@when("{count:d} callers send {size:d} bytes to POST {path:S} one after the other")
+def step_long(context, count, size, path):
+    fleet = context.entries
+    context.ends = []
+    # Each byte tells its place, so that other bytes in between are seen.
+    context.sent = bytes(range(251)) * (size // 251)
+
+    async def run():
+        for number in range(count):
+            with move_on_after(ANSWER_LIMIT_S):
+                try:
+                    response = await fleet.ask(
+                        f"{path}{number}", method="POST", content=context.sent
+                    )
+                    context.ends.append(response.status_code)
+                except HTTPError as error:
+                    context.ends.append(type(error).__name__)
+
+    context.portal.call(run)
+    context.count = count
+
+
+@then("each caller got 413, 504 or saw its connection end")
+def step_ends(context):
+    assert len(context.ends) == context.count, context.ends
+    broken = {"ReadError", "WriteError", "RemoteProtocolError"}
+    assert set(context.ends) <= {413, 504, *broken}, context.ends
+
+
+@then("the target read nothing but bytes of its caller's body")
+def step_own_bytes(context):
+    (target,) = context.entries.entry_targets_by_id.values()
+
+    async def wait():
+        with fail_after(ANSWER_LIMIT_S):
+            while len(target.bodies) < len(target.heads):
+                await sleep(0.02)
+
+    context.portal.call(wait)
+    assert len(target.heads) == context.count, target.heads
+    for body in target.bodies:
+        assert context.sent.startswith(body), (len(body), body[-200:])
