Test what a further attempt is told and costs, and whose signature an answer bears

Cause: no test read the time that the second target of a request is told, repeated requests until the budget ended, or looked for a target's signature on the VM's own answers.

Change: two scenarios and a step in features/entry_requests.feature; a VM without a configuration is checked to be not ready as well.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -27,6 +27,7 @@
     When a caller sends 6 times POST /order/1
     Then the caller gets <status> each time
     And each request ran exactly once
+    And only answers with 500 bear the signature of a target
 
     Examples:
       | mode     | status |
@@ -37,6 +38,18 @@
       | unsigned | 502    |
       | hang     | 504    |
 
+  Scenario: A further target is told no more time than is left
+    Given an entry VM with 2 targets of which the first answers "hang"
+    When a caller sends 8 times GET /lookup/1
+    Then at least 1 request came to two targets
+    And none was told more time by the second one
+
+  Scenario: Repeats after targets without room draw on the budget of repeats
+    Given an entry VM that may send 4 repeats, with 2 targets that answer "full"
+    When a caller sends 12 times POST /order/1
+    Then the caller gets 503 each time
+    And at least 1 and at most 4 of the requests came to two targets
+
   Scenario: Work that must not repeat goes to another target that has room
     Given an entry VM with 2 targets of which the first answers "full"
     When a caller sends 6 times POST /order/1
@@ -120,6 +133,7 @@
     Given an entry VM whose store is away
     When a caller sends GET /lookup/1
     Then the caller gets 503 with a time to come back
+    And the VM is not ready because of "no configuration"
 
   Scenario: A request is never sent to more targets than its route allows
     Given an entry VM with 4 targets that answer "error"
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -6,6 +6,10 @@
 
 from features.entry_fleet import route, run_entry_fleet
 
+START_LIMIT_S = 10.0
+# For the way of a request from the VM to its target.
+TRAVEL_S = 0.05
+
 
 def start_fleet(context):
     """Run the scenario's fleet until its end."""
@@ -15,7 +19,7 @@
     return context.entries
 
 
-def build(context, targets, modes):
+def build(context, targets, modes, **bounds):
     """Start a VM with targets whose modes are given by their number."""
     fleet = start_fleet(context)
 
@@ -23,8 +27,12 @@
         for number in range(1, targets + 1):
             target = await fleet.add_entry_target(f"t{number}")
             target.usual_mode = modes.get(number, "ok")
-        await fleet.add_entry("vm1")
+        kernel = await fleet.add_entry("vm1", **bounds)
         await fleet.wait_entries()
+        with fail_after(START_LIMIT_S):
+            # Before the first list, a VM takes the fleet for one of the usual size.
+            while bounds and not kernel.find("fleet").listed:
+                await sleep(0.02)
 
     context.portal.call(run)
 
@@ -46,6 +54,62 @@
     build(context, count, dict.fromkeys(range(1, count + 1), mode))
 
 
+@given(
+    "an entry VM that may send {extra:d} repeats, with {count:d} targets that answer "
+    '"{mode}"'
+)
+def step_few_repeats(context, extra, count, mode):
+    modes = dict.fromkeys(range(1, count + 1), mode)
+    build(context, count, modes, repeat_ratio=0.0, repeat_extra=float(extra))
+
+
+def arrivals_by_attempt(context):
+    """Return the arrivals of each attempt of a caller at targets, in order.
+
+    An arrival is its time and the time in seconds that the target was told.
+    """
+    found = {}
+    for target in context.entries.entry_targets_by_id.values():
+        for at, (_, _, headers) in zip(target.arrived_at, target.heads, strict=True):
+            told_s = int(headers["deadline-ms"]) / 1000
+            found.setdefault(headers["attempt-id"], []).append((at, told_s))
+    return {attempt: sorted(arrivals) for attempt, arrivals in found.items()}
+
+
+def repeats_of(context):
+    """Return the arrivals of attempts that came to more than one target."""
+    return [item for item in arrivals_by_attempt(context).values() if len(item) > 1]
+
+
+@then("at least {least:d} request came to two targets")
+def step_repeated(context, least):
+    assert len(repeats_of(context)) >= least
+
+
+@then("none was told more time by the second one")
+def step_told(context):
+    for (first_at, first_s), (second_at, second_s), *_ in repeats_of(context):
+        assert second_at + second_s <= first_at + first_s + TRAVEL_S, second_s
+
+
+@then("at least {least:d} and at most {most:d} of the requests came to two targets")
+def step_repeats(context, least, most):
+    assert least <= len(repeats_of(context)) <= most, len(repeats_of(context))
+
+
+@then("only answers with {status:d} bear the signature of a target")
+def step_signature(context, status):
+    for response in context.responses:
+        signed = "response-signature" in response.headers
+        assert signed == (response.status_code == status), response.headers
+
+
+@then('the VM is not ready because of "{reason}"')
+def step_unready(context, reason):
+    kernel = context.entries.kernels_by_vm["vm1"]
+    assert kernel.find("entry-readiness").reason() == reason
+
+
 @given("an entry VM with 2 targets of which the first has the address of another")
 def step_reused(context):
     build(context, 2, {})
