Test a silent store, a suspended VM and a key withdrawn during a request

Cause: features/entry_view.feature had a store that refuses, but none that never answers; nothing showed that suspended time counts, or that a key is checked again before bytes go to a target.

Change: three scenarios.

--- a/features/entry_view.feature
+++ b/features/entry_view.feature
@@ -45,6 +45,25 @@
     When the store is back
     Then every VM serves within 2 s
 
+  Scenario: Keys stop working while the store does not answer, and work again after
+    Given 2 entry VMs with 1 target
+    When the store does not answer for 6.5 s
+    Then every VM refuses keyed requests with 503, serves open ones and is not ready
+    When the store is back
+    Then every VM serves within 2 s
+
+  Scenario: Keys count as unknown as soon as a VM has been suspended for too long
+    Given 1 entry VMs with 1 target
+    When the store is away
+    Then a keyed request gets 200
+    When the VM was suspended for 5 s, which its steady clock does not show
+    Then a keyed request gets 503
+
+  Scenario: A key that is withdrawn while its request waits stops the request
+    Given 1 entry VMs with 1 target
+    When a caller begins POST /order/1 and its key is withdrawn before the body ends
+    Then the request is refused and no target got it
+
   Scenario: A VM that the store turns away learns from the others
     Given 3 entry VMs with 1 target
     When the store turns the speaker away
--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -1,5 +1,6 @@
 """Steps for what an entry VM believes and how old it is."""
 
+from time import CLOCK_BOOTTIME, clock_gettime
 from unittest.mock import patch
 
 from anyio import current_time, fail_after, sleep
@@ -157,6 +158,70 @@
     context.portal.call(run)
 
 
+@when("the store is away")
+def step_outage(context):
+    async def run():
+        context.entries.store.faults.outage = True
+        context.entries.store.wake_watches()
+
+    context.portal.call(run)
+
+
+@when("the store does not answer for {seconds:g} s")
+def step_silent(context, seconds):
+    async def run():
+        context.entries.store.faults.hang = True
+        await sleep(seconds)
+
+    context.portal.call(run)
+
+
+@when("the VM was suspended for {seconds:g} s, which its steady clock does not show")
+def step_suspended(context, seconds):
+    def read(clock):
+        return clock_gettime(clock) + (seconds if clock == CLOCK_BOOTTIME else 0.0)
+
+    change = patch("primroseturn.clock.clock_gettime", read)
+    change.start()
+    context.cleanups.append(change.stop)
+
+
+@then("a keyed request gets {status:d}")
+def step_keyed(context, status):
+    response = context.portal.call(context.entries.ask, "/lookup/1")
+    assert response.status_code == status, response.text
+
+
+@when("a caller begins {method} {path:S} and its key is withdrawn before the body ends")
+def step_withdraw_midway(context, method, path):
+    fleet = context.entries
+    view = fleet.kernels_by_vm["vm1"].find("view")
+
+    async def parts():
+        yield b"start"
+        await sleep(0.1)
+        for workspace in fleet.configuration["tenants"]:
+            workspace["api_keys"] = ["another-key"]
+        fleet.publish()
+        with fail_after(2.0):
+            while f"r{view.version}" != fleet.configuration["version"]:
+                await sleep(0.01)
+        yield b"end"
+
+    async def run():
+        return await fleet.ask(path, method=method, content=parts(), wait_ms=5000)
+
+    context.response = context.portal.call(run)
+
+
+@then("the request is refused and no target got it")
+def step_not_sent(context):
+    assert context.response.status_code in (401, 503), context.response.text
+    targets = context.entries.entry_targets_by_id.values()
+    heads = [head for target in targets for head in target.heads]
+    assert not heads, heads
+
+
 @then("it was asked at most {limit:d} times meanwhile")
 def step_asked(context, limit):
     assert context.calls_away <= limit, context.calls_away
@@ -164,7 +229,8 @@
 
 @when("the store is back")
 def step_back(context):
-    context.entries.store.faults.outage = False
+    faults = context.entries.store.faults
+    faults.outage = faults.hang = False
 
 
 @then("every VM refuses keyed requests with 503, serves open ones and is not ready")
