Test that answers during a planned stop end their connection

Cause: docs/platform.md states it, and no test read the header.

Change: a step of the scenario of a planned stop under load.

Result: passes; fails when the header is left out.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -147,6 +147,7 @@
     When the VM is stopped while callers send GET /lookup/1
     Then no request was cut
     And the VM was not ready as soon as its stop began
+    And answers during the stop end their connection
 
   Scenario: A request that meets a VM just after its start waits for its first view
     Given an entry VM that starts anew while its store takes 0.05 s for an answer
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -7,6 +7,8 @@
 from features.entry_fleet import route, run_entry_fleet
 
 START_LIMIT_S = 10.0
+# Numbers of requests that are sent each 0.05 s around the begin of a stop.
+LAST_BEFORE_STOP, FIRST_IN_STOP = 5, 7
 # For the way of a request from the VM to its target.
 TRAVEL_S = 0.05
 
@@ -340,12 +342,16 @@
 def step_stop(context, path):
     fleet = context.entries
     context.cut, context.statuses = [], []
+    # Whether an answer ended its connection, by the request's number.
+    context.closes_by_number = {}
     readiness = fleet.kernels_by_vm["vm1"].find("entry-readiness")
 
-    async def call():
+    async def call(number):
         try:
             response = await fleet.ask(path)
             context.statuses.append(response.status_code)
+            closes = response.headers.get("connection") == "close"
+            context.closes_by_number[number] = closes
         except HTTPError as error:
             # A refused connection was never read; any other end is a cut.
             if "connect" not in type(error).__name__.lower():
@@ -354,11 +360,11 @@
     async def run():
         async with create_task_group() as tasks:
             for number in range(40):
-                tasks.start_soon(call)
+                tasks.start_soon(call, number)
                 await sleep(0.05)
-                if number == 5:
+                if number == LAST_BEFORE_STOP:
                     tasks.start_soon(fleet.stop, "vm1")
-                if number == 7:
+                if number == FIRST_IN_STOP:
                     context.reason = readiness.reason()
 
     context.portal.call(run)
@@ -374,3 +380,13 @@
 @then("the VM was not ready as soon as its stop began")
 def step_not_ready(context):
     assert context.reason == "stopping", context.reason
+
+
+@then("answers during the stop end their connection")
+def step_closes(context):
+    found = {
+        number: closes
+        for number, closes in context.closes_by_number.items()
+        if number >= FIRST_IN_STOP
+    }
+    assert len(found) >= 10 and all(found.values()), found
