--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -58,6 +58,17 @@
     Given 10 times the usual lines of a served request in one second
     Then 20 lines of it are written and 180 are counted as left out
 
+  Scenario: Many served requests displace no line of a refused or failed one
+    Given 200 lines of served, 40 of refused and 40 of failed requests in one second
+    Then 20 of served, 40 of refused and 40 of failed requests are written
+
+  Scenario: A VM whose log nobody reads answers in time and loses no waiting line
+    Given an entry VM as a process whose log nobody reads for now
+    When its callers ask 200 times while its log is full
+    Then each got an answer within 0.5 s
+    When its log is read again
+    Then its lines follow each other without a gap
+
   Scenario: A reader that stops reading delays no log line and loses the oldest
     Given a log that nobody reads
     When 20000 events are emitted
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -4,22 +4,37 @@
 import json
 import os
 import re
+from collections import Counter
 from contextlib import redirect_stderr, redirect_stdout, suppress
-from time import monotonic
+from fcntl import F_SETPIPE_SZ, fcntl
+from random import Random
+from select import select
+from time import monotonic, sleep as sleep_blocking
 
 from anyio import create_task_group, sleep
 from behave import given, then, when
-from httpx import AsyncClient
+from httpx import AsyncClient, HTTPError
 
 from features.entry_fleet import route
+from features.steps.background_tasks import ask_process
+from features.steps.entry_process import start_process, WAIT_S
 from primroseturn.cli.main import main
-from primroseturn.entry.events import REQUEST_SERVED
+from primroseturn.entry.events import (
+    REQUEST_FAILED,
+    REQUEST_REFUSED,
+    REQUEST_SERVED,
+)
 from primroseturn.entry.process import ENTRY_SERVICES
 from primroseturn.kernel.kernel import run_kernel
 from primroseturn.observation.events import EventLog
 from primroseturn.observation.output import LogWriter, WAITING_LIMIT_LINES
 from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
 
+# The smallest size of a pipe, which some ten lines fill.
+PIPE_BYTES = 4_096
+FILLING_REQUESTS = 50
+READ_S = 1.5
+
 
 def explain(context, request):
     """Run the command on the logs of all VMs and return code and output."""
@@ -146,6 +161,81 @@
     assert context.left_out == {REQUEST_SERVED.number: left_out}, context.left_out
 
 
+@given(
+    "{served:d} lines of served, {refused:d} of refused and {failed:d} of failed "
+    "requests in one second"
+)
+def step_mixed(context, served, refused, failed):
+    volume = LogVolume({REQUEST_SERVED.number: SERVED_LINES_PER_S})
+    lines = [REQUEST_SERVED] * served
+    lines += [REQUEST_REFUSED] * refused + [REQUEST_FAILED] * failed
+    Random(1).shuffle(lines)
+    context.lines = Counter(
+        event.name for event in lines if volume.admit(event.number, 7.5)
+    )
+
+
+@then(
+    "{served:d} of served, {refused:d} of refused and {failed:d} of failed requests "
+    "are written"
+)
+def step_mixed_written(context, served, refused, failed):
+    events = (REQUEST_SERVED, REQUEST_REFUSED, REQUEST_FAILED)
+    found = tuple(context.lines[event.name] for event in events)
+    assert found == (served, refused, failed), found
+
+
+@given("an entry VM as a process whose log nobody reads for now")
+def step_full_pipe(context):
+    context.reader, writer = os.pipe()
+    context.cleanups.append(lambda: os.close(context.reader))
+    fcntl(writer, F_SETPIPE_SZ, PIPE_BYTES)
+    start_process(context, writer)
+    os.close(writer)
+    until = monotonic() + WAIT_S
+    while monotonic() < until:
+        with suppress(HTTPError):
+            ask_process(context)
+            return
+        sleep_blocking(0.05)
+    raise AssertionError("the process does not answer")
+
+
+@when("its callers ask {count:d} times while its log is full")
+def step_ask_full(context, count):
+    for _ in range(FILLING_REQUESTS):
+        ask_process(context)
+    context.times_s = []
+    for _ in range(count):
+        started = monotonic()
+        assert ask_process(context) == 503
+        context.times_s.append(monotonic() - started)
+
+
+@then("each got an answer within {limit:g} s")
+def step_times(context, limit):
+    assert max(context.times_s) <= limit, sorted(context.times_s)[-5:]
+
+
+@when("its log is read again")
+def step_read_again(context):
+    text = b""
+    until = monotonic() + READ_S
+    while monotonic() < until:
+        if select([context.reader], [], [], 0.1)[0]:
+            text += os.read(context.reader, 65_536)
+    # The last line may not be whole yet.
+    context.log_lines = [json.loads(line) for line in text.split(b"\n")[:-1]]
+
+
+@then("its lines follow each other without a gap")
+def step_no_gap(context):
+    numbers = [line["sequence"] for line in context.log_lines]
+    assert numbers == list(range(1, len(numbers) + 1)), numbers
+    size = sum(len(json.dumps(line)) for line in context.log_lines)
+    assert size > 4 * PIPE_BYTES, size
+
+
 @given("a log that nobody reads")
 def step_unread(context):
     reader, writer = os.pipe()
