--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -49,3 +49,22 @@
       | early                     | 3000000  |
       | early, then reads on late | 3000000  |
       | early, then reads on late | 30000000 |
+
+  Scenario: An offer to change to WebSocket gets a typed refusal
+    Given an entry VM with 1 target
+    When a caller sends the bytes of an offer of WebSocket
+    Then the first answer is the refusal "upgrade-unsupported" with status 501 that did not run
+    And no request ran
+
+  Scenario: A header above the configured limit is refused
+    Given an entry VM with 1 target
+    When a caller sends the bytes of a header of 17 KB
+    Then the first answer is the refusal "headers-too-large" with status 431 that did not run
+    And no request ran
+
+  Scenario: A chunked body above the configured limit is refused
+    Given an entry VM with 1 target
+    And its configuration allows bodies of 1000 bytes
+    When a caller sends the bytes of a chunked body of 2000 bytes
+    Then the first answer is the refusal "body-too-large" with status 413 that did not run
+    And no request ran
--- a/features/steps/entry_input.py
+++ b/features/steps/entry_input.py
@@ -11,7 +11,7 @@
     move_on_after,
     sleep,
 )
-from behave import then, when
+from behave import given, then, when
 from httpx import HTTPError, Response
 
 from features.entry_fleet import HOST, KEY, LOOPBACK
@@ -47,6 +47,15 @@
     "a body above the limit": f"{POST}Content-Length: 99999999999\r\n\r\nab",
     "an absolute target": f"GET http://{HOST}/lookup/1 HTTP/1.1\r\n{HEAD}\r\n",
     "a connection option that hides Host": f"{GET}Connection: Host\r\n\r\n",
+    "an offer of WebSocket": (
+        f"{GET}Upgrade: websocket\r\nConnection: upgrade\r\n"
+        "Sec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+    ),
+    "a header of 17 KB": f"{GET}X-A: {17_000 * 'x'}\r\n\r\n",
+    "a chunked body of 2000 bytes": (
+        f"{POST}{CHUNKED}\r\n7d0\r\n{2_000 * 'x'}\r\n0\r\n\r\n"
+    ),
     "two keys": f"{GET}Authorization: Bearer other\r\n\r\n",
     "a chunk with a wrong length": f"{POST}{CHUNKED}\r\nzz\r\nab\r\n0\r\n\r\n",
     "a body that ends early": f"{POST}Content-Length: 10\r\n\r\nab",
@@ -63,6 +72,21 @@
     return bool(separator and length) and len(body) >= int(length[1])
 
 
+@given("its configuration allows bodies of {size:d} bytes")
+def step_body_limit(context, size):
+    fleet = context.entries
+    view = fleet.kernels_by_vm["vm1"].find("view")
+
+    async def run():
+        fleet.configuration["limits"] = {"max_body_bytes": size}
+        fleet.publish()
+        with fail_after(ANSWER_LIMIT_S):
+            while f"r{view.version}" != fleet.configuration["version"]:
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
 @when("a caller sends the bytes of {name}")
 def step_bytes(context, name):
     data = inputs_by_name[name].encode("latin-1")
