Test the freshness of keys over any sequence of answers and vouchers

Cause: the age of a view was tested by single examples; no property, and nothing that showed the check to catch a wrong count of the age.

--- a/features/entry_view.feature
+++ b/features/entry_view.feature
@@ -21,6 +21,17 @@
     Given a view that was confirmed 4.3 s ago
     Then its keys may be used
 
+  Scenario: No sequence of answers and vouchers lets a withdrawn key work too long
+    Then in any sequence of late answers and vouchers no withdrawn key is taken for valid
+
+  Scenario Outline: Views that count their age from <start> are caught
+    Then some sequence lets views that count their age from <start> take a withdrawn key
+
+    Examples:
+      | start                  |
+      | the answer             |
+      | the arrived voucher    |
+
   Scenario: No configuration goes back
     Given a view with version 7
     When version 5 arrives
--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -1,10 +1,12 @@
 """Steps for what an entry VM believes and how old it is."""
 
 from time import CLOCK_BOOTTIME, clock_gettime
+from typing import NamedTuple
 from unittest.mock import patch
 
 from anyio import current_time, fail_after, sleep
 from behave import given, then, when
+from hypothesis import find, given as for_all, settings, strategies
 
 from features.entry_fleet import KEY
 from features.steps.entry_requests import start_fleet
@@ -55,6 +57,108 @@
     assert not context.view.knows_keys(time_since_boot())
 
 
+class Moment(NamedTuple):
+    """A question of one of two VMs to the store or to the other VM.
+
+    Attributes
+    ----------
+    pause_s, store_s, back_s
+        Times until the question, from there to its answer, and the way back.
+    withdraws
+        Whether the store gets a version without a key before the question.
+    """
+
+    vm: int
+    asks_store: bool
+    pause_s: float
+    store_s: float
+    back_s: float
+    withdraws: bool
+
+
+MOMENTS = strategies.lists(
+    strategies.builds(
+        Moment,
+        strategies.integers(0, 1),
+        strategies.booleans(),
+        strategies.floats(0, 6),
+        strategies.floats(0, 6),
+        strategies.floats(0, 6),
+        strategies.booleans(),
+    ),
+    max_size=12,
+)
+
+
+def play_views(moments, start):
+    """Fail if a view trusts a version for longer than a withdrawn key may work.
+
+    Parameters
+    ----------
+    start
+        From when the age of a view counts: ``the question`` is right.
+    """
+    views = [FleetView(REVOKED_LIMIT_S), FleetView(REVOKED_LIMIT_S)]
+    now, version = 0.0, 1
+    replaced_at = {}
+
+    def check():
+        for view in views:
+            at = replaced_at.get(view.version)
+            if at is not None and now > at + REVOKED_LIMIT_S:
+                assert not view.knows_keys(now), (view.version, now - at)
+
+    for moment in moments:
+        now += moment.pause_s
+        check()
+        if moment.withdraws:
+            replaced_at[version] = now
+            version += 1
+        asked_at = now
+        now += moment.store_s
+        check()
+        view, other = views[moment.vm], views[1 - moment.vm]
+        told, age_s = version, 0.0
+        if not moment.asks_store:
+            told, age_s = other.version, other.age_s(now)
+        now += moment.back_s
+        if told == 0 or age_s == float("inf"):
+            continue
+        counted_from = asked_at
+        if start == "the answer" or (
+            start == "the arrived voucher" and not moment.asks_store
+        ):
+            counted_from = now
+        view.learn_configuration(configuration(told), None)
+        view.confirm(told, counted_from - age_s)
+        check()
+
+
+@then(
+    "in any sequence of late answers and vouchers no withdrawn key is taken for valid"
+)
+def step_views_hold(context):
+    @settings(max_examples=500, derandomize=True, database=None, deadline=None)
+    @for_all(MOMENTS)
+    def check(moments):
+        play_views(moments, "the question")
+
+    check()
+
+
+@then("some sequence lets views that count their age from {start} take a withdrawn key")
+def step_views_caught(context, start):
+    def is_caught(moments):
+        try:
+            play_views(moments, start)
+        except AssertionError:
+            return True
+        return False
+
+    quiet = settings(max_examples=2000, derandomize=True, database=None, deadline=None)
+    assert find(MOMENTS, is_caught, settings=quiet)
+
+
 @given("a view with version {version:d}")
 def step_version(context, version):
     context.view = FleetView(REVOKED_LIMIT_S)
