--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -9,6 +9,11 @@
 from features.entry_fleet import route, run_entry_fleet
 
 ARRIVAL_LIMIT_S = 10.0
+START_LIMIT_S = 10.0
+# Numbers of requests that are sent each 0.05 s around the begin of a stop.
+LAST_BEFORE_STOP, FIRST_IN_STOP = 5, 7
+# For the way of a request from the VM to its target.
+TRAVEL_S = 0.05
 
 
 def start_fleet(context):
@@ -19,7 +24,7 @@
     return context.entries
 
 
-def build(context, targets, modes):
+def build(context, targets, modes, **bounds):
     """Start a VM with targets whose modes are given by their number."""
     fleet = start_fleet(context)
 
@@ -27,8 +32,12 @@
         for number in range(1, targets + 1):
             target = await fleet.add_entry_target(f"t{number}")
             target.usual_mode = modes.get(number, "ok")
-        await fleet.add_entry("vm1")
+        kernel = await fleet.add_entry("vm1", **bounds)
         await fleet.wait_entries()
+        with fail_after(START_LIMIT_S):
+            # Before the first list, a VM takes the fleet for one of the usual size.
+            while bounds and not kernel.find("fleet").listed:
+                await sleep(0.02)
 
     context.portal.call(run)
 
@@ -50,6 +59,62 @@
     build(context, count, dict.fromkeys(range(1, count + 1), mode))
 
 
+@given(
+    "an entry VM that may send {extra:d} repeats, with {count:d} targets that answer "
+    '"{mode}"'
+)
+def step_few_repeats(context, extra, count, mode):
+    modes = dict.fromkeys(range(1, count + 1), mode)
+    build(context, count, modes, repeat_ratio=0.0, repeat_extra=float(extra))
+
+
+def arrivals_by_attempt(context):
+    """Return the arrivals of each attempt of a caller at targets, in order.
+
+    An arrival is its time and the time in seconds that the target was told.
+    """
+    found = {}
+    for target in context.entries.entry_targets_by_id.values():
+        for at, (_, _, headers) in zip(target.arrived_at, target.heads, strict=True):
+            told_s = int(headers["deadline-ms"]) / 1000
+            found.setdefault(headers["attempt-id"], []).append((at, told_s))
+    return {attempt: sorted(arrivals) for attempt, arrivals in found.items()}
+
+
+def repeats_of(context):
+    """Return the arrivals of attempts that came to more than one target."""
+    return [item for item in arrivals_by_attempt(context).values() if len(item) > 1]
+
+
+@then("at least {least:d} request came to two targets")
+def step_repeated(context, least):
+    assert len(repeats_of(context)) >= least
+
+
+@then("none was told more time by the second one")
+def step_told(context):
+    for (first_at, first_s), (second_at, second_s), *_ in repeats_of(context):
+        assert second_at + second_s <= first_at + first_s + TRAVEL_S, second_s
+
+
+@then("at least {least:d} and at most {most:d} of the requests came to two targets")
+def step_repeats(context, least, most):
+    assert least <= len(repeats_of(context)) <= most, len(repeats_of(context))
+
+
+@then("only answers with {status:d} bear the signature of a target")
+def step_signature(context, status):
+    for response in context.responses:
+        signed = "response-signature" in response.headers
+        assert signed == (response.status_code == status), response.headers
+
+
+@then('the VM is not ready because of "{reason}"')
+def step_unready(context, reason):
+    kernel = context.entries.kernels_by_vm["vm1"]
+    assert kernel.find("entry-readiness").reason() == reason
+
+
 @given("an entry VM with 2 targets of which the first has the address of another")
 def step_reused(context):
     build(context, 2, {})
@@ -289,12 +354,16 @@
 def step_stop(context, path):
     fleet = context.entries
     context.cut, context.statuses = [], []
+    # Whether an answer ended its connection, by the request's number.
+    context.closes_by_number = {}
     readiness = fleet.kernels_by_vm["vm1"].find("entry-readiness")
 
-    async def call():
+    async def call(number):
         try:
             response = await fleet.ask(path)
             context.statuses.append(response.status_code)
+            closes = response.headers.get("connection") == "close"
+            context.closes_by_number[number] = closes
         except HTTPError as error:
             # A refused connection was never read; any other end is a cut.
             if "connect" not in type(error).__name__.lower():
@@ -303,11 +372,11 @@
     async def run():
         async with create_task_group() as tasks:
             for number in range(40):
-                tasks.start_soon(call)
+                tasks.start_soon(call, number)
                 await sleep(0.05)
-                if number == 5:
+                if number == LAST_BEFORE_STOP:
                     tasks.start_soon(fleet.stop, "vm1")
-                if number == 7:
+                if number == FIRST_IN_STOP:
                     context.reason = readiness.reason()
 
     context.portal.call(run)
@@ -323,3 +392,13 @@
 @then("the VM was not ready as soon as its stop began")
 def step_not_ready(context):
     assert context.reason == "stopping", context.reason
+
+
+@then("answers during the stop end their connection")
+def step_closes(context):
+    found = {
+        number: closes
+        for number, closes in context.closes_by_number.items()
+        if number >= FIRST_IN_STOP
+    }
+    assert len(found) >= 10 and all(found.values()), found
