Spread waiting digests over the time that a VM stood still

Cause: a VM that stood still for some seconds (node_freeze) finds all digests of that time in its socket. Change: a VM notes when it did not run for 0.5 s. For the next 0.2 s it counts the requests of digests as spread over that time, and it keeps its average. Ruled out: taking itself for in touch until the digests are read, which changed no result. Filling buckets for time that a suspended VM's monotonic clock does not show: both sides of a partition exceeded a rate by up to 24 requests where the code before kept it, so such VMs are treated as before. The variant without the change is caught by the test.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -30,6 +30,8 @@
 NEAR_S, REGION_S, FAR_S, JITTER_S = 0.003, 0.005, 0.016, 0.02
 # The load balancer asks three times a second and takes a VM out after two failures.
 NOTICED_S = 0.9
+# A VM that stood still is taken in again after two answers.
+TAKEN_IN_S = 0.7
 # The parts of a planned stop and of a start.
 STOP_S, START_S = 3.3, 1.0
 # A list of the store may lack what was written this recently.
@@ -72,6 +74,8 @@
         self.list_at = self.started_at = fleet.now
         self.serving = False
         self.alive = True
+        # What arrives while the VM stands still, or nothing while it runs.
+        self.held_datagrams: list | None = None
 
 
 class Refused(NamedTuple):
@@ -148,9 +152,17 @@
             side = self.sides_by_name.get
             if vm is None or not vm.alive or side(wire.vm, 0) != side(peer, 0):
                 continue
-            takes_digest = isinstance(message, Digest)
-            take = vm.exchange.take if takes_digest else vm.exchange.take_notice
-            take(Sender(wire.vm, wire.incarnation), message, self.now)
+            if vm.held_datagrams is not None:
+                vm.held_datagrams.append((wire, message))
+            else:
+                self.hand_over(vm, wire, message)
+
+    def hand_over(self, vm: Vm, wire: Wire, message) -> None:
+        """Let a VM handle a message."""
+        takes_digest = isinstance(message, Digest)
+        take = vm.exchange.take if takes_digest else vm.exchange.take_notice
+        vm.quota.note_running(self.now)
+        take(Sender(wire.vm, wire.incarnation), message, self.now)
 
     # VMs and their list.
 
@@ -181,6 +193,20 @@
         """End a VM at once."""
         self.end(self.vms_by_name[name], returns, False)
 
+    def stand_still(self, name: str, seconds: float) -> None:
+        """Let a VM stand still; its socket keeps what arrives meanwhile."""
+        vm = self.vms_by_name[name]
+        vm.held_datagrams = []
+        self.at(self.now + NOTICED_S, lambda: self.leave(vm))
+        self.at(self.now + seconds, lambda: self.resume(vm))
+
+    def resume(self, vm: Vm) -> None:
+        """Let a VM that stood still go on."""
+        datagrams, vm.held_datagrams = vm.held_datagrams or [], None
+        for wire, message in datagrams:
+            self.hand_over(vm, wire, message)
+        self.at(self.now + TAKEN_IN_S, lambda: self.serve(vm))
+
     def living(self) -> list[Vm]:
         """Return the VMs whose processes run."""
         return [vm for vm in self.vms_by_name.values() if vm.alive]
@@ -224,11 +250,12 @@
                 heappop(self.due)[2]()
             self.deliver()
             for vm in self.vms_by_name.values():
-                if vm.alive:
+                if vm.alive and vm.held_datagrams is None:
                     self.tick(vm)
             while self.held and self.held[0][0] <= self.now:
                 _, _, vm, name = heappop(self.held)
-                self.admit(vm, name, True)
+                if vm.held_datagrams is None:
+                    self.admit(vm, name, True)
             self.ask()
 
     def tick(self, vm: Vm) -> None:
@@ -239,6 +266,7 @@
             vm.send_at = self.now + DIGEST_INTERVAL_S
             if urgent:
                 vm.exchange.woken = type(vm.exchange.woken)()
+            vm.quota.note_running(self.now)
             drive(vm.exchange.send_due(self.now))
             vm.quota.fleet_size = vm.fleet.size
 
@@ -250,8 +278,10 @@
         names = list(self.workspaces_by_name)
         for _ in range(number if serving else 0):
             (name,) = self.random.choices(names, WORKSPACE_SHARES)
-            self.asked.append(self.now)
-            self.admit(self.random.choice(serving), name, False)
+            vm = self.random.choice(serving)
+            if vm.held_datagrams is None:
+                self.asked.append(self.now)
+                self.admit(vm, name, False)
 
     def admit(self, vm: Vm, name: str, again: bool) -> None:
         wait_s = vm.quota.admit(name, self.now, again)
--- a/features/fleet_stops.feature
+++ b/features/fleet_stops.feature
@@ -37,6 +37,38 @@
       | a kill of half of the VMs             |
       | the loss of a data centre             |
 
+  Scenario Outline: VMs that stood still refuse nobody within the rate
+    Given a simulated fleet of 36 VMs with seed <seed>
+    When 0.3 of its VMs stand still for <seconds> s
+    And 14 s pass in the simulation
+    Then less than 0.01 of the requests are refused in any 2 s
+
+    Examples:
+      | seed | seconds |
+      | 1    | 5.7     |
+      | 2    | 5.7     |
+      | 3    | 3       |
+
+  Scenario Outline: VMs that stood still mint no requests when the demand has grown
+    Given a simulated fleet of 36 VMs with seed <seed>
+    When <share> of its VMs stand still for 5.7 s
+    And 3 s pass in the simulation
+    And callers ask 4.7 times as much for 9 s
+    Then no workspace gets more than its rate since then
+
+    Examples:
+      | seed | share |
+      | 1    | 0.3   |
+      | 2    | 0.8   |
+
+  Scenario: VMs that stood still while their regions were cut off stay within the rate
+    Given a simulated fleet of 36 VMs with seed 1
+    When 0.5 of its VMs stand still for 5.7 s
+    And 0.5 s pass in the simulation
+    And its regions are cut off from each other
+    And callers ask 4.7 times as much for 12 s
+    Then no workspace gets more than its rate since then
+
   Scenario: Lost, doubled and late datagrams refuse few while VMs stop in series
     Given a simulated fleet of 36 VMs with seed 2
     And 0.1 of its datagrams are lost and 0.1 come twice and late
@@ -86,6 +118,13 @@
       | without notices               | 7    |
       | that speaks from its start on | 4    |
 
+  Scenario: A fleet that takes waiting digests for new ones is caught
+    Given a simulated fleet of 36 VMs with seed 1
+    And its VMs run that takes waiting digests for new ones
+    When 0.3 of its VMs stand still for 5.7 s
+    And 14 s pass in the simulation
+    Then more than 0.01 of the requests are refused in some 2 s
+
   Scenario: A fleet that waits long for a speaker is caught
     Given a simulated fleet of 36 VMs with seed 1
     And its VMs run that waits long for a speaker
--- a/features/steps/fleet_stops.py
+++ b/features/steps/fleet_stops.py
@@ -6,6 +6,7 @@
 
 from features.fleet_simulation import SimulatedFleet
 from primroseturn.entry.digests import Digest, DigestExchange
+from primroseturn.limits.quota import FleetQuota
 from primroseturn.membership.fleet import Fleet
 
 SETTLED_S = 6.0
@@ -40,6 +41,11 @@
     return Fleet, "falls_silent", lambda self, name, now: False
 
 
+@variant("that takes waiting digests for new ones")
+def hasty_readers():
+    return FleetQuota, "note_running", lambda self, now: None
+
+
 @variant("that passes relayed counts on")
 def echoing_speakers():
     take = DigestExchange.take
@@ -91,6 +97,14 @@
         fleet.at(fleet.now + gap * (index // count), lambda name=name: act(name))
 
 
+@when("{share:g} of its VMs stand still for {seconds:g} s")
+def step_stand_still(context, share, seconds):
+    fleet = context.simulation
+    names = sorted(fleet.vms_by_name)
+    for name in fleet.random.sample(names, int(share * len(names))):
+        fleet.stand_still(name, seconds)
+
+
 @when("{loss} happens")
 def step_loss(context, loss):
     fleet = context.simulation
