Record two cases in which a workspace gets more than its rate

A demand that grows when a partition begins meets both sides before they know of it; counts in a lost datagram are lost for all VMs.

--- a/features/fleet_stops.feature
+++ b/features/fleet_stops.feature
@@ -96,6 +96,18 @@
     And callers ask 4.7 times as much for 8 s
     Then no workspace gets more than its rate since then
 
+  Scenario: A demand that grows at the time of a partition mints no requests
+    Given a simulated fleet of 36 VMs with seed 1
+    When its regions are cut off from each other
+    And callers ask 4.7 times as much for 9 s
+    Then no workspace gets more than its rate since then
+
+  Scenario: Lost datagrams mint no requests for workspaces over their rate
+    Given a simulated fleet of 36 VMs with seed 1
+    And 0.05 of its datagrams are lost and 0 come twice and late
+    When callers ask 4.7 times as much for 12 s
+    Then no workspace gets more than its rate since then
+
   Scenario: A sudden demand of 4.7 times the usual one mints no requests
     Given a simulated fleet of 36 VMs with seed 2
     When callers ask 4.7 times as much for 8 s
