Take back the spreading of waiting digests

Cause: of, in the simulation: where demand grows at the very moment of a cut while half of the VMs stand still, workspaces get up to 19 requests more than the platform's slack allows; the code before stayed 0.1 to 19 below it.

Conclusion: a rate must never be exceeded, so the code is as before.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -161,7 +161,6 @@
         """Let a VM handle a message."""
         takes_digest = isinstance(message, Digest)
         take = vm.exchange.take if takes_digest else vm.exchange.take_notice
-        vm.quota.note_running(self.now)
         take(Sender(wire.vm, wire.incarnation), message, self.now)
 
     # VMs and their list.
@@ -266,7 +265,6 @@
             vm.send_at = self.now + DIGEST_INTERVAL_S
             if urgent:
                 vm.exchange.woken = type(vm.exchange.woken)()
-            vm.quota.note_running(self.now)
             drive(vm.exchange.send_due(self.now))
             vm.quota.fleet_size = vm.fleet.size
 
--- a/features/fleet_stops.feature
+++ b/features/fleet_stops.feature
@@ -130,13 +130,6 @@
       | without notices               | 7    |
       | that speaks from its start on | 4    |
 
-  Scenario: A fleet that takes waiting digests for new ones is caught
-    Given a simulated fleet of 36 VMs with seed 1
-    And its VMs run that takes waiting digests for new ones
-    When 0.3 of its VMs stand still for 5.7 s
-    And 14 s pass in the simulation
-    Then more than 0.01 of the requests are refused in some 2 s
-
   Scenario: A fleet that waits long for a speaker is caught
     Given a simulated fleet of 36 VMs with seed 1
     And its VMs run that waits long for a speaker
--- a/features/steps/fleet_stops.py
+++ b/features/steps/fleet_stops.py
@@ -6,7 +6,6 @@
 
 from features.fleet_simulation import SimulatedFleet
 from primroseturn.entry.digests import Digest, DigestExchange
-from primroseturn.limits.quota import FleetQuota
 from primroseturn.membership.fleet import Fleet
 
 SETTLED_S = 6.0
@@ -41,11 +40,6 @@
     return Fleet, "falls_silent", lambda self, name, now: False
 
 
-@variant("that takes waiting digests for new ones")
-def hasty_readers():
-    return FleetQuota, "note_running", lambda self, now: None
-
-
 @variant("that passes relayed counts on")
 def echoing_speakers():
     take = DigestExchange.take
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -300,9 +300,7 @@
                 await self.woken.wait()
                 await sleep(LEAST_GAP_S)
             self.woken = Event()
-            now = current_time()
-            self.quota.note_running(now)
-            await self.send_due(now)
+            await self.send_due(current_time())
 
     async def send_due(self, now: float) -> None:
         """Send what is due at a time."""
@@ -420,9 +418,7 @@
     async def receive(self, sender: Sender, body: Message) -> None:
         """Take in an arriving digest."""
         assert isinstance(body, Digest)
-        now = current_time()
-        self.quota.note_running(now)
-        self.take(sender, body, now)
+        self.take(sender, body, current_time())
 
     def take(self, sender: Sender, body: Digest, now: float) -> None:
         """Take in a digest of a VM, of the speaker or of another data centre."""
--- a/primroseturn/limits/quota.py
+++ b/primroseturn/limits/quota.py
@@ -19,7 +19,7 @@
 """
 
 from collections import deque
-from math import exp, expm1, inf
+from math import exp, inf
 from random import Random
 from typing import NamedTuple
 
@@ -53,10 +53,6 @@
 UNSEEN_FACTOR = 4.0
 # Time in seconds after which the others know.
 UNSEEN_S = 0.5
-# A VM that did not run for this many seconds finds digests that waited for it.
-STANDSTILL_S = 0.5
-# Time in seconds in which it reads them.
-CATCH_UP_S = 0.2
 # Longest debt, as the time in seconds in which the rate pays it back. The users judge
 # windows of 5 s.
 DEBT_LIMIT_S = 2.5
@@ -92,7 +88,7 @@
         age_s = max(LEAST_DEMAND_AGE_S, now - self.since)
         return self.sum_per_s / (1.0 - exp(-age_s / DEMAND_SPAN_S))
 
-    def add(self, count: float, now: float) -> None:
+    def add(self, count: int, now: float) -> None:
         """Add requests."""
         self.advance(now)
         self.sum_per_s += count / DEMAND_SPAN_S
@@ -194,14 +190,6 @@
     reached, reached_at
         Number of VMs whose counts reach this one, with itself, and the monotonic time
         in seconds at which that was known.
-    ran_at
-        Monotonic time in seconds at which this VM was last seen to run.
-    faded_at
-        Monotonic time in seconds at which what others reported has faded. It does not
-        fade while this VM stands still, since their digests wait for it.
-    late_until, late_weight
-        Until when digests that waited are read, and the part of their counts that has
-        not faded, as they are from the whole time that they waited.
     """
 
     def __init__(self, random: Random | None = None) -> None:
@@ -209,31 +197,16 @@
         self.fleet_size = 1
         self.reached = 1
         self.reached_at = -inf
-        self.ran_at = inf
-        self.faded_at = -inf
-        self.late_until = -inf
-        self.late_weight = 1.0
         self.buckets_by_name: dict[str, WorkspaceBucket] = {}
 
     def note_reached(self, vms: int, now: float) -> None:
         """Take note of how many VMs' counts reach this one, with itself."""
-        if now >= self.faded_at:
+        if now - self.reached_at >= SILENT_S:
             for bucket in self.buckets_by_name.values():
                 # What was counted before the silence has faded.
                 bucket.others = Demand(now)
         self.reached = vms
         self.reached_at = now
-        self.faded_at = now + SILENT_S
-
-    def note_running(self, now: float) -> None:
-        """Take note that this VM runs, to learn when it stood still."""
-        stood_s = now - self.ran_at
-        self.ran_at = now
-        if stood_s < STANDSTILL_S:
-            return
-        self.faded_at += stood_s
-        self.late_until = now + CATCH_UP_S
-        self.late_weight = DEMAND_SPAN_S / stood_s * -expm1(-stood_s / DEMAND_SPAN_S)
 
     def use_workspaces(self, by_name: dict[str, Workspace], now: float) -> None:
         """Take over the limits of a configuration."""
@@ -308,12 +281,11 @@
 
     def take_usage(self, usage: tuple[Usage, ...], now: float) -> None:
         """Take note of what other VMs asked and admitted."""
-        weight = self.late_weight if now < self.late_until else 1.0
         for item in usage:
             bucket = self.buckets_by_name.get(item.workspace)
             if bucket is None:
                 continue
-            bucket.others.add(weight * item.asked, now)
+            bucket.others.add(item.asked, now)
             debt_limit = DEBT_LIMIT_S * bucket.workspace.rate
             bucket.level = max(-debt_limit, bucket.level - item.admitted)
 
