State why a request is refused for the rate of its workspace

Only the numbers in the detail told them apart.

Change: `FleetQuota.refusal_reason` tells four cases: over-rate, cut-off (the whole rate would have admitted the request), just-started (counted for less than 2 s) and unreported (the bound on admissions that others don't know of). The fourth is none of the other three: the rate has room. No decision changes.

Result: 8 new scenarios in entry_quota.feature and entry_logs.feature pass, 3 of them with a VM on loopback, its log, its metrics and the command.

--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -49,6 +49,20 @@
     And the logs explain the request by "store was out of its reach"
     And they show the state "store-lost"
 
+  Scenario Outline: A refusal for the rate leads to <why>
+    Given an entry VM that hears none of <others> others, with a rate of <rate> for a caller
+    When <age> s pass
+    And callers send 20 times GET /lookup/1 at once
+    Then most of the callers get 429
+    And the logs explain the request by "<text>"
+    And the log and the metrics state "<reason>" for each refusal
+
+    Examples:
+      | why                             | others | rate | age | reason       | text                     |
+      | a workspace over its rate       | 0      | 1    | 2.5 | over-rate    | was over its rate        |
+      | a VM that is cut off            | 9      | 5    | 2.5 | cut-off      | the VMs out of reach     |
+      | a VM that has just started      | 9      | 5    | 0   | just-started | VM had just started      |
+
   Scenario: A request that nobody logged is not explained
     Given an entry VM with 1 target
     When a caller sends GET /lookup/1
--- a/features/entry_quota.feature
+++ b/features/entry_quota.feature
@@ -72,6 +72,32 @@
     And it asks 8 times its rate for 12 s
     Then no 5 s of the last 6 s see more than the rate and the burst allow
 
+  Scenario Outline: A refusal states that <why>
+    Given one of 36 VMs that counts a workspace with a rate of 20
+    And it is asked once a second while the others report <others> per second for <heard> s
+    When no other VM is heard for <silent> s
+    And callers ask the VM for <asked> requests of it per second for 1 s
+    Then most of its refusals state "<reason>" and "<text>"
+
+    Examples:
+      | why                            | others | heard | silent | asked | reason       | text                                          |
+      | the workspace is over its rate | 60     | 4     | 0.01   | 10    | over-rate    | the workspace is over its rate                |
+      | the VM is cut off              | 10     | 4     | 3      | 10    | cut-off      | this VM does not hear the whole fleet         |
+      | the VM has just started        | 10     | 0     | 0.01   | 10    | just-started | this VM has just begun to count the workspace |
+
+  Scenario: A refusal of what comes to one VM at once states so
+    Given one of 36 VMs that counts a workspace with a rate of 200
+    And it is asked once a second while the others report 5 per second for 4 s
+    When callers ask the VM for 40 requests of it at once
+    Then most of its refusals state "unreported" and "came to this VM at once"
+
+  Scenario: A VM that is cut off states that a workspace is over its rate if it is
+    Given one of 36 VMs that counts a workspace with a rate of 20
+    And it is asked once a second while the others report 10 per second for 4 s
+    When no other VM is heard for 3 s
+    And callers ask the VM for 60 requests of it per second for 2 s
+    Then its last refusal states "over-rate"
+
   Scenario: VMs that count only their own admissions are caught
     Given 36 VMs and a workspace with a rate of 64 and a burst of 64
     And VMs that exchange no digests and take the whole rate
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -10,12 +10,15 @@
 from anyio import create_task_group, sleep
 from behave import given, then, when
 from httpx import AsyncClient
+from prometheus_client import REGISTRY
 
 from features.entry_fleet import route
+from features.steps.entry_requests import start_fleet
 from primroseturn.cli.main import main
 from primroseturn.entry.events import REQUEST_SERVED
 from primroseturn.entry.process import ENTRY_SERVICES
 from primroseturn.kernel.kernel import run_kernel
+from primroseturn.limits.quota import RateRefusal
 from primroseturn.observation.events import EventLog
 from primroseturn.observation.output import LogWriter, WAITING_LIMIT_LINES
 from primroseturn.observation.volume import LogVolume, SERVED_LINES_PER_S
@@ -43,6 +46,70 @@
     assert text in cause, context.explanation
 
 
+@given(
+    "an entry VM that hears none of {others:d} others, with a rate of {rate:d} for a "
+    "caller"
+)
+def step_unheard(context, others, rate):
+    fleet = start_fleet(context)
+    fleet.configuration["tenants"][0] |= {"rate_per_s": rate, "burst": rate}
+    fleet.publish()
+    place = {"host": "127.0.0.1", "port": 9, "data_center": "a", "region": "r"}
+    for number in range(2, 2 + others):
+        # They would speak after this VM, so that it does not wait for them.
+        name = f"vm{number}"
+        fleet.store.write(f"primroseturn-vms/{name}", {"name": name, **place})
+
+    async def run():
+        await fleet.add_entry_target("t1")
+        await fleet.add_entry("vm1")
+
+    context.portal.call(run)
+
+
+def count_refusals(reason):
+    """Return what the metrics of this process count for a reason."""
+    name = "primroseturn_entry_rate_refusals_total"
+    return REGISTRY.get_sample_value(name, {"reason": reason})
+
+
+@when("callers send {count:d} times GET {path:S} at once")
+def step_at_once(context, count, path):
+    fleet = context.entries
+    context.counts_before = {
+        reason.value: count_refusals(reason.value) for reason in RateRefusal
+    }
+    context.answers = []
+
+    async def call():
+        context.answers.append(await fleet.ask(path))
+
+    async def run():
+        async with create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(call)
+
+    context.portal.call(run)
+
+
+@then("most of the callers get {status:d}")
+def step_most(context, status):
+    found = [item.status_code for item in context.answers]
+    assert found.count(status) > len(found) / 2, found
+    context.responses = [item for item in context.answers if item.status_code == status]
+
+
+@then('the log and the metrics state "{reason}" for each refusal')
+def step_reasons(context, reason):
+    lines = context.entries.log_files_by_vm["vm1"].read_text().splitlines()
+    events = [json.loads(line) for line in lines if '"entry-refused"' in line]
+    found = [event.get("reason") for event in events]
+    assert found == [reason] * len(context.responses), found
+    for name, before in context.counts_before.items():
+        expected = len(context.responses) if name == reason else 0
+        assert count_refusals(name) - before == expected, name
+
+
 @then('they show the events "{names}"')
 def step_events(context, names):
     part = context.explanation.partition("state of its VM")[0]
--- a/features/steps/entry_quota.py
+++ b/features/steps/entry_quota.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from primroseturn.entry.models import Workspace
-from primroseturn.limits.quota import ADMISSION_WAIT_S, FleetQuota, SILENT_S
+from primroseturn.limits.quota import ADMISSION_WAIT_S, FleetQuota, SILENT_S, Usage
 
 NAME = "shop"
 DIGEST_S = 0.2
@@ -203,3 +203,82 @@
 def step_refused(context, share):
     fleet = context.quota_fleet
     assert fleet.refused <= share * fleet.asked, (fleet.refused, fleet.asked)
+
+
+class AskedVm:
+    """One VM of a fleet whose others report what they admit."""
+
+    def __init__(self, size, rate):
+        self.now = 100.0
+        self.quota = FleetQuota(Random(3))
+        self.quota.fleet_size = size
+        workspace = Workspace(NAME, rate, rate, None)
+        self.quota.use_workspaces({NAME: workspace}, self.now)
+        self.reported = 0
+        self.refusals: list[tuple[str, str]] = []
+
+    def hear(self, per_s, seconds):
+        """Let digests of the others arrive."""
+        for index in range(round(seconds / DIGEST_S)):
+            self.now += DIGEST_S
+            self.report(per_s)
+            if index % 5 == 0:
+                self.ask()
+        self.refusals.clear()
+
+    def report(self, per_s):
+        count = int(per_s * DIGEST_S)
+        self.quota.note_reached(self.quota.fleet_size, self.now)
+        self.quota.take_usage((Usage(NAME, count, count),), self.now)
+
+    def ask(self):
+        if self.quota.admit(NAME, self.now) > 0:
+            reason = self.quota.refusal_reason(NAME, self.now).value
+            self.refusals.append((reason, self.quota.explain(NAME, self.now)))
+
+
+@given("one of {size:d} VMs that counts a workspace with a rate of {rate:d}")
+def step_one_vm(context, size, rate):
+    context.asked_vm = AskedVm(size, rate)
+
+
+@given(
+    "it is asked once a second while the others report {per_s:d} per second for "
+    "{seconds:g} s"
+)
+def step_reports(context, per_s, seconds):
+    context.asked_vm.hear(per_s, seconds)
+
+
+@when("no other VM is heard for {seconds:g} s")
+def step_silence(context, seconds):
+    context.asked_vm.now += seconds
+
+
+@when(
+    "callers ask the VM for {per_s:d} requests of it per second for {seconds:g} s",
+)
+def step_ask_vm(context, per_s, seconds):
+    vm = context.asked_vm
+    for _ in range(int(per_s * seconds)):
+        vm.now += 1 / per_s
+        vm.quota.drain_usage(vm.now)
+        vm.ask()
+
+
+@when("callers ask the VM for {number:d} requests of it at once")
+def step_ask_at_once(context, number):
+    for _ in range(number):
+        context.asked_vm.ask()
+
+
+@then('most of its refusals state "{reason}" and "{text}"')
+def step_refusals(context, reason, text):
+    refusals = context.asked_vm.refusals
+    found = [detail for kind, detail in refusals if kind == reason and text in detail]
+    assert len(found) > 0.9 * len(refusals) > 1, refusals
+
+
+@then('its last refusal states "{reason}"')
+def step_last_refusal(context, reason):
+    assert context.asked_vm.refusals[-1][0] == reason, context.asked_vm.refusals
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -25,7 +25,7 @@
     REQUEST_SERVED,
 )
 from primroseturn.entry.forwarding import Forwarder
-from primroseturn.entry.metrics import OUTCOMES, REQUEST_SECONDS
+from primroseturn.entry.metrics import OUTCOMES, RATE_REFUSALS, REQUEST_SECONDS
 from primroseturn.entry.models import Configuration, Route, Workspace
 from primroseturn.entry.request import EntryRequest, RequestLine
 from primroseturn.entry.view import FleetView
@@ -197,8 +197,11 @@
         if wait_s > 0:
             detail = self.quota.explain(name, current_time())
             delay = retry_after_s(wait_s, request.left_s(), self.random)
-            refusal = Refusal("rate-exceeded", OVER_RATE, detail, "no", delay)
-            raise RequestRefused(refusal)
+            reason = self.quota.refusal_reason(name, current_time()).value
+            RATE_REFUSALS.labels(reason).inc()
+            raise RequestRefused(
+                Refusal("rate-exceeded", OVER_RATE, detail, "no", delay, reason)
+            )
 
     def may_run(self, request: EntryRequest) -> bool:
         """Return whether a request may still be sent to a target."""
@@ -364,6 +367,8 @@
         service = request.service if request else ""
         OUTCOMES.labels(refusal.kind, service).inc()
         fields = request.log_fields() if request else refused_fields(headers)
+        if refusal.reason:
+            fields["reason"] = refusal.reason
         event = REQUEST_REFUSED if refusal.ran == "no" else REQUEST_FAILED
         self.events.emit(
             event,
--- a/primroseturn/entry/metrics.py
+++ b/primroseturn/entry/metrics.py
@@ -2,11 +2,21 @@
 
 from prometheus_client import Counter, Histogram
 
+from primroseturn.limits.quota import RateRefusal
+
 OUTCOMES = Counter(
     "primroseturn_entry_requests_total",
     "Requests of callers by outcome and service.",
     ("outcome", "service"),
 )
+RATE_REFUSALS = Counter(
+    "primroseturn_entry_rate_refusals_total",
+    "Requests refused for the rate of their workspace, by reason.",
+    ("reason",),
+)
+for reason in RateRefusal:
+    # Shown as 0 until the first refusal.
+    RATE_REFUSALS.labels(reason.value)
 REQUEST_SECONDS = Histogram(
     "primroseturn_entry_request_seconds",
     "Time from a request's arrival to its whole answer.",
--- a/primroseturn/failures.py
+++ b/primroseturn/failures.py
@@ -86,6 +86,8 @@
         might run it, else ``unknown``.
     retry_after_s
         Value of Retry-After in seconds; sent with 429 and 503.
+    reason
+        Which case of its kind it is, for logs; empty if there is only one.
     """
 
     kind: str
@@ -93,3 +95,4 @@
     detail: str
     ran: str = "no"
     retry_after_s: float | None = None
+    reason: str = ""
--- a/primroseturn/limits/quota.py
+++ b/primroseturn/limits/quota.py
@@ -19,6 +19,7 @@
 """
 
 from collections import deque
+from enum import Enum
 from math import exp, inf
 from random import Random
 from typing import NamedTuple
@@ -58,6 +59,35 @@
 DEBT_LIMIT_S = 2.5
 
 
+class RateRefusal(Enum):
+    """Why a request of a workspace is refused for the rate.
+
+    Attributes
+    ----------
+    OVER_RATE
+        The workspace asks more than its rate, or is in debt.
+    CUT_OFF
+        Other VMs are out of reach, and their part of the rate is held back.
+    JUST_STARTED
+        This VM has not counted the workspace for long enough to know its demand.
+    UNREPORTED
+        More came at once to this VM than it admits before the others know.
+    """
+
+    OVER_RATE = "over-rate"
+    CUT_OFF = "cut-off"
+    JUST_STARTED = "just-started"
+    UNREPORTED = "unreported"
+
+
+STATEMENTS = {
+    RateRefusal.OVER_RATE: "the workspace is over its rate",
+    RateRefusal.CUT_OFF: "this VM does not hear the whole fleet",
+    RateRefusal.JUST_STARTED: "this VM has just begun to count the workspace",
+    RateRefusal.UNREPORTED: "more requests came to this VM at once than it may admit",
+}
+
+
 class Usage(NamedTuple):
     """Requests of a workspace that were asked and admitted since the last digest."""
 
@@ -116,6 +146,8 @@
         Own requests that the others are about to know, and when they will.
     unseen
         Times of own admissions that others may not know yet.
+    created_at
+        Monotonic time in seconds at which this VM began to count.
     asked, admitted
         Own requests since the last digest.
     """
@@ -124,7 +156,7 @@
         self.workspace = workspace
         self.level = 0.0
         self.credit = credit
-        self.filled_at = now
+        self.filled_at = self.created_at = now
         self.own = Demand(now)
         self.reported: deque[tuple[float, int]] = deque()
         self.others = Demand(now)
@@ -258,12 +290,26 @@
         bucket = self.buckets_by_name[name]
         live_part, demand = self.parts(bucket, now)
         return (
-            f"the workspace is over its rate of {bucket.workspace.rate:g} requests/s "
-            f"and its burst of {bucket.workspace.burst:g}: it asks {demand:.1f} "
-            f"requests/s, the fleet's bucket is at {bucket.level:.1f}, and "
-            f"{live_part:.2f} of the rate belongs to the VMs within reach"
+            f"{STATEMENTS[self.refusal_reason(name, now)]}; the workspace's rate is "
+            f"{bucket.workspace.rate:g} requests/s and its burst "
+            f"{bucket.workspace.burst:g}, it asks {demand:.1f} requests/s, the "
+            f"fleet's bucket is at {bucket.level:.1f}, and {live_part:.2f} of the "
+            "rate belongs to the VMs within reach"
         )
 
+    def refusal_reason(self, name: str, now: float) -> RateRefusal:
+        """Return why `admit` has just refused a request of a workspace."""
+        bucket = self.buckets_by_name[name]
+        live_part, demand = self.parts(bucket, now)
+        if bucket.credit >= 1.0:
+            return RateRefusal.UNREPORTED
+        if now - bucket.created_at < DEMAND_SPAN_S:
+            return RateRefusal.JUST_STARTED
+        # Below 1.0 the whole rate would not have admitted the request either.
+        if live_part < 1.0 and bucket.admitted_part(demand, 1.0) >= 1.0:
+            return RateRefusal.CUT_OFF
+        return RateRefusal.OVER_RATE
+
     def hears_fleet(self, now: float) -> bool:
         """Return whether other VMs are heard, or there are none."""
         return self.fleet_size <= 1 or now - self.reached_at < SILENT_S
--- a/primroseturn/observation/explanation.py
+++ b/primroseturn/observation/explanation.py
@@ -19,6 +19,28 @@
 causes_by_kind: dict[str, Cause] = {}
 
 
+# What the reasons of a refusal for the rate mean.
+RATE_REASONS = {
+    "over-rate": (
+        "The workspace {workspace} was over its rate over all VMs together (reason "
+        "over-rate)."
+    ),
+    "cut-off": (
+        "The VM was cut off from a part of the fleet and held back the rate of the VMs "
+        "out of reach; as far as it knew, the workspace {workspace} was within its "
+        "rate (reason cut-off)."
+    ),
+    "just-started": (
+        "The VM had just started, or the workspace {workspace} was new to it, so it "
+        "did not know the fleet's demand yet (reason just-started)."
+    ),
+    "unreported": (
+        "More requests of the workspace {workspace} came to this VM at once than it "
+        "admits before the other VMs know of them (reason unreported)."
+    ),
+}
+
+
 class Explanation(NamedTuple):
     """What the logs say about a request.
 
@@ -54,9 +76,12 @@
 @cause("rate-exceeded")
 def explain_rate(end: Record) -> str:
     """Explain a refusal for the rate."""
+    # Logs of earlier versions state no reason.
+    text = RATE_REASONS.get(str(end.fields.get("reason")), RATE_REASONS["over-rate"])
+    statement = text.format(workspace=repr(end.fields.get("workspace")))
     return (
-        f"The workspace {end.fields.get('workspace')!r} was over its rate over all "
-        "VMs together; the request was not sent to any target."
+        f"{statement} The request was not sent to any target. Detail: "
+        f"{end.fields.get('detail')}."
     )
 
 
