Log datagrams that are dropped, and drop oversized ones

Cause: malformed messages between VMs were counted and not logged. Another version of the protocol or an unknown type counted as malformed, and a datagram of any size was read, although senders keep to 1,400 bytes.

Change: a bus refuses what arrives for a reason (malformed, foreign, oversized, forged, unhandled) that is counted and logged as event 1200 with the sender's address, at most one line per reason in 5 s. The limit of arriving datagrams is the one of sent ones.

Result: features/datagrams.feature sends 8 kinds of such datagrams to a VM on loopback, and 3,000 malformed ones: 3,000 are counted, 1 to 3 lines are written and a digest behind them is used.

--- /dev/null
+++ b/features/steps/datagrams.py
@@ -0,0 +1,173 @@
+"""Steps for datagrams that an entry VM must not use."""
+
+import json
+from itertools import count
+from socket import AF_INET, SOCK_DGRAM, socket
+
+from anyio import fail_after, sleep
+from behave import given, then, when
+from msgspec import to_builtins
+from msgspec.msgpack import encode
+from prometheus_client import REGISTRY
+
+from features.steps.entry_requests import start_fleet
+from primroseturn.control.messages import Envelope, Message, message, PROTOCOL_VERSION
+from primroseturn.entry.digests import Digest
+from primroseturn.limits.quota import Usage
+
+LIMIT_S = 5.0
+# Fewer than what waits in a VM at most.
+BATCH = 200
+numbers = count(1)
+
+
+@message("test-unhandled")
+class Unhandled(Message, frozen=True, array_like=True):
+    """Nothing handles it."""
+
+
+def frame(body, vm="vm2", number=None, tag=None, **changes):
+    """Return the frame of a message that a VM of the fleet sends."""
+    number = next(numbers) if number is None else number
+    built = body if isinstance(body, list) else to_builtins(body)
+    envelope = Envelope(
+        changes.get("protocol", PROTOCOL_VERSION),
+        tag or body.tag,
+        vm,
+        changes.get("incarnation", "start-1"),
+        number,
+        0,
+        built,
+    )
+    return encode(envelope)
+
+
+def usage_digest(asked=1, admitted=1):
+    """Return a digest about the workspace of the callers."""
+    return Digest(usage=(Usage("shop", asked, admitted),))
+
+
+def large_digest():
+    """Return a digest that fits no datagram."""
+    return Digest(live=tuple(f"vm-{number:09d}" for number in range(120)))
+
+
+frames_by_datagram = {
+    "bytes without a meaning": lambda: b"\xc1junk",
+    "nothing": lambda: b"",
+    "a digest that is cut short": lambda: frame(usage_digest())[:-3],
+    "a digest with text for a number": lambda: frame(
+        [*to_builtins(Digest())[:2], "many"], tag=Digest.tag
+    ),
+    "a digest of the next protocol": lambda: frame(
+        usage_digest(), protocol=PROTOCOL_VERSION + 1
+    ),
+    "a digest under an earlier tag": lambda: frame(usage_digest(), tag="entry-digest"),
+    "a digest of 1500 bytes": lambda: frame(large_digest()),
+    "a message that nothing handles": lambda: frame(Unhandled()),
+}
+
+
+@given('an entry VM beside the listed VMs "{names}"')
+def step_beside(context, names):
+    fleet = start_fleet(context)
+    for name in names.split(", "):
+        center, vm = name.split(":")
+        place = {"host": "127.0.0.1", "port": 9, "data_center": center, "region": "r"}
+        fleet.store.write(f"primroseturn-vms/{vm}", {"name": vm, **place})
+
+    async def run():
+        await fleet.add_entry("vm1")
+        kernel = fleet.kernels_by_vm["vm1"]
+        with fail_after(LIMIT_S):
+            while kernel.find("fleet").size < 3 or kernel.find("view").version == 0:
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+def bus_of(context):
+    """Return the bus of the VM."""
+    return context.entries.kernels_by_vm["vm1"].find("datagrams")
+
+
+def dropped(reason):
+    """Return what the metrics of this process count for a reason."""
+    name = "primroseturn_control_dropped_total"
+    return REGISTRY.get_sample_value(name, {"reason": reason}) or 0
+
+
+def deliver(context, frames):
+    """Send datagrams to the VM and wait until it has taken them all in."""
+    bus = bus_of(context)
+
+    async def run():
+        with socket(AF_INET, SOCK_DGRAM) as sender, fail_after(LIMIT_S):
+            sender.bind(("127.0.0.1", 0))
+            context.origin = f"127.0.0.1:{sender.getsockname()[1]}"
+            before = bus.counts["frames_received"]
+            address = bus.transport.get_extra_info("sockname")
+            for first in range(0, len(frames), BATCH):
+                for item in frames[first : first + BATCH]:
+                    sender.sendto(item, address)
+                sent = first + len(frames[first : first + BATCH])
+                while bus.counts["frames_received"] < before + sent:
+                    await sleep(0.005)
+
+    context.portal.call(run)
+
+
+@when("it gets each of these datagrams")
+def step_gets(context):
+    context.reasons = []
+    for row in context.table:
+        before = dropped(row["reason"])
+        deliver(context, [frames_by_datagram[row["datagram"]]()])
+        assert dropped(row["reason"]) == before + 1, row["datagram"]
+        context.reasons.append((row["reason"], context.origin))
+
+
+def refusal_lines(context):
+    """Return the events of the VM's log about messages that are not used."""
+    context.portal.call(sleep, 0.2)
+    lines = context.entries.log_files_by_vm["vm1"].read_text().splitlines()
+    return [json.loads(line) for line in lines if '"control-message-refused"' in line]
+
+
+@then("it drops each for its reason and logs each reason and its sender once")
+def step_logged(context):
+    first = {}
+    for reason, origin in context.reasons:
+        first.setdefault(reason, origin)
+    lines = refusal_lines(context)
+    found = {line["reason"]: line["origin"] for line in lines}
+    assert found == first, (found, first)
+    assert len(lines) == len(found), lines
+    assert all(line["event"] == 1200 and line["detail"] for line in lines), lines
+
+
+@when("it gets {number:d} malformed datagrams")
+def step_flood(context, number):
+    context.before = dropped("malformed")
+    deliver(context, [b"\xc1junk"] * number)
+
+
+@then('its metrics count {number:d} more control messages dropped as "{reason}"')
+def step_counted(context, number, reason):
+    found = dropped(reason) - context.before
+    assert found == number, found
+
+
+@then("its log holds {least:d} to {most:d} lines about dropped messages")
+def step_bounded(context, least, most):
+    lines = refusal_lines(context)
+    assert least <= len(lines) <= most, lines
+
+
+@then('a digest of "{vm}" is used')
+def step_used(context, vm):
+    quota = context.entries.kernels_by_vm["vm1"].find("quota")
+    others = quota.buckets_by_name["shop"].others
+    before = others.sum_per_s
+    deliver(context, [frame(usage_digest(asked=1000), vm)])
+    assert others.sum_per_s > before + 100, others.sum_per_s
--- a/primroseturn/control/datagrams.py
+++ b/primroseturn/control/datagrams.py
@@ -40,15 +40,16 @@
 class DatagramBus(Endpoint):
     """Sends and receives messages as datagrams."""
 
+    limit_bytes = DATAGRAM_LIMIT_BYTES
+
     def __init__(
         self,
-        vm: str,
-        incarnation: str,
+        events: EventLog,
         transport: asyncio.DatagramTransport,
         arrivals: Arrivals,
         background: Background,
     ) -> None:
-        super().__init__(vm, incarnation)
+        super().__init__(events.vm, events.incarnation, events)
         self.background = background
         self.transport = transport
         self.arrivals = arrivals
@@ -93,6 +94,8 @@
                     self.receive,
                     frame,
                     lambda reply, to=address: self.send_frame(reply, to),
+                    None,
+                    f"{address[0]}:{address[1]}",
                 )
 
 
@@ -107,9 +110,7 @@
     )
     try:
         async with run_background(events) as background:
-            bus = DatagramBus(
-                events.vm, events.incarnation, transport, arrivals, background
-            )
+            bus = DatagramBus(events, transport, arrivals, background)
             background.keep(bus.receive_forever)
             yield bus
     finally:
--- a/primroseturn/control/endpoint.py
+++ b/primroseturn/control/endpoint.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 from collections.abc import Callable
+from time import monotonic
+from typing import Any
 
 from anyio import Event, move_on_after
 from expression import Error, Ok, Result
@@ -21,6 +23,11 @@
     FRAMES_RECEIVED,
     FRAMES_SENT,
 )
+from primroseturn.control.refusals import RefusalLog
+from primroseturn.observation.events import EventLog
+
+# Longest detail of a log line about a message that is not used, in characters.
+DETAIL_LIMIT = 200
 
 Reply = Callable[[bytes], None]
 Verify = Callable[[Envelope], bool]
@@ -33,13 +40,20 @@
 
     Attributes
     ----------
+    limit_bytes
+        Largest frame that may arrive.
     counts
         Frames and bytes by direction, and dropped frames by reason.
     """
 
-    def __init__(self, vm: str, incarnation: str) -> None:
+    limit_bytes = MESSAGE_LIMIT_BYTES
+
+    def __init__(
+        self, vm: str, incarnation: str, events: EventLog | None = None
+    ) -> None:
         self.vm = vm
         self.incarnation = incarnation
+        self.refusals = RefusalLog(events) if events is not None else None
         self.number = 0
         self.handlers_by_kind: dict[type[Message], Handler] = {}
         self.replies_by_number: dict[int, Message] = {}
@@ -91,29 +105,51 @@
         self.counts[f"dropped_{reason}"] += 1
         DROPPED.labels(reason).inc()
 
-    def open_frame(self, frame: bytes, verify: Verify | None) -> Envelope | None:
-        """Return the envelope of a frame, or count why it is dropped."""
+    def refuse(self, reason: str, detail: str, **fields: Any) -> None:
+        """Count an arriving message that is not used, and log why."""
+        self.drop(reason)
+        if self.refusals is not None:
+            detail = detail[:DETAIL_LIMIT]
+            self.refusals.note(reason, monotonic(), detail=detail, **fields)
+
+    def open_frame(
+        self, frame: bytes, verify: Verify | None, origin: str = ""
+    ) -> Envelope | None:
+        """Return the envelope of a frame, or count and log why it is dropped.
+
+        Parameters
+        ----------
+        origin
+            Address that it came from.
+        """
         self.counts["frames_received"] += 1
         self.counts["bytes_received"] += len(frame)
         FRAMES_RECEIVED.inc()
         BYTES_RECEIVED.inc(len(frame))
-        if len(frame) > MESSAGE_LIMIT_BYTES:
-            self.drop("oversized")
+        if len(frame) > self.limit_bytes:
+            detail = f"a frame of {len(frame)} bytes, {self.limit_bytes} at most"
+            self.refuse("oversized", detail, origin=origin)
             return None
         decoded = decode_message(frame)
         if decoded.is_error():
-            self.drop("malformed")
+            reason = "foreign" if decoded.error.foreign else "malformed"
+            self.refuse(reason, decoded.error.reason, origin=origin)
             return None
         if verify is not None and not verify(decoded.ok):
-            self.drop("forged")
+            detail = f"not sent by {decoded.ok.sender!r}"
+            self.refuse("forged", detail, origin=origin)
             return None
         return decoded.ok
 
     async def receive(
-        self, frame: bytes, reply: Reply, verify: Verify | None = None
+        self,
+        frame: bytes,
+        reply: Reply,
+        verify: Verify | None = None,
+        origin: str = "",
     ) -> None:
         """Handle an arriving frame; `reply` carries the frame of the answer."""
-        envelope = self.open_frame(frame, verify)
+        envelope = self.open_frame(frame, verify, origin)
         if envelope is None:
             return
         if envelope.reply_to:
@@ -121,7 +157,7 @@
             return
         handler = self.handlers_by_kind.get(type(envelope.body))
         if handler is None:
-            self.drop("unhandled")
+            self.refuse("unhandled", f"type {envelope.tag!r}", origin=origin)
             return
         sender = Sender(envelope.sender, envelope.incarnation)
         answer = await handler(sender, envelope.body)
--- a/primroseturn/control/messages.py
+++ b/primroseturn/control/messages.py
@@ -17,13 +17,20 @@
 
 
 class MessageInvalid(Failure):
-    """A control frame could not be decoded."""
+    """A control frame could not be decoded.
+
+    Attributes
+    ----------
+    foreign
+        Whether it is of another version of the protocol or of an unknown type.
+    """
 
     code = "message-invalid"
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, foreign: bool = False) -> None:
         super().__init__(f"control message refused: {reason}")
         self.reason = reason
+        self.foreign = foreign
 
 
 class Message(Struct, frozen=True, array_like=True):
@@ -89,10 +96,12 @@
     try:
         envelope = decode(frame, type=Envelope)
         if envelope.protocol != PROTOCOL_VERSION:
-            return Error(MessageInvalid(f"protocol version {envelope.protocol}"))
+            reason = f"protocol version {envelope.protocol}"
+            return Error(MessageInvalid(reason, foreign=True))
         kind = types_by_tag.get(envelope.tag)
         if kind is None:
-            return Error(MessageInvalid(f"unknown type {envelope.tag!r}"))
+            reason = f"unknown type {envelope.tag!r}"
+            return Error(MessageInvalid(reason, foreign=True))
         return Ok(replace(envelope, body=convert(envelope.body, kind)))
     except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Error(MessageInvalid(str(error)))
