Drop digests and notices that no VM of the fleet can have sent

Cause: any value and any sender was taken. A notice with the port 99999 closed the datagram socket of each VM that got it for good (OverflowError in sendto, "Fatal write error on datagram transport"). A negative or huge count changed demands and buckets. A digest of an unregistered VM or of another data centre counted, and a notice of a wrong sender was dropped without a count.

Change: ports, addresses, names, counts and ages have bounds in the message types. A digest must come from a VM that is or was registered, and sum up the data centre of its sender. A stop must come from such a VM, and a notice from the VM that it names. VMs that left are known on (1,000 at most), so that their last counts and those of a VM that was cut off are used.

Result: 4 scenarios more in features/datagrams.feature with 14 kinds of such datagrams.

--- a/features/datagrams.feature
+++ b/features/datagrams.feature
@@ -15,6 +15,50 @@
     Then it drops each for its reason and logs each reason and its sender once
     And a digest of "vm2" is used
 
+  Scenario: Digests and notices with impossible values are dropped, counted and logged
+    Given an entry VM beside the listed VMs "a:vm2, b:vm3"
+    When it gets each of these datagrams
+      | datagram                              | reason    |
+      | a digest with a negative count        | malformed |
+      | a digest with a count of 2 to the 63  | malformed |
+      | a digest with a negative age          | malformed |
+      | a notice of a VM with the port 99999  | malformed |
+      | a notice of a VM with a host name     | malformed |
+      | a notice of a VM without a name       | malformed |
+    Then it drops each for its reason and logs each reason and its sender once
+    And a digest of "vm2" is used
+    And it sends digests to the other VMs
+
+  Scenario: A notice with an impossible port does not close the VM's socket
+    Given an entry VM beside the listed VMs "a:vm2, b:vm3"
+    When it gets a notice of a VM with the port 99999
+    Then it sends digests to the other VMs
+
+  Scenario: Digests and notices that no VM of the fleet sends are dropped
+    Given an entry VM beside the listed VMs "a:vm2, b:vm3"
+    When it gets each of these datagrams
+      | datagram                                      | reason     |
+      | a digest of a VM that is not registered       | unknown_vm |
+      | a stop of a VM that is not registered         | unknown_vm |
+      | a digest in the name of this VM               | forged     |
+      | a stop in the name of this VM                 | forged     |
+      | a stop of "vm2" that "vm3" sends              | forged     |
+      | a digest of "b" that "vm2" sends              | forged     |
+      | a digest of "a" that "vm3" sends              | forged     |
+      | a digest of a single VM that "vm3" sends      | forged     |
+    Then it drops each for its reason and logs each reason and its sender once
+    And 3 VMs are known to it
+    And its bucket counts no request of others
+    And a digest of "vm2" is used
+
+  Scenario: A VM that announces its start is known, and one that left as well
+    Given an entry VM beside the listed VMs "a:vm2, b:vm3"
+    When it gets the start of "vm4" of "a"
+    Then a digest of "vm4" is used
+    When the list of VMs has only "a:vm2, b:vm3" again
+    Then 3 VMs are known to it
+    And a digest of "vm4" is used
+
   Scenario: A flood of malformed datagrams floods no log and is counted
     Given an entry VM beside the listed VMs "a:vm2, b:vm3"
     When it gets 3000 malformed datagrams
--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -55,6 +55,9 @@
     async def send(self, peer: str, message) -> None:
         self.fleet.transmit(self, peer, message)
 
+    def refuse(self, reason: str, detail: str, **fields) -> None:
+        self.fleet.dropped[reason] += 1
+
 
 class Vm:
     """One start of a VM."""
@@ -110,6 +113,7 @@
         self.loss = self.doubling = 0.0
         self.messages: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
+        self.dropped: Counter[str] = Counter()
         for index in range(size):
             center = CENTERS[index % len(CENTERS)]
             name = f"{center}-{index // len(CENTERS):03d}"
--- a/features/steps/datagrams.py
+++ b/features/steps/datagrams.py
@@ -4,7 +4,7 @@
 from itertools import count
 from socket import AF_INET, SOCK_DGRAM, socket
 
-from anyio import fail_after, sleep
+from anyio import current_time, fail_after, sleep
 from behave import given, then, when
 from msgspec import to_builtins
 from msgspec.msgpack import encode
@@ -12,8 +12,9 @@
 
 from features.steps.entry_requests import start_fleet
 from primroseturn.control.messages import Envelope, Message, message, PROTOCOL_VERSION
-from primroseturn.entry.digests import Digest
+from primroseturn.entry.digests import Digest, VmNotice, VoiceReport
 from primroseturn.limits.quota import Usage
+from primroseturn.membership.fleet import EntryVm, GREETED_S
 
 LIMIT_S = 5.0
 # Fewer than what waits in a VM at most.
@@ -42,9 +43,14 @@
     return encode(envelope)
 
 
-def usage_digest(asked=1, admitted=1):
+def usage_digest(asked=1, admitted=1, center=""):
     """Return a digest about the workspace of the callers."""
-    return Digest(usage=(Usage("shop", asked, admitted),))
+    return Digest(center=center, usage=(Usage("shop", asked, admitted),))
+
+
+def notice(vm, host="127.0.0.1", port=9, center="a", stops=False):
+    """Return the notice of a VM's start or stop."""
+    return VmNotice(EntryVm(vm, host, port, center, "r"), stops)
 
 
 def large_digest():
@@ -65,6 +71,24 @@
     "a digest under an earlier tag": lambda: frame(usage_digest(), tag="entry-digest"),
     "a digest of 1500 bytes": lambda: frame(large_digest()),
     "a message that nothing handles": lambda: frame(Unhandled()),
+    "a digest with a negative count": lambda: frame(usage_digest(asked=-1)),
+    "a digest with a count of 2 to the 63": lambda: frame(usage_digest(asked=1 << 63)),
+    "a digest with a negative age": lambda: frame(
+        Digest(voices=(VoiceReport("b", "vm3", 1, -5.0),))
+    ),
+    "a notice of a VM with the port 99999": lambda: frame(notice("vm2", port=99999)),
+    "a notice of a VM with a host name": lambda: frame(notice("vm2", host="h")),
+    "a notice of a VM without a name": lambda: frame(notice(""), ""),
+    "a digest of a VM that is not registered": lambda: frame(usage_digest(), "vm7"),
+    "a stop of a VM that is not registered": lambda: frame(
+        notice("vm7", stops=True), "vm7"
+    ),
+    "a digest in the name of this VM": lambda: frame(usage_digest(), "vm1"),
+    "a stop in the name of this VM": lambda: frame(notice("vm1", stops=True), "vm1"),
+    'a stop of "vm2" that "vm3" sends': lambda: frame(notice("vm2", stops=True), "vm3"),
+    'a digest of "b" that "vm2" sends': lambda: frame(usage_digest(center="b"), "vm2"),
+    'a digest of "a" that "vm3" sends': lambda: frame(usage_digest(center="a"), "vm3"),
+    'a digest of a single VM that "vm3" sends': lambda: frame(usage_digest(), "vm3"),
 }
 
 
@@ -127,6 +151,11 @@
         context.reasons.append((row["reason"], context.origin))
 
 
+@when("it gets a notice of a VM with the port 99999")
+def step_bad_port(context):
+    deliver(context, [frames_by_datagram["a notice of a VM with the port 99999"]()])
+
+
 def refusal_lines(context):
     """Return the events of the VM's log about messages that are not used."""
     context.portal.call(sleep, 0.2)
@@ -171,3 +200,48 @@
     before = others.sum_per_s
     deliver(context, [frame(usage_digest(asked=1000), vm)])
     assert others.sum_per_s > before + 100, others.sum_per_s
+
+
+@then("it sends digests to the other VMs")
+def step_sends(context):
+    bus = bus_of(context)
+
+    async def run():
+        before = bus.counts["frames_sent"]
+        with fail_after(LIMIT_S):
+            while bus.counts["frames_sent"] < before + 3:
+                await sleep(0.02)
+        assert not bus.transport.is_closing()
+
+    context.portal.call(run)
+
+
+@then("{number:d} VMs are known to it")
+def step_known(context, number):
+    fleet = context.entries.kernels_by_vm["vm1"].find("fleet")
+    assert (fleet.registered, fleet.size) == (number, number), fleet.vms_by_name
+
+
+@then("its bucket counts no request of others")
+def step_unchanged(context):
+    quota = context.entries.kernels_by_vm["vm1"].find("quota")
+    assert quota.buckets_by_name["shop"].others.sum_per_s == 0
+
+
+@when('it gets the start of "{vm}" of "{center}"')
+def step_starts(context, vm, center):
+    deliver(context, [frame(notice(vm, center=center), vm)])
+
+
+@when('the list of VMs has only "{names}" again')
+def step_listed(context, names):
+    fleet = context.entries.kernels_by_vm["vm1"].find("fleet")
+    listed = []
+    for name in names.split(", "):
+        center, vm = name.split(":")
+        listed.append(EntryVm(vm, "127.0.0.1", 9, center, "r"))
+
+    async def run():
+        fleet.use(listed, current_time() + GREETED_S)
+
+    context.portal.call(run)
--- a/primroseturn/control/bus.py
+++ b/primroseturn/control/bus.py
@@ -1,7 +1,7 @@
 """Interface of the bus that carries control messages between daemons."""
 
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from expression import Result
 
@@ -20,10 +20,17 @@
 
 
 class Sender(NamedTuple):
-    """Where a message came from: the VM and the id of its process start."""
+    """Where a message came from: the VM and the id of its process start.
+
+    Attributes
+    ----------
+    origin
+        Address that it came from, where the bus knows it.
+    """
 
     vm: str
     incarnation: str
+    origin: str = ""
 
 
 Handler = Callable[[Sender, Message], Awaitable[Message | None]]
@@ -48,3 +55,6 @@
         self, peer: str, message: Message, timeout_s: float
     ) -> Result[Message, PeerUnavailable]:
         """Send a message and return the first reply to it."""
+
+    def refuse(self, reason: str, detail: str, **fields: Any) -> None:
+        """Count an arriving message that is not used, and log why."""
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 from anyio import current_time, Event, move_on_after, sleep
+from msgspec import Meta
 
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
-from primroseturn.limits.quota import FleetQuota, Usage
+from primroseturn.limits.quota import Count, FleetQuota, Usage
 from primroseturn.membership.fleet import EntryVm, Fleet, LIVE_S
 from primroseturn.routing.placement import Placement
 
@@ -40,15 +41,15 @@
     """Requests at a target that failed and that were served."""
 
     target: str
-    failed: int
-    succeeded: int
+    failed: Count
+    succeeded: Count
 
 
 class LoadReport(NamedTuple):
     """Requests that a target reported to run or hold."""
 
     target: str
-    held: int
+    held: Count
 
 
 class VoiceReport(NamedTuple):
@@ -62,8 +63,8 @@
 
     center: str
     speaker: str
-    vms: int
-    age_s: float
+    vms: Count
+    age_s: Annotated[float, Meta(ge=0)]
 
 
 @message("entry-vm-notice")
@@ -98,13 +99,13 @@
 
     center: str = ""
     live: tuple[str, ...] = ()
-    reached: int = 1
+    reached: Count = 1
     outcomes: tuple[OutcomeCount, ...] = ()
     loads: tuple[LoadReport, ...] = ()
     usage: tuple[Usage, ...] = ()
     relayed: bool = False
     voices: tuple[VoiceReport, ...] = ()
-    missing: int = 0
+    missing: Count = 0
 
 
 class Collection:
@@ -342,7 +343,10 @@
 
     def take_notice(self, sender: Sender, body: VmNotice, now: float) -> None:
         """Take note of a VM that has started or stops."""
-        if body.vm.name != sender.vm:
+        if body.vm.name != sender.vm or sender.vm == self.fleet.own.name:
+            self.refuse("forged", f"a notice about {body.vm.name!r}", sender)
+            return
+        if body.stops and not self.is_member(sender):
             return
         if body.stops:
             self.fleet.note_stopping(sender.vm, now)
@@ -422,6 +426,8 @@
 
     def take(self, sender: Sender, body: Digest, now: float) -> None:
         """Take in a digest of a VM, of the speaker or of another data centre."""
+        if not self.is_member(sender) or not self.may_speak(sender, body.center):
+            return
         if body.center:
             self.fleet.note_center_heard(body.center, sender.vm, body.reached, now)
             self.center.waiting.add_digest(body)
@@ -440,6 +446,39 @@
             self.woken.set()
         self.learn(body, now)
 
+    def is_member(self, sender: Sender) -> bool:
+        """Return whether a message comes from another VM of the fleet."""
+        if sender.vm == self.fleet.own.name:
+            self.refuse("forged", "sent in the name of this VM", sender)
+            return False
+        if self.fleet.listed and self.fleet.find(sender.vm) is None:
+            self.refuse("unknown_vm", "no VM that is or was registered", sender)
+            return False
+        return True
+
+    def may_speak(self, sender: Sender, center: str) -> bool:
+        """Return whether a digest sums up the data centre of its sender, if any."""
+        vm = self.fleet.find(sender.vm)
+        if vm is None:
+            # Nothing is known of the fleet yet.
+            return True
+        near = vm.data_center == self.fleet.own.data_center
+        if center == ("" if near else vm.data_center):
+            return True
+        detail = f"a digest of {center!r} from a VM of {vm.data_center!r}"
+        self.refuse("forged", detail, sender)
+        return False
+
+    def refuse(self, reason: str, detail: str, sender: Sender) -> None:
+        """Count and log a message that is not used."""
+        self.bus.refuse(
+            reason,
+            detail,
+            sender=sender.vm,
+            start=sender.incarnation,
+            origin=sender.origin,
+        )
+
     def learn(self, digest: Digest, now: float) -> None:
         """Use what a digest says."""
         for outcome in digest.outcomes:
--- a/primroseturn/limits/quota.py
+++ b/primroseturn/limits/quota.py
@@ -22,7 +22,9 @@
 from enum import Enum
 from math import exp, inf
 from random import Random
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 from primroseturn.entry.models import Workspace
 
@@ -57,6 +59,11 @@
 # Longest debt, as the time in seconds in which the rate pays it back. The users judge
 # windows of 5 s.
 DEBT_LIMIT_S = 2.5
+# Above all requests of a data centre in one digest; sums of counts up to this fit a
+# message.
+COUNT_LIMIT = 1_000_000
+
+Count = Annotated[int, Meta(ge=0, le=COUNT_LIMIT)]
 
 
 class RateRefusal(Enum):
@@ -92,8 +99,8 @@
     """Requests of a workspace that were asked and admitted since the last digest."""
 
     workspace: str
-    asked: int
-    admitted: int
+    asked: Count
+    admitted: Count
 
 
 class Demand:
--- a/primroseturn/membership/fleet.py
+++ b/primroseturn/membership/fleet.py
@@ -7,7 +7,11 @@
 
 from collections import Counter
 from math import inf
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+from primroseturn.settings.models import IpAddress, Name
 
 # A VM counts as live this many seconds after it was last heard.
 LIVE_S = 1.2
@@ -40,16 +44,19 @@
 LOST_S = 20.0
 # VMs that are assumed before the first list; the users have 36 to 40.
 ASSUMED_VMS = 40
+# Messages of VMs that left are still used: they may arrive late, and the list lacks VMs
+# that were cut off until they register again. Their number bounds the memory.
+FORMER_VMS = 1_000
 
 
 class EntryVm(NamedTuple):
     """A registered entry VM."""
 
-    name: str
-    host: str
-    port: int
-    data_center: str
-    region: str
+    name: Name
+    host: IpAddress
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    data_center: Name
+    region: Name
 
 
 class CenterVoice(NamedTuple):
@@ -84,6 +91,8 @@
         This VM.
     vms_by_name
         All registered VMs but this one.
+    former_by_name
+        VMs that were registered before.
     heard_by_vm
         Monotonic time in seconds at which each VM of this data centre was heard, by
         this VM or its speaker.
@@ -115,6 +124,7 @@
     def __init__(self, own: EntryVm) -> None:
         self.own = own
         self.vms_by_name: dict[str, EntryVm] = {}
+        self.former_by_name: dict[str, EntryVm] = {}
         self.listed = False
         self.listed_at = -inf
         self.registered_by_vm: dict[str, float] = {}
@@ -154,9 +164,12 @@
             elif name in self.vms_by_name:
                 listed.setdefault(name, self.vms_by_name[name])
         gone = self.vms_by_name.keys() - listed.keys()
-        self.vms_by_name = listed
         for name in gone:
+            self.former_by_name[name] = self.vms_by_name[name]
             self.forget(name)
+        while len(self.former_by_name) > FORMER_VMS:
+            del self.former_by_name[next(iter(self.former_by_name))]
+        self.vms_by_name = listed
         for name in listed:
             self.registered_by_vm.setdefault(name, now)
             if now - self.stopping_by_vm.get(name, now) >= STOPPED_S:
@@ -177,6 +190,10 @@
             known.pop(name, None)
         self.silent.discard(name)
 
+    def find(self, name: str) -> EntryVm | None:
+        """Return another VM that is registered or was."""
+        return self.vms_by_name.get(name) or self.former_by_name.get(name)
+
     def is_new(self, now: float) -> bool:
         """Return whether this VM is about to hear the others for the first time."""
         return now - self.listed_at < FIRST_HEARING_S
