Count a digest once that the network doubles, and refuse numbers that go back

Cause: counts of digests were added as often as their datagram arrived. A notice that came late undid a later one, and one of a former start was taken.

Change: the envelope's number, which each start of a VM counts up, tells what came before. A number that came within 2 s is refused as doubled, one below those that came earlier as backwards, a notice after a later one as overtaken or former_start. All are counted and logged like other dropped messages. Datagrams get no new byte. A receiver keeps the numbers of 2 s, of 4 starts a VM and 1,000 VMs at most. A digest that is only late or out of order counted once before and does now.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -47,6 +47,7 @@
         self.fleet = fleet
         self.vm = vm
         self.incarnation = incarnation
+        self.number = 0
         self.handlers_by_kind = {}
 
     def handle(self, kind, handler) -> None:
@@ -127,6 +128,8 @@
     def transmit(self, wire: Wire, peer: str, message) -> None:
         """Let a message arrive later."""
         self.messages[wire.vm] += 1
+        wire.number += 1
+        sender = Sender(wire.vm, wire.incarnation, wire.number)
         self.bytes[wire.vm] += len(encode(message))
         copies = (self.random.random() >= self.loss) + (
             self.random.random() < self.doubling
@@ -135,7 +138,7 @@
             delay = self.delay_s(wire.vm, peer) + self.random.uniform(0, JITTER_S)
             if self.random.random() < self.doubling:
                 delay += self.random.uniform(0, 0.3)
-            entry = (self.now + delay, next(self.numbers), wire, peer, message)
+            entry = (self.now + delay, next(self.numbers), sender, peer, message)
             heappush(self.waiting, entry)
 
     def delay_s(self, first: str, second: str) -> float:
@@ -147,14 +150,14 @@
     def deliver(self) -> None:
         """Hand over what has arrived."""
         while self.waiting and self.waiting[0][0] <= self.now:
-            _, _, wire, peer, message = heappop(self.waiting)
+            _, _, sender, peer, message = heappop(self.waiting)
             vm = self.vms_by_name.get(peer)
             side = self.sides_by_name.get
-            if vm is None or not vm.alive or side(wire.vm, 0) != side(peer, 0):
+            if vm is None or not vm.alive or side(sender.vm, 0) != side(peer, 0):
                 continue
             takes_digest = isinstance(message, Digest)
             take = vm.exchange.take if takes_digest else vm.exchange.take_notice
-            take(Sender(wire.vm, wire.incarnation), message, self.now)
+            take(sender, message, self.now)
 
     # VMs and their list.
 
--- a/features/fleet_stops.feature
+++ b/features/fleet_stops.feature
@@ -44,6 +44,12 @@
     And 12 s pass in the simulation
     Then less than 0.01 of the requests are refused in any 2 s
 
+  Scenario: Datagrams that all come twice and late refuse nobody within the rate
+    Given a simulated fleet of 36 VMs with seed 1
+    And 0 of its datagrams are lost and 1 come twice and late
+    When 8 s pass in the simulation
+    Then less than 0.01 of the requests are refused in any 2 s
+
   Scenario Outline: Stops in series mint no requests for workspaces over their rate
     Given a simulated fleet of 36 VMs with seed 3
     And callers that have asked 4.7 times as much for 6 s
@@ -93,6 +99,13 @@
     And 5 s pass in the simulation
     Then more than 0.01 of the requests are refused in some 2 s
 
+  Scenario: A fleet that counts doubled datagrams is caught
+    Given a simulated fleet of 36 VMs with seed 1
+    And its VMs run that counts doubled datagrams
+    And 0 of its datagrams are lost and 1 come twice and late
+    When 8 s pass in the simulation
+    Then more than 0.01 of the requests are refused in some 2 s
+
   Scenario: A fleet that passes relayed counts on is caught
     Given a simulated fleet of 36 VMs with seed 2
     And its VMs run that passes relayed counts on
--- a/features/steps/daemon_tasks.py
+++ b/features/steps/daemon_tasks.py
@@ -94,7 +94,7 @@
     version = kernel.find("replica").state.version + 2
     change = Change(version, "", "", "workspace", "none", None)
     relay = kernel.find("configuration").relay
-    await relay.accept(Sender("vm2", "any"), ConfigurationChange([change]))
+    await relay.accept(Sender("vm2", "any", 1), ConfigurationChange([change]))
 
 
 async def fetch_lists(fleet, kernel):
--- /dev/null
+++ b/features/steps/digest_order.py
@@ -0,0 +1,337 @@
+"""Steps for datagrams that come twice, late or out of order, on a virtual clock."""
+
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+import primroseturn.control.order
+from features.fleet_simulation import drive
+from primroseturn.control.bus import Sender
+from primroseturn.control.endpoint import Endpoint
+from primroseturn.control.order import (
+    KEPT_STARTS,
+    KEPT_VMS,
+    LATE_S,
+    MessageOrder,
+    StartNumbers,
+)
+from primroseturn.entry.digests import Digest, DigestExchange, VmNotice
+from primroseturn.entry.models import Target, Workspace
+from primroseturn.limits.quota import FleetQuota, Usage
+from primroseturn.membership.fleet import EntryVm, Fleet
+from primroseturn.routing.placement import Placement
+
+NAMES = ("a1", "a2", "a3", "b1", "b2", "b3")
+TICK_S = 0.05
+# Copies of a datagram arrive within this time, below the limit of late ones.
+SPREAD_S = 1.2
+SETTLE_S = 6.0
+
+
+class CountingQuota(FleetQuota):
+    """Counts the requests that other VMs asked and admitted."""
+
+    def __init__(self, random):
+        super().__init__(random)
+        self.others = Counter()
+
+    def take_usage(self, usage, now):
+        for item in usage:
+            self.others["asked"] += item.asked
+            self.others["admitted"] += item.admitted
+        super().take_usage(usage, now)
+
+
+class CountingPlacement(Placement):
+    """Counts the outcomes that other VMs report."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.others = Counter()
+
+    def note_others(self, target_id, failed, succeeded, now):
+        self.others["failed"] += failed
+        self.others["succeeded"] += succeeded
+        super().note_others(target_id, failed, succeeded, now)
+
+
+class Wire(Endpoint):
+    """The bus of a VM, whose frames the network keeps until they arrive."""
+
+    def __init__(self, network, vm):
+        super().__init__(vm, "start-1")
+        self.network = network
+
+    def transmit(self, peer, frame):
+        self.network.carry(peer, frame)
+
+
+class Vm:
+    """A VM and what it did itself."""
+
+    def __init__(self, network, own, vms):
+        self.wire = Wire(network, own.name)
+        self.fleet = Fleet(own)
+        self.fleet.use(vms, network.now)
+        self.placement = CountingPlacement(
+            own.data_center, {"a": "r", "b": "r"}, network.random
+        )
+        target = Target("t1", "core", "h", 1, "a", 6, False, 0, 1)
+        self.placement.use_targets([target], network.now)
+        self.quota = CountingQuota(network.random)
+        self.quota.fleet_size = len(vms)
+        workspaces = {"shop": Workspace("shop", 1000, 1000, None)}
+        self.quota.use_workspaces(workspaces, network.now)
+        self.exchange = DigestExchange(
+            self.wire, self.fleet, self.placement, self.quota
+        )
+        self.did = Counter()
+
+    def act(self, requests, failed, now):
+        """Let callers ask and a target answer."""
+        for _ in range(requests):
+            self.did["asked"] += 1
+            self.did["admitted"] += self.quota.admit("shop", now) == 0
+        self.exchange.note_outcome("t1", failed)
+        self.did["failed" if failed else "succeeded"] += 1
+
+
+class DoublingNetwork:
+    """VMs whose datagrams arrive once to three times, late and in any order."""
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.now = 1000.0
+        self.waiting = []
+        self.numbers = count()
+        vms = [EntryVm(name, "h", 1, name[0], "r") for name in NAMES]
+        self.vms_by_name = {vm.name: Vm(self, vm, vms) for vm in vms}
+        self.copies = 3
+
+    def carry(self, peer, frame):
+        for _ in range(self.random.randint(1, self.copies)):
+            at = self.now + self.random.uniform(0.001, SPREAD_S)
+            heappush(self.waiting, (at, next(self.numbers), peer, frame))
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_S
+            while self.waiting and self.waiting[0][0] <= self.now:
+                _, _, peer, frame = heappop(self.waiting)
+                self.deliver(self.vms_by_name[peer], frame)
+            for vm in self.vms_by_name.values():
+                drive(vm.exchange.send_due(self.now))
+
+    def deliver(self, vm, frame):
+        envelope = vm.wire.open_frame(frame, None)
+        sender = Sender(envelope.sender, envelope.incarnation, envelope.number)
+        takes_digest = isinstance(envelope.body, Digest)
+        take = vm.exchange.take if takes_digest else vm.exchange.take_notice
+        take(sender, envelope.body, self.now)
+
+    def differences(self):
+        """Return by how much the counts of each VM differ from what others did."""
+        found = {}
+        for name, vm in self.vms_by_name.items():
+            expected = Counter()
+            for other, item in self.vms_by_name.items():
+                if other != name:
+                    expected.update(item.did)
+            counted = vm.quota.others + vm.placement.others
+            if counted != expected:
+                found[name] = (counted, expected)
+        return found
+
+
+def play(seed, steps):
+    """Return the differences after VMs did what the steps state."""
+    network = DoublingNetwork(seed)
+    network.run(1.0)
+    for name, requests, failed, gap_s in steps:
+        network.vms_by_name[name].act(requests, failed, network.now)
+        network.run(gap_s)
+    network.run(SETTLE_S)
+    return network.differences()
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(NAMES), st.integers(1, 4), st.booleans(), st.floats(0, 0.6)
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@then(
+    "doubled, late and reordered datagrams change no count of {vms:d} VMs in "
+    "{centers:d} data centres"
+)
+def step_unchanged(context, vms, centers):
+    assert (vms, centers) == (len(NAMES), len({name[0] for name in NAMES}))
+
+    @settings(max_examples=60, derandomize=True, database=None, deadline=None)
+    @for_all(st.integers(0, 10_000), STEPS)
+    def check(seed, steps):
+        found = play(seed, steps)
+        assert not found, found
+
+    check()
+
+
+def take_all(self, number, now, in_order):
+    return None
+
+
+def take_rising(self, number, now, in_order):
+    if number <= self.last_in_order:
+        return primroseturn.control.order.Misfit("backwards", "")
+    self.last_in_order = number
+    return None
+
+
+variants_by_name = {
+    "take each datagram that arrives": (StartNumbers, "take", take_all),
+    "take only datagrams with rising numbers": (StartNumbers, "take", take_rising),
+    "forget numbers after 0.2 s": (primroseturn.control.order, "LATE_S", 0.2),
+}
+
+
+@given("VMs of a variant that {variant}")
+def step_variant(context, variant):
+    owner, name, value = variants_by_name[variant]
+    usual = getattr(owner, name)
+    setattr(owner, name, value)
+    context.cleanups.append(lambda: setattr(owner, name, usual))
+
+
+@then("doubled, late and reordered datagrams change some count of {vms:d} VMs")
+def step_changed(context, vms):
+    steps = [(name, 3, True, 0.3) for name in NAMES * 2]
+    assert vms == len(NAMES)
+    assert any(play(seed, steps) for seed in range(3))
+
+
+class OneReceiver:
+    """A VM that gets datagrams with stated numbers."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.start = 1
+        network = DoublingNetwork(1)
+        vms = [EntryVm(f"vm{number}", "h", 1, "a", "r") for number in (1, 2, 3)]
+        self.vm = Vm(network, vms[0], vms)
+        self.vms_by_name = {vm.name: vm for vm in vms}
+
+    def send(self, vm, number, start=None):
+        """Let a digest arrive and return the reason for which it is not used."""
+        digest = Digest(usage=(Usage("shop", 1, 1),))
+        before = self.vm.quota.others["asked"]
+        reason = self.take(self.vm.exchange.take, vm, number, digest, start)
+        used = self.vm.quota.others["asked"] > before
+        assert used == (reason is None), (used, reason)
+        return reason
+
+    def announce(self, vm, number, stops, start=None):
+        """Let a notice arrive and return the reason for which it is not used."""
+        notice = VmNotice(self.vms_by_name[vm], stops)
+        return self.take(self.vm.exchange.take_notice, vm, number, notice, start)
+
+    def take(self, take, vm, number, body, start):
+        counts = self.vm.wire.counts
+        before = Counter(counts)
+        sender = Sender(vm, f"start-{start or self.start}", number)
+        take(sender, body, self.now)
+        reasons = list(Counter(counts) - before)
+        assert len(reasons) <= 1, reasons
+        return reasons[0].removeprefix("dropped_") if reasons else None
+
+
+@given('digests of "{vm}" with the numbers {first:d} to {last:d} have arrived')
+def step_arrived(context, vm, first, last):
+    context.receiver = OneReceiver()
+    for number in range(first, last + 1):
+        assert context.receiver.send(vm, number) is None
+
+
+@when("{seconds:g} s pass for the digests")
+def step_pass(context, seconds):
+    context.receiver.now += seconds
+
+
+@when('a digest of "{vm}" with the number {number:d} arrives')
+@then('a digest of "{vm}" with the number {number:d} is used')
+def step_used(context, vm, number):
+    reason = context.receiver.send(vm, number)
+    assert reason is None, reason
+
+
+@then(
+    'a digest of "{vm}" with the number {number:d} is refused as "{reason}"',
+)
+def step_refused(context, vm, number, reason):
+    found = context.receiver.send(vm, number)
+    assert found == reason, found
+
+
+@when('"{vm}" starts anew')
+def step_restart(context, vm):
+    context.receiver.start += 1
+
+
+@then('a {kind:w} of "{vm}" with the number {number:d} leaves {others:d} other VM')
+@then('a {kind:w} of "{vm}" with the number {number:d} leaves {others:d} other VMs')
+def step_notice(context, kind, vm, number, others):
+    receiver = context.receiver
+    found = receiver.announce(vm, number, kind == "stop")
+    assert found is None, found
+    assert receiver.vm.fleet.size == 1 + others, receiver.vm.fleet.size
+
+
+@then('a start of "{vm}" with the number {number:d} is refused as "{reason}"')
+def step_start_refused(context, vm, number, reason):
+    receiver = context.receiver
+    size = receiver.vm.fleet.size
+    found = receiver.announce(vm, number, False)
+    assert (found, receiver.vm.fleet.size) == (reason, size), found
+
+
+@then('a stop of the start before with the number {number:d} is refused as "{reason}"')
+def step_stop_refused(context, number, reason):
+    receiver = context.receiver
+    size = receiver.vm.fleet.size
+    found = receiver.announce("vm2", number, True, receiver.start - 1)
+    assert (found, receiver.vm.fleet.size) == (reason, size), found
+
+
+@given("{vms:d} VMs that start {starts:d} times each and send {digests:d} digests")
+def step_many(context, vms, starts, digests):
+    context.order = MessageOrder()
+    now = 1000.0
+    for start in range(starts):
+        for vm in range(vms):
+            for number in range(1, digests + 1):
+                now += 0.0001
+                sender = Sender(f"vm{vm}", f"start-{start}", number)
+                assert context.order.take(sender, now) is None
+
+
+@then(
+    "numbers of at most {vms:d} VMs, {starts:d} starts of each and {seconds:g} s are "
+    "kept"
+)
+def step_bounded(context, vms, starts, seconds):
+    assert (vms, starts, seconds) == (KEPT_VMS, KEPT_STARTS, LATE_S)
+    starts_by_vm = context.order.starts_by_vm
+    assert len(starts_by_vm) <= vms, len(starts_by_vm)
+    assert all(len(items) <= starts for items in starts_by_vm.values())
+    order = MessageOrder()
+    for number in range(1, 100_001):
+        order.take(Sender("vm1", "start-1", number), 1000.0 + number / 1000)
+    (start,) = order.starts_by_vm["vm1"].values()
+    assert len(start.seen) == len(start.recent) <= 1000 * seconds + 1, len(start.seen)
--- a/features/steps/fleet_stops.py
+++ b/features/steps/fleet_stops.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.fleet_simulation import SimulatedFleet
+from primroseturn.control.order import MessageOrder
 from primroseturn.entry.digests import Digest, DigestExchange
 from primroseturn.membership.fleet import Fleet
 
@@ -40,6 +41,11 @@
     return Fleet, "falls_silent", lambda self, name, now: False
 
 
+@variant("that counts doubled datagrams")
+def doubling_counters():
+    return MessageOrder, "take", lambda self, sender, now, in_order=False: None
+
+
 @variant("that passes relayed counts on")
 def echoing_speakers():
     take = DigestExchange.take
--- a/primroseturn/control/bus.py
+++ b/primroseturn/control/bus.py
@@ -24,12 +24,15 @@
 
     Attributes
     ----------
+    number
+        Number of the message; those of one start grow, for whomever they are.
     origin
         Address that it came from, where the bus knows it.
     """
 
     vm: str
     incarnation: str
+    number: int
     origin: str = ""
 
 
--- a/primroseturn/control/endpoint.py
+++ b/primroseturn/control/endpoint.py
@@ -159,7 +159,7 @@
         if handler is None:
             self.refuse("unhandled", f"type {envelope.tag!r}", origin=origin)
             return
-        sender = Sender(envelope.sender, envelope.incarnation, origin)
+        sender = Sender(envelope.sender, envelope.incarnation, envelope.number, origin)
         answer = await handler(sender, envelope.body)
         if answer is not None:
             reply(self.encode(answer, envelope.number))
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -14,6 +14,7 @@
 
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
+from primroseturn.control.order import MessageOrder
 from primroseturn.limits.quota import Count, FleetQuota, Usage
 from primroseturn.membership.fleet import EntryVm, Fleet, LIVE_S
 from primroseturn.routing.placement import Placement
@@ -268,6 +269,7 @@
         self.fleet = fleet
         self.placement = placement
         self.quota = quota
+        self.order = MessageOrder()
         self.own = Channel(DIGEST_INTERVAL_S)
         self.center = Channel(DIGEST_INTERVAL_S)
         self.parts_by_vm: dict[str, Collection] = {}
@@ -348,6 +350,8 @@
             return
         if body.stops and not self.is_member(sender):
             return
+        if not self.is_new(sender, now, in_order=True):
+            return
         if body.stops:
             self.fleet.note_stopping(sender.vm, now)
         else:
@@ -428,6 +432,8 @@
         """Take in a digest of a VM, of the speaker or of another data centre."""
         if not self.is_member(sender) or not self.may_speak(sender, body.center):
             return
+        if not self.is_new(sender, now):
+            return
         if body.center:
             self.fleet.note_center_heard(body.center, sender.vm, body.reached, now)
             self.center.waiting.add_digest(body)
@@ -469,6 +475,13 @@
         self.refuse("forged", detail, sender)
         return False
 
+    def is_new(self, sender: Sender, now: float, in_order: bool = False) -> bool:
+        """Return whether a message did not come before, so that it counts once."""
+        misfit = self.order.take(sender, now, in_order)
+        if misfit is not None:
+            self.refuse(misfit.reason, misfit.detail, sender)
+        return misfit is None
+
     def refuse(self, reason: str, detail: str, sender: Sender) -> None:
         """Count and log a message that is not used."""
         self.bus.refuse(
