Skip objects of VMs whose address can't be used

Cause: an object that names a VM was read without checks of its values. A port of 99999 or a port that is text came to the datagram socket, which the first closes for good; a host name would have been looked up in the event loop.

Change: an object is checked like a notice: names, an IPv4 address and a port.

--- a/features/datagrams.feature
+++ b/features/datagrams.feature
@@ -34,6 +34,16 @@
     When it gets a notice of a VM with the port 99999
     Then it sends digests to the other VMs
 
+  Scenario: Objects of VMs with impossible values are logged and skipped
+    Given an entry VM beside the listed VMs "a:vm2, b:vm3" and these objects
+      | name | host      | port  |
+      | vm4  | 127.0.0.1 | 99999 |
+      | vm5  | 127.0.0.1 | many  |
+      | vm6  | host-6    | 9     |
+    Then 3 VMs are known to it
+    And its log says that it skipped 3 objects
+    And it sends digests to the other VMs
+
   Scenario: Digests and notices that no VM of the fleet sends are dropped
     Given an entry VM beside the listed VMs "a:vm2, b:vm3"
     When it gets each of these datagrams
--- a/features/steps/datagrams.py
+++ b/features/steps/datagrams.py
@@ -92,9 +92,15 @@
 }
 
 
+@given('an entry VM beside the listed VMs "{names}" and these objects')
 @given('an entry VM beside the listed VMs "{names}"')
 def step_beside(context, names):
     fleet = start_fleet(context)
+    for row in context.table or ():
+        port = int(row["port"]) if row["port"].isdigit() else row["port"]
+        value = {"name": row["name"], "host": row["host"], "port": port}
+        value |= {"data_center": "a", "region": "r"}
+        fleet.store.write(f"primroseturn-vms/{row['name']}", value)
     for name in names.split(", "):
         center, vm = name.split(":")
         place = {"host": "127.0.0.1", "port": 9, "data_center": center, "region": "r"}
@@ -245,3 +251,11 @@
         fleet.use(listed, current_time() + GREETED_S)
 
     context.portal.call(run)
+
+
+@then("its log says that it skipped {number:d} objects")
+def step_skipped(context, number):
+    context.portal.call(sleep, 0.2)
+    lines = context.entries.log_files_by_vm["vm1"].read_text().splitlines()
+    events = [json.loads(line) for line in lines if '"vm-unreadable"' in line]
+    assert len({event["reason"] for event in events}) == number, events
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -159,6 +159,7 @@
 def read_vm(value: Any) -> Result[EntryVm, VmInvalid]:
     """Return the VM that an object holds."""
     try:
-        return Ok(EntryVm(**convert(value, dict[str, str | int])))
+        vm = EntryVm(**convert(value, dict[str, str | int]))
+        return Ok(convert(tuple(vm), EntryVm))
     except (ValidationError, TypeError) as error:
         return Error(VmInvalid(str(error)))
