--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -49,6 +49,7 @@
         self.fleet = fleet
         self.vm = vm
         self.incarnation = incarnation
+        self.number = 0
         self.handlers_by_kind = {}
 
     def handle(self, kind, handler) -> None:
@@ -57,6 +58,9 @@
     async def send(self, peer: str, message) -> None:
         self.fleet.transmit(self, peer, message)
 
+    def refuse(self, reason: str, detail: str, **fields) -> None:
+        self.fleet.dropped[reason] += 1
+
 
 class Vm:
     """One start of a VM."""
@@ -114,6 +118,7 @@
         self.loss = self.doubling = 0.0
         self.messages: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
+        self.dropped: Counter[str] = Counter()
         for index in range(size):
             center = CENTERS[index % len(CENTERS)]
             name = f"{center}-{index // len(CENTERS):03d}"
@@ -127,6 +132,8 @@
     def transmit(self, wire: Wire, peer: str, message) -> None:
         """Let a message arrive later."""
         self.messages[wire.vm] += 1
+        wire.number += 1
+        sender = Sender(wire.vm, wire.incarnation, wire.number)
         self.bytes[wire.vm] += len(encode(message))
         copies = (self.random.random() >= self.loss) + (
             self.random.random() < self.doubling
@@ -135,7 +142,7 @@
             delay = self.delay_s(wire.vm, peer) + self.random.uniform(0, JITTER_S)
             if self.random.random() < self.doubling:
                 delay += self.random.uniform(0, 0.3)
-            entry = (self.now + delay, next(self.numbers), wire, peer, message)
+            entry = (self.now + delay, next(self.numbers), sender, peer, message)
             heappush(self.waiting, entry)
 
     def delay_s(self, first: str, second: str) -> float:
@@ -147,21 +154,21 @@
     def deliver(self) -> None:
         """Hand over what has arrived."""
         while self.waiting and self.waiting[0][0] <= self.now:
-            _, _, wire, peer, message = heappop(self.waiting)
+            _, _, sender, peer, message = heappop(self.waiting)
             vm = self.vms_by_name.get(peer)
             side = self.sides_by_name.get
-            if vm is None or not vm.alive or side(wire.vm, 0) != side(peer, 0):
+            if vm is None or not vm.alive or side(sender.vm, 0) != side(peer, 0):
                 continue
             if vm.held_datagrams is not None:
-                vm.held_datagrams.append((wire, message))
+                vm.held_datagrams.append((sender, message))
             else:
-                self.hand_over(vm, wire, message)
+                self.hand_over(vm, sender, message)
 
-    def hand_over(self, vm: Vm, wire: Wire, message) -> None:
+    def hand_over(self, vm: Vm, sender: Sender, message) -> None:
         """Let a VM handle a message."""
         takes_digest = isinstance(message, Digest)
         take = vm.exchange.take if takes_digest else vm.exchange.take_notice
-        take(Sender(wire.vm, wire.incarnation), message, self.now)
+        take(sender, message, self.now)
 
     # VMs and their list.
 
@@ -202,8 +209,8 @@
     def resume(self, vm: Vm) -> None:
         """Let a VM that stood still go on."""
         datagrams, vm.held_datagrams = vm.held_datagrams or [], None
-        for wire, message in datagrams:
-            self.hand_over(vm, wire, message)
+        for sender, message in datagrams:
+            self.hand_over(vm, sender, message)
         self.at(self.now + TAKEN_IN_S, lambda: self.serve(vm))
 
     def living(self) -> list[Vm]:
