End the connection of a request whose length is ambiguous

Cause: a request with Content-Length and a transfer coding got 400, but its connection stayed open, and bytes after its chunked body were taken for a further request. Behind a proxy that goes by Content-Length this runs a request that was hidden in another one's body.

Change: the refusal says `Connection: close`; a scenario for three ways of hiding a request in features/entry_input.feature.

--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -38,6 +38,19 @@
       | a body that ends early        |
       | a chunked body without an end |
 
+  Scenario Outline: A request hidden behind <hiding> does not run
+    Given an entry VM with 1 target
+    When a caller sends the bytes of a request hidden behind <hiding>
+    Then the first answer is the refusal "<type>" with status <status> that did not run
+    And the connection ends after the first answer
+    And no request ran
+
+    Examples:
+      | hiding                            | status | type                 |
+      | a length beside a transfer coding | 400    | length-ambiguous     |
+      | an unknown transfer coding        | 501    | encoding-unsupported |
+      | two different lengths             | 400    | request-invalid      |
+
   Scenario Outline: The rest of a long request that is answered early is its own, <mode>
     Given an entry VM with 1 target that answers "<mode>"
     When 3 callers send <size> bytes to POST /order/ one after the other
--- a/features/steps/entry_input.py
+++ b/features/steps/entry_input.py
@@ -1,6 +1,7 @@
 """Steps for bad and long input from callers of an entry VM."""
 
 import json
+from contextlib import suppress
 from re import search
 
 from anyio import (
@@ -52,6 +53,17 @@
     "a body that ends early": f"{POST}Content-Length: 10\r\n\r\nab",
     "a chunked body without an end": f"{POST}{CHUNKED}\r\n2\r\nab\r\n",
 }
+HIDING_HEADERS = {
+    "a length beside a transfer coding": f"Content-Length: {{length}}\r\n{CHUNKED}",
+    "an unknown transfer coding": "Transfer-Encoding: xchunked\r\n",
+    "two different lengths": "Content-Length: 5\r\nContent-Length: {length}\r\n",
+}
+for hiding, headers in HIDING_HEADERS.items():
+    rest = f"0\r\n\r\n{GET}\r\n"
+    stated = headers.format(length=len(rest))
+    name = f"a request hidden behind {hiding}"
+    inputs_by_name[name] = f"{POST}{stated}\r\n{rest}"
+
 # After these the caller closes its side, as one that has gone.
 UNFINISHED = ("a body that ends early", "a chunked body without an end")
 
@@ -70,18 +82,17 @@
 
     async def run():
         port = context.entries.entry_ports_by_vm["vm1"]
-        async with await connect_tcp(LOOPBACK, port) as stream:
-            try:
-                await stream.send(data)
-                if name in UNFINISHED:
-                    await stream.send_eof()
-                with fail_after(ANSWER_LIMIT_S):
-                    while not is_whole(context.answer):
-                        context.answer += await stream.receive(READ_BYTES)
-            except (EndOfStream, BrokenResourceError):
-                return
+        context.stream = stream = await connect_tcp(LOOPBACK, port)
+        with suppress(EndOfStream, BrokenResourceError):
+            await stream.send(data)
+            if name in UNFINISHED:
+                await stream.send_eof()
+            with fail_after(ANSWER_LIMIT_S):
+                while not is_whole(context.answer):
+                    context.answer += await stream.receive(READ_BYTES)
 
     context.portal.call(run)
+    context.cleanups.append(lambda: context.portal.call(context.stream.aclose))
 
 
 @then(
@@ -95,6 +106,20 @@
     assert (refusal["type"], refusal["ran"]) == (kind, "no"), refusal
 
 
+@then("the connection ends after the first answer")
+def step_connection_ends(context):
+    async def run():
+        with fail_after(ANSWER_LIMIT_S):
+            try:
+                while True:
+                    context.answer += await context.stream.receive(READ_BYTES)
+            except (EndOfStream, BrokenResourceError):
+                return
+
+    context.portal.call(run)
+    assert context.answer.count(b"HTTP/1.1 ") == 1, context.answer
+
+
 @then("a further caller is served and the log names no error")
 def step_no_error(context):
     fleet = context.entries
--- a/primroseturn/requestpath/refusals.py
+++ b/primroseturn/requestpath/refusals.py
@@ -19,6 +19,8 @@
 }
 # An earlier request under the same operation id may have run.
 CODES_OF_UNKNOWN = frozenset(("operation-in-doubt",))
+# After these the next bytes may be the rest of the body or another request.
+CODES_OF_UNKNOWN_END = frozenset(("length-ambiguous",))
 RETRY_AFTER_S = 1
 RETRY_AFTER_LIMIT_S = 3600
 
@@ -67,6 +69,8 @@
         retry_after = RETRY_AFTER_S
     if retry_after is not None:
         headers.append((b"retry-after", str(retry_after).encode()))
+    if refusal.kind in CODES_OF_UNKNOWN_END:
+        headers.append((b"connection", b"close"))
     return headers, body
 
 
