Explain refusals by what the attempts and the view showed

Change: the sentences count how the attempts ended, and tell a configuration that was never confirmed from one that is too old. Two scenarios in features/entry_logs.feature.

--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -7,6 +7,20 @@
     And the logs explain the request by "had no room"
     And they show the events "entry-attempt-ended, entry-refused"
 
+  Scenario: A refusal after targets that accept no connection leads to them
+    Given an entry VM with 2 targets that accept no connection
+    When a caller sends POST /order/1
+    Then the caller gets 503
+    And the logs explain the request by "unreachable (event 1113)"
+    And they name the target "t1" with the end "unreachable"
+
+  Scenario: A refusal just after a start leads to the missing confirmation
+    Given an entry VM with 1 target
+    When nothing has confirmed its configuration and the store is away
+    And a caller sends GET /lookup/1
+    Then the caller gets 503
+    And the logs explain the request by "not been confirmed since its start"
+
   Scenario: A 502 leads to the target that broke off
     Given an entry VM with 1 target that answers "reset"
     When a caller sends POST /order/1
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -11,13 +11,15 @@
 from select import select
 from time import monotonic, sleep as sleep_blocking
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group, fail_after, sleep
 from behave import given, then, when
 from httpx import AsyncClient, HTTPError
 
 from features.entry_fleet import route
+from features.processes import choose_port
 from features.steps.background_tasks import ask_process
 from features.steps.entry_process import start_process, WAIT_S
+from features.steps.entry_requests import start_fleet
 from primroseturn.cli.main import main
 from primroseturn.entry.events import (
     REQUEST_FAILED,
@@ -115,6 +117,38 @@
     assert found == code, output
 
 
+@given("an entry VM with {count:d} targets that accept no connection")
+def step_unreachable(context, count):
+    fleet = start_fleet(context)
+
+    async def run():
+        for number in range(1, count + 1):
+            fleet.list_target(f"t{number}", port=choose_port())
+        await fleet.add_entry("vm1")
+        await fleet.wait_entries()
+        view = fleet.kernels_by_vm["vm1"].find("view")
+        with fail_after(WAIT_S):
+            while len(view.targets_by_id) < count:
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+@when("nothing has confirmed its configuration and the store is away")
+def step_unconfirmed(context):
+    fleet = context.entries
+
+    async def run():
+        fleet.store.faults.outage = True
+        fleet.store.wake_watches()
+        with fail_after(WAIT_S):
+            while fleet.kernels_by_vm["vm1"].find("follower").contact.lost_at is None:
+                await sleep(0.02)
+        fleet.kernels_by_vm["vm1"].find("view").confirmed_at = None
+
+    context.portal.call(run)
+
+
 @when("the VM is stopped during a request that would last longer")
 def step_stop_during(context):
     fleet = context.entries
--- a/primroseturn/observation/explanation.py
+++ b/primroseturn/observation/explanation.py
@@ -1,5 +1,6 @@
 """Explains from the logs of all VMs what happened to one request."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -12,10 +13,13 @@
 REQUEST_ENDS = frozenset((1110, 1111, 1112, 1115, 1116))
 # State of a VM that is shown from before a request, in seconds.
 STATE_SPAN_S = 30.0
+# Age in seconds that a refusal states while nothing has confirmed the configuration.
+NEVER_CONFIRMED_S = 1e6
 # Failures of other requests at the same targets that are counted around a request.
 NEAR_S = 5.0
 
-Cause = Callable[[Record], str]
+# Takes the last event of a request and all its events.
+Cause = Callable[[Record, list[Record]], str]
 causes_by_kind: dict[str, Cause] = {}
 
 
@@ -52,7 +56,7 @@
 
 
 @cause("rate-exceeded")
-def explain_rate(end: Record) -> str:
+def explain_rate(end: Record, own: list[Record]) -> str:
     """Explain a refusal for the rate."""
     return (
         f"The workspace {end.fields.get('workspace')!r} was over its rate over all "
@@ -61,8 +65,13 @@
 
 
 @cause("keys-stale")
-def explain_stale(end: Record) -> str:
+def explain_stale(end: Record, own: list[Record]) -> str:
     """Explain a refusal because keys could not be checked."""
+    if float(end.fields.get("view_age_s") or 0.0) >= NEVER_CONFIRMED_S:
+        return (
+            "The VM's configuration had not been confirmed since its start (event "
+            "1120), so that keys could not be trusted yet."
+        )
     return (
         f"The VM's configuration was last confirmed {end.fields.get('view_age_s')} s "
         "before, too long ago to trust keys: the store was out of its reach (events "
@@ -71,7 +80,7 @@
 
 
 @cause("key-refused")
-def explain_key(end: Record) -> str:
+def explain_key(end: Record, own: list[Record]) -> str:
     """Explain an unknown key."""
     return (
         f"Version {end.fields.get('version')} of the configuration, confirmed "
@@ -80,13 +89,19 @@
 
 
 @cause("no-room")
-def explain_room(end: Record) -> str:
-    """Explain a refusal by full targets."""
-    return "All targets that were asked stated that they had no room (event 1113)."
+def explain_room(end: Record, own: list[Record]) -> str:
+    """Explain a refusal after attempts that certainly did not run."""
+    ends = Counter(
+        str(item.fields.get("end")) for item in own if item.number == ATTEMPT_ENDED
+    )
+    if set(ends) <= {"not-run"}:
+        return "All targets that were asked stated that they had no room (event 1113)."
+    counts = ", ".join(f"{number} {end}" for end, number in sorted(ends.items()))
+    return f"No attempt at a target reached one that had room: {counts} (event 1113)."
 
 
 @cause("no-target")
-def explain_no_target(end: Record) -> str:
+def explain_no_target(end: Record, own: list[Record]) -> str:
     """Explain a refusal without an attempt."""
     return (
         f"No listed target of service {end.fields.get('service')!r} could be reached "
@@ -95,7 +110,7 @@
 
 
 @cause("upstream-failed", "answer-broken")
-def explain_upstream(end: Record) -> str:
+def explain_upstream(end: Record, own: list[Record]) -> str:
     """Explain a missing answer."""
     return (
         "The last target broke off, or what it sent was no whole answer; the request "
@@ -104,7 +119,7 @@
 
 
 @cause("deadline-exceeded")
-def explain_deadline(end: Record) -> str:
+def explain_deadline(end: Record, own: list[Record]) -> str:
     """Explain the end of a request's time."""
     return (
         f"The request's time was over after {end.fields.get('age_s')} s; it may have "
@@ -113,7 +128,7 @@
 
 
 @cause("not-ready", "route-missing")
-def explain_configuration(end: Record) -> str:
+def explain_configuration(end: Record, own: list[Record]) -> str:
     """Explain a refusal by the configuration in force."""
     version = end.fields.get("version")
     return (
@@ -129,16 +144,19 @@
     own.sort(key=lambda item: item.at_s)
     end = next((item for item in reversed(own) if item.number in REQUEST_ENDS), own[-1])
     return Explanation(
-        own, state_before(records, end), list(describe_targets(records, own)), why(end)
+        own,
+        state_before(records, end),
+        list(describe_targets(records, own)),
+        why(end, own),
     )
 
 
-def why(end: Record) -> str:
+def why(end: Record, own: list[Record]) -> str:
     """Return the cause of a request's end."""
     kind = str(end.fields.get("kind", ""))
     explain = causes_by_kind.get(kind)
     if explain is not None:
-        return explain(end)
+        return explain(end, own)
     if end.number == 1110:
         return (
             f"The answer of target {end.fields.get('target')} was passed on: status "
