Check the platform's settings file by the same command

Cause: `primroseturn settings check` read the product's JSON only; the platform's TOML was checked by a start of `primroseturn entry` alone.

Change: a file that ends in .toml is read as the platform's.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -20,6 +20,18 @@
       | a callers' address of "x"  | HOST:PORT             |
       | text that is no TOML       | valid TOML            |
 
+  Scenario Outline: The command that checks settings names a wrong field, <change>
+    When "primroseturn settings check" reads the platform's settings file with <change>
+    Then it exits with code <code> and its output contains "<text>"
+
+    Examples:
+      | change                     | code | text                  |
+      | no change                  | 0    | settings are valid    |
+      | no name of the VM          | 2    | $.self                |
+      | ports that are no numbers  | 2    | $.network             |
+      | a callers' address of "x"  | 2    | HOST:PORT             |
+      | text that is no TOML       | 2    | valid TOML            |
+
   Scenario: The command exits with code 2 for a wrong settings file
     When "primroseturn entry" runs with a settings file that does not exist
     Then it exits with code 2
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -10,6 +10,7 @@
 from httpx import ASGITransport, AsyncClient
 from hypothesis import given as for_all, settings, strategies as st
 
+from features.steps.product_commands import call_command
 from primroseturn.cli.main import main
 from primroseturn.entry.models import Target
 from primroseturn.failures import StoreUnavailable, VersionConflict
@@ -101,15 +102,32 @@
     context.boot = decode_boot(document, 9464)
 
 
+CHANGED_BOOTS = {
+    "no change": BOOT,
+    "no name of the VM": BOOT.replace('node = "edge-1"', ""),
+    "ports that are no numbers": BOOT.replace("[7360, 7375]", '["a", "b"]'),
+    'a callers\' address of "x"': BOOT.replace('"10.1.0.21:8689"', '"x"'),
+    "text that is no TOML": "[self",
+}
+
+
 @given("the platform's settings file with {change}")
 def step_boot_changed(context, change):
-    changed = {
-        "no name of the VM": BOOT.replace('node = "edge-1"', ""),
-        "ports that are no numbers": BOOT.replace("[7360, 7375]", '["a", "b"]'),
-        'a callers\' address of "x"': BOOT.replace('"10.1.0.21:8689"', '"x"'),
-        "text that is no TOML": "[self",
-    }
-    context.boot = read_text(changed[change])
+    context.boot = read_text(CHANGED_BOOTS[change])
+
+
+@when('"primroseturn settings check" reads the platform\'s settings file with {change}')
+def step_check(context, change):
+    with TemporaryDirectory() as name:
+        path = Path(name) / "boot.toml"
+        path.write_text(CHANGED_BOOTS[change])
+        call_command(context, f"settings check {path}")
+
+
+@then('it exits with code {code:d} and its output contains "{text}"')
+def step_checked(context, code, text):
+    assert context.exit_code == code, context.output
+    assert text in context.output, context.output
 
 
 @then('it is read as VM "{vm}" of data centre "{center}" with callers on port {port:d}')
--- a/primroseturn/cli/settings.py
+++ b/primroseturn/cli/settings.py
@@ -7,10 +7,13 @@
 from cappa import Arg, command, Subcommands
 
 from primroseturn.cli.exits import ExitCode, fail
+from primroseturn.platform.boot import read_boot
 from primroseturn.settings.load import load_settings
 from primroseturn.settings.models import DaemonSettings
 from primroseturn.settings.reference import render_reference
 
+PLATFORM_SUFFIX = ".toml"
+
 
 def read_settings(path: Path) -> DaemonSettings:
     """Return the settings of a file or exit with `ExitCode.USAGE`."""
@@ -30,11 +33,19 @@
 class SettingsCheck:
     """Check a settings file."""
 
-    file: Annotated[Path, Arg(help="Settings file (JSON).")]
+    file: Annotated[
+        Path, Arg(help="Settings file (JSON), or that of the users' platform (.toml).")
+    ]
 
     def __call__(self) -> None:
         """Print the result of the check."""
-        read_settings(self.file)
+        if self.file.suffix == PLATFORM_SUFFIX:
+            # The deploy file states the port of the metrics.
+            result = read_boot(self.file, metrics_port=0)
+            if result.is_error():
+                fail(ExitCode.USAGE, f"{self.file}: {result.error}")
+        else:
+            read_settings(self.file)
         print(f"{self.file}: settings are valid")
 
 
