--- a/primroseturn/settings/reference.py
+++ b/primroseturn/settings/reference.py
@@ -23,8 +23,8 @@
 A daemon reads one JSON file: `primroseturn daemon --settings FILE`. Check a file with
 `primroseturn settings check FILE`; exit code 2 names the field, its value and what was
 expected. Unknown fields are refused. The command checks a file that ends in `.toml` as
-one of the users' platform, which `primroseturn entry` reads. Times are in seconds. This page is written by
-`primroseturn settings reference > docs/settings.md`.
+one of the users' platform, which `primroseturn entry` reads. Times are in seconds. This
+page is written by `primroseturn settings reference > docs/settings.md`.
 
 A small file:
 
