Let the store's stand-in answer serializable lists from the past

Cause: the platform's serializable reads may be seconds old; the stand-in answered them with the newest objects, so that no test could see a VM rely on one.

Change: `keep_stale_reads` of the stand-in; two calls in features/platform_adapter.feature and a scenario with VMs in features/entry_view.feature.

--- a/features/entry_view.feature
+++ b/features/entry_view.feature
@@ -64,6 +64,14 @@
     When a caller begins POST /order/1 and its key is withdrawn before the body ends
     Then the request is refused and no target got it
 
+  Scenario: Stale reads of the store confirm no key and hide no target
+    Given 2 entry VMs with 1 target
+    When serializable reads of the store stay as they are
+    And another target joins
+    And the configuration withdraws the key of a caller
+    Then every VM refuses the key within 2 s
+    And every VM knows 2 targets within 2 s
+
   Scenario: A VM that the store turns away learns from the others
     Given 3 entry VMs with 1 target
     When the store turns the speaker away
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -71,6 +71,8 @@
       | a delete at another revision           | a version conflict     |
       | a watch from a dropped revision        | a lost history         |
       | a list of 1200 objects                 | all of them            |
+      | a stale list after a change            | the objects before it  |
+      | a list after a change                  | the objects after it   |
       | a call above the rate                  | an unavailable store   |
       | a write whose answer is lost           | an unknown outcome     |
       | a write that was refused with 429      | a known outcome        |
--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -222,6 +222,16 @@
     assert not heads, heads
 
 
+@when("serializable reads of the store stay as they are")
+def step_stale_reads(context):
+    context.entries.store.keep_stale_reads(True)
+
+
+@when("another target joins")
+def step_joins(context):
+    context.portal.call(context.entries.add_entry_target, "t2")
+
+
 @then("it was asked at most {limit:d} times meanwhile")
 def step_asked(context, limit):
     assert context.calls_away <= limit, context.calls_away
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -294,6 +294,12 @@
     return len((await client.list_values("kind"))[1])
 
 
+async def list_changed(store, client, stale):
+    store.keep_stale_reads(True)
+    await client.create("kind", "two", {"a": 2})
+    return [item.name for item in (await client.list_values("kind", stale=stale))[1]]
+
+
 async def call_above_rate(store, client, revision):
     store.set_faults(StoreFaults(calls_per_s=0.1))
     store.tokens = 0.0
@@ -318,6 +324,8 @@
     "a delete at another revision": lambda s, c, r: c.delete("kind", "one", 99),
     "a watch from a dropped revision": watch_dropped,
     "a list of 1200 objects": list_many,
+    "a stale list after a change": lambda s, c, r: list_changed(s, c, True),
+    "a list after a change": lambda s, c, r: list_changed(s, c, False),
     "a call above the rate": call_above_rate,
     "a write whose answer is lost": write_lost,
     "a write that was refused with 429": write_refused,
@@ -327,6 +335,8 @@
     "nothing": lambda found, revision: found is None,
     "a version conflict": lambda found, revision: isinstance(found, VersionConflict),
     "a lost history": lambda found, revision: isinstance(found, HistoryLost),
+    "the objects before it": lambda found, revision: found == ["one"],
+    "the objects after it": lambda found, revision: found == ["one", "two"],
     "all of them": lambda found, revision: found == 1200,
     "an unavailable store": lambda found, revision: isinstance(found, StoreUnavailable),
     "an unknown outcome": lambda found, revision: found.maybe_applied,
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -90,6 +90,7 @@
         self.history: list[Change] = []
         self.dropped_revision = 0
         self.revision = 0
+        self.stale_entries_by_key: dict[str, Entry] | None = None
         self.faults = StoreFaults()
         self.random = Random(1)
         self.tokens = 0.0
@@ -255,6 +256,10 @@
         self.dropped_revision = self.revision
         self.wake_watches()
 
+    def keep_stale_reads(self, stale: bool) -> None:
+        """Let serializable lists show the objects of now, or the newest again."""
+        self.stale_entries_by_key = dict(self.entries_by_key) if stale else None
+
     def wake_watches(self) -> None:
         """Let the waiting watches look again."""
         self.changed.set()
@@ -262,12 +267,18 @@
 
     async def answer_list(self, kind: str, scope: Any, send: Any) -> None:
         """Answer one page of the objects of a kind."""
-        after = query_of(scope).get("after", "")
+        query = query_of(scope)
+        after = query.get("after", "")
+        entries_by_key = self.entries_by_key
+        if "serializable" in query and self.stale_entries_by_key is not None:
+            entries_by_key = self.stale_entries_by_key
         names = sorted(
-            name for name in map(name_of, self.keys_of(kind)) if name > after
+            name_of(key)
+            for key in entries_by_key
+            if key.startswith(f"{kind}/") and name_of(key) > after
         )
         items = [
-            describe(key, self.entries_by_key[key])
+            describe(key, entries_by_key[key])
             for key in (f"{kind}/{name}" for name in names[:PAGE_OBJECTS])
         ]
         more = len(names) > PAGE_OBJECTS
