--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -10,6 +10,7 @@
 from httpx import ASGITransport, AsyncClient
 from hypothesis import given as for_all, settings, strategies as st
 
+from features.steps.product_commands import call_command
 from primroseturn.cli.main import main
 from primroseturn.entry.models import Target
 from primroseturn.failures import StoreUnavailable, VersionConflict
@@ -101,15 +102,32 @@
     context.boot = decode_boot(document, 9464)
 
 
+CHANGED_BOOTS = {
+    "no change": BOOT,
+    "no name of the VM": BOOT.replace('node = "edge-1"', ""),
+    "ports that are no numbers": BOOT.replace("[7360, 7375]", '["a", "b"]'),
+    'a callers\' address of "x"': BOOT.replace('"10.1.0.21:8689"', '"x"'),
+    "text that is no TOML": "[self",
+}
+
+
 @given("the platform's settings file with {change}")
 def step_boot_changed(context, change):
-    changed = {
-        "no name of the VM": BOOT.replace('node = "edge-1"', ""),
-        "ports that are no numbers": BOOT.replace("[7360, 7375]", '["a", "b"]'),
-        'a callers\' address of "x"': BOOT.replace('"10.1.0.21:8689"', '"x"'),
-        "text that is no TOML": "[self",
-    }
-    context.boot = read_text(changed[change])
+    context.boot = read_text(CHANGED_BOOTS[change])
+
+
+@when('"primroseturn settings check" reads the platform\'s settings file with {change}')
+def step_check(context, change):
+    with TemporaryDirectory() as name:
+        path = Path(name) / "boot.toml"
+        path.write_text(CHANGED_BOOTS[change])
+        call_command(context, f"settings check {path}")
+
+
+@then('it exits with code {code:d} and its output contains "{text}"')
+def step_checked(context, code, text):
+    assert context.exit_code == code, context.output
+    assert text in context.output, context.output
 
 
 @then('it is read as VM "{vm}" of data centre "{center}" with callers on port {port:d}')
@@ -276,6 +294,12 @@
     return len((await client.list_values("kind"))[1])
 
 
+async def list_changed(store, client, stale):
+    store.keep_stale_reads(True)
+    await client.create("kind", "two", {"a": 2})
+    return [item.name for item in (await client.list_values("kind", stale=stale))[1]]
+
+
 async def call_above_rate(store, client, revision):
     store.set_faults(StoreFaults(calls_per_s=0.1))
     store.tokens = 0.0
@@ -300,6 +324,8 @@
     "a delete at another revision": lambda s, c, r: c.delete("kind", "one", 99),
     "a watch from a dropped revision": watch_dropped,
     "a list of 1200 objects": list_many,
+    "a stale list after a change": lambda s, c, r: list_changed(s, c, True),
+    "a list after a change": lambda s, c, r: list_changed(s, c, False),
     "a call above the rate": call_above_rate,
     "a write whose answer is lost": write_lost,
     "a write that was refused with 429": write_refused,
@@ -309,6 +335,8 @@
     "nothing": lambda found, revision: found is None,
     "a version conflict": lambda found, revision: isinstance(found, VersionConflict),
     "a lost history": lambda found, revision: isinstance(found, HistoryLost),
+    "the objects before it": lambda found, revision: found == ["one"],
+    "the objects after it": lambda found, revision: found == ["one", "two"],
     "all of them": lambda found, revision: found == 1200,
     "an unavailable store": lambda found, revision: isinstance(found, StoreUnavailable),
     "an unknown outcome": lambda found, revision: found.maybe_applied,
