Try a target again that accepted no connection while a request is late

While one target hangs, the only other one that accepts no connection within 0.2 s, here for a pause of the machine, counts as out of reach for 0.5 s, and nothing looked at it again: the caller got 504 with 0.8 s left. The race now looks again after that time, or after that of a late request if it is longer; the limits of the route, the budget and the number of tries hold as before.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -22,6 +22,12 @@
       | full      |
       | hang      |
 
+  Scenario: A late request goes to the other target once that accepts a connection
+    Given an entry VM with 2 targets of which the first answers "hang"
+    And the second target accepts its first connection too late
+    When a caller sends 8 times GET /lookup/1
+    Then the caller gets 200 and the whole body each time
+
   Scenario Outline: Work that must not repeat runs once when its target answers <mode>
     Given an entry VM with 2 targets that answer "<mode>"
     When a caller sends 6 times POST /order/1
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -1,12 +1,14 @@
 """Steps for the requests of an entry VM."""
 
 from functools import partial
+from unittest.mock import patch
 
 from anyio import create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from httpx import HTTPError
 
 from features.entry_fleet import route, run_entry_fleet
+from primroseturn.requestpath.pool import TargetPool
 
 ARRIVAL_LIMIT_S = 10.0
 
@@ -86,6 +88,22 @@
         target.body = bytes(range(256)) * (size // 256)
 
 
+@given("the second target accepts its first connection too late")
+def step_late_connection(context):
+    take = TargetPool.take
+    late = []
+
+    async def take_late(pool, target_id, *arguments):
+        if target_id == "t2" and not late:
+            late.append(target_id)
+            raise TimeoutError
+        return await take(pool, target_id, *arguments)
+
+    late_connection = patch.object(TargetPool, "take", take_late)
+    late_connection.start()
+    context.cleanups.append(late_connection.stop)
+
+
 @given("its routes allow {count:d} target")
 def step_attempts(context, count):
     fleet = context.entries
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -18,7 +18,7 @@
 from primroseturn.entry.request import EntryRequest
 from primroseturn.observation.events import EventLog
 from primroseturn.retries.arrivals import ArrivalBudget
-from primroseturn.routing.placement import Choice, Placement
+from primroseturn.routing.placement import Choice, Placement, UNREACHABLE_S
 
 # An attempt that is late by this factor of the usual time gets a second one beside it.
 HEDGE_FACTOR = 2.0
@@ -275,6 +275,9 @@
             self.add_attempt(result, result.end.value)
             if not self.running:
                 return best
+            if result.end is AttemptEnd.UNREACHABLE:
+                # Its target may accept a connection while another attempt is late.
+                hedge_s = max(UNREACHABLE_S, self.hedge_delay_s(choice))
 
     async def wait_result(self, limit_s: float | None) -> AttemptResult | None:
         """Return the next result, or None after `limit_s`."""
