Repeat a start whose first view came after the wait for it

"A request that meets a VM just after its start" failed once beside load (147 passed, 1 failed: the last step, 503). A request waits for 0.4 s; the first view takes 0.16 to 0.2 s of them, so that a pause of the machine of 0.25 s is enough. The step now measures when the VM had its first view. If that was within the wait, anything but 200 fails at once; if it was later, the refusal is right, and the VM starts again, at most 5 times.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -141,8 +141,8 @@
     And the VM was not ready as soon as its stop began
 
   Scenario: A request that meets a VM just after its start waits for its first view
-    Given an entry VM that starts anew while its store takes 0.05 s for an answer
-    When a caller sends GET /lookup/1
+    Given a target and a store that takes 0.05 s for an answer
+    When a caller sends GET /lookup/1 to a VM that starts anew
     Then the caller gets 200 and the whole body
 
   Scenario: A request is refused at once by a VM that started while the store is away
--- a/features/steps/entry_requests.py
+++ b/features/steps/entry_requests.py
@@ -1,16 +1,20 @@
 """Steps for the requests of an entry VM."""
 
 from functools import partial
+from math import inf
 from unittest.mock import patch
 
-from anyio import create_task_group, current_time, fail_after, sleep
+from anyio import create_task_group, current_time, fail_after, move_on_after, sleep
 from behave import given, then, when
 from httpx import HTTPError
 
 from features.entry_fleet import route, run_entry_fleet
+from primroseturn.entry.application import FIRST_VIEW_WAIT_S
 from primroseturn.requestpath.pool import TargetPool
 
 ARRIVAL_LIMIT_S = 10.0
+START_LIMIT_S = 5.0
+START_TRIES = 5
 
 
 def start_fleet(context):
@@ -66,20 +70,51 @@
     context.portal.call(fleet.add_entry, "vm1")
 
 
-@given("an entry VM that starts anew while its store takes {seconds:g} s for an answer")
-def step_slow_start(context, seconds):
+@given("a target and a store that takes {seconds:g} s for an answer")
+def step_slow_store(context, seconds):
     fleet = start_fleet(context)
     fleet.store.faults.delay_s = seconds
-
-    async def run():
-        await fleet.add_entry_target("t1")
-        # The object of its earlier start.
-        own = {"name": "vm1", "host": "127.0.0.1", "port": 1}
-        place = {"data_center": "a", "region": "r"}
-        fleet.store.write("primroseturn-vms/vm1", {**own, **place})
-        await fleet.add_entry("vm1")
-
-    context.portal.call(run)
+    context.portal.call(fleet.add_entry_target, "t1")
+
+
+@when("a caller sends GET {path:S} to a VM that starts anew")
+def step_send_at_start(context, path):
+    for _ in range(START_TRIES):
+        response, known_s = context.portal.call(send_at_start, context.entries, path)
+        context.responses = [response]
+        # A pause of the machine may outlast the wait for the first view, and the
+        # refusal is right then. Such a start shows nothing of the wait.
+        if response.status_code == 200 or known_s <= FIRST_VIEW_WAIT_S:
+            return
+        context.portal.call(context.entries.stop, "vm1")
+
+
+async def send_at_start(fleet, path):
+    """Start a VM and send it a request at once.
+
+    Returns
+    -------
+    tuple
+        The answer, and the time in seconds after which the VM had its first view.
+    """
+    # The object of its earlier start.
+    own = {"name": "vm1", "host": "127.0.0.1", "port": 1}
+    place = {"data_center": "a", "region": "r"}
+    fleet.store.write("primroseturn-vms/vm1", {**own, **place})
+    view = (await fleet.add_entry("vm1")).find("view")
+    sent_at, known_s = current_time(), inf
+    answers = []
+
+    async def send():
+        answers.append(await fleet.ask(path))
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(send)
+        with move_on_after(START_LIMIT_S):
+            while not view.is_known():
+                await sleep(0.002)
+            known_s = current_time() - sent_at
+    return answers[0], known_s
 
 
 @given("its answers have {size:d} bytes")
