--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -22,6 +22,12 @@
       | full      |
       | hang      |
 
+  Scenario: A late request goes to the other target once that accepts a connection
+    Given an entry VM with 2 targets of which the first answers "hang"
+    And the second target accepts its first connection too late
+    When a caller sends 8 times GET /lookup/1
+    Then the caller gets 200 and the whole body each time
+
   Scenario Outline: Work that must not repeat runs once when its target answers <mode>
     Given an entry VM with 2 targets that answer "<mode>"
     When a caller sends 6 times POST /order/1
@@ -150,8 +156,8 @@
     And answers during the stop end their connection
 
   Scenario: A request that meets a VM just after its start waits for its first view
-    Given an entry VM that starts anew while its store takes 0.05 s for an answer
-    When a caller sends GET /lookup/1
+    Given a target and a store that takes 0.05 s for an answer
+    When a caller sends GET /lookup/1 to a VM that starts anew
     Then the caller gets 200 and the whole body
 
   Scenario: A request is refused at once by a VM that started while the store is away
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -25,7 +25,7 @@
 from primroseturn.kernel.background import contain_errors
 from primroseturn.observation.events import EventLog
 from primroseturn.retries.arrivals import ArrivalBudget
-from primroseturn.routing.placement import Choice, Placement
+from primroseturn.routing.placement import Choice, Placement, UNREACHABLE_S
 
 # An attempt that is late by this factor of the usual time gets a second one beside it.
 HEDGE_FACTOR = 2.0
@@ -298,6 +298,9 @@
             self.try_to_add(result, result.end.value)
             if not self.running:
                 return best
+            if result.end is AttemptEnd.UNREACHABLE:
+                # Its target may accept a connection while another attempt is late.
+                hedge_s = max(UNREACHABLE_S, self.hedge_delay_s(choice))
 
     async def wait_result(self, limit_s: float | None) -> AttemptResult | None:
         """Return the next result, or None after `limit_s`."""
