--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -35,9 +35,9 @@
     'and "{variant}"'
 )
 def step_explore_broken(context, count, protocol, seed, variant):
-    context.failure = None
+    context.failure = context.totals = None
     try:
-        explore(protocol, count, seed, broken=variant)
+        context.totals = explore(protocol, count, seed, broken=variant)
     except (AssertionError, BaseExceptionGroup) as failure:
         context.failure = failure
 
@@ -52,7 +52,8 @@
 
 @then("a schedule failed")
 def step_failed(context):
-    assert has_assertion(context.failure), f"not caught: {context.failure!r}"
+    found = (context.failure, context.totals)
+    assert has_assertion(context.failure), f"not caught: {found!r}"
 
 
 def has_assertion(failure):
