Wait for the event of a change in the check of all events

Cause: as in, the step read the events file at once, while a task of the daemon writes the lines, possibly after the answer of the call.

Change: the step waits for both expected events, 2 s at most, and compares all events with the page after that.

--- a/features/steps/observation.py
+++ b/features/steps/observation.py
@@ -113,17 +113,24 @@
     assert not unused, unused
 
 
-@then("the events file holds only events of the page, with their names")
-def step_events_emitted(context):
-    rows = re.findall(r"^\| (\d+) \| ([\w-]+) \|", EVENTS_PAGE.read_text(), re.M)
-    listed = {(int(number), name) for number, name in rows}
+def emitted_events(context):
+    """Return the numbers and names of the events in the file."""
     lines = context.events_file.read_text().splitlines()
-    emitted = {
+    return {
         (item["event"], item["message_type"])
         for item in map(json.loads, lines)
         if "event" in item
     }
-    assert {(201, "request-refused"), (1001, "admin-change")} <= emitted, emitted
+
+
+@then("the events file holds only events of the page, with their names")
+def step_only_listed(context):
+    rows = re.findall(r"^\| (\d+) \| ([\w-]+) \|", EVENTS_PAGE.read_text(), re.M)
+    listed = {(int(number), name) for number, name in rows}
+    expected = {(201, "request-refused"), (1001, "admin-change")}
+    # A task of its own writes the lines, possibly after the answer.
+    wait_until(lambda: expected <= emitted_events(context), 2)
+    emitted = emitted_events(context)
     assert emitted <= listed, emitted - listed
 
 
