Wait until the daemons of a scenario admit requests

Cause: the fleet behind relays was used as soon as its daemons had the configuration and the lists. One that had not opened its session for limits yet refused with 503 limits-unavailable.

Change: the scenario begins once each daemon admits a request. A failed comparison of documents now names the status and the start of the answer.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -73,6 +73,14 @@
                 while not kernel.find("listing").targets_by_service:
                     await sleep(0.01)
 
+    async def wait_admitted(self, workspace: str, limit_s: float = 10.0) -> None:
+        """Wait until every daemon admits requests of a workspace."""
+        with fail_after(limit_s):
+            for kernel in self.kernels_by_vm.values():
+                limits = kernel.find("replica").state.workspaces_by_name[workspace]
+                while (await kernel.find("admission").admit(limits, 0.1)).is_error():
+                    await sleep(0.01)
+
     async def add_upstream(self, name: str, service: str, slots: int = 6) -> Upstream:
         """Start a target and list it."""
         upstream = Upstream(name, slots)
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -73,6 +73,7 @@
                 f"vm{number + 1}", upstreams=UPSTREAMS, callers=callers
             )
         await fleet.wait_ready()
+        await fleet.wait_admitted("shop")
         yield fleet
 
 
@@ -441,8 +442,13 @@
 )
 def step_one_version(context, size, shift):
     versions = (document_part(0, size), document_part(shift, size + shift))
-    assert not isinstance(context.answer, Exception), context.answer
-    assert context.answer.content in versions
+    answer = context.answer
+    assert not isinstance(answer, Exception), answer
+    assert answer.content in versions, (
+        answer.status_code,
+        len(answer.content),
+        answer.content[:200],
+    )
 
 
 @given("the observations of the daemon are recorded")
