Compute the reason of a refusal for the rate once

A refused request asked for its reason twice, inside the detail and beside it, and weighed the demand three times, at two readings of the clock. explain now returns both. No decision, text or assertion changes.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -293,7 +293,7 @@
         if wait_s == 0:
             self.admitted.append((self.now, name))
         elif again or wait_s > ADMISSION_WAIT_S:
-            reason = vm.quota.explain(name, self.now)
+            reason = vm.quota.explain(name, self.now).detail
             self.refused.append(Refused(self.now, name, reason))
         else:
             heappush(self.held, (self.now + wait_s, next(self.numbers), vm, name))
--- a/features/steps/entry_quota.py
+++ b/features/steps/entry_quota.py
@@ -233,8 +233,8 @@
 
     def ask(self):
         if self.quota.admit(NAME, self.now) > 0:
-            reason = self.quota.refusal_reason(NAME, self.now).value
-            self.refusals.append((reason, self.quota.explain(NAME, self.now)))
+            reason, detail = self.quota.explain(NAME, self.now)
+            self.refusals.append((reason.value, detail))
 
 
 @given("one of {size:d} VMs that counts a workspace with a rate of {rate:d}")
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -197,12 +197,11 @@
             await sleep(wait_s)
             wait_s = self.quota.admit(name, current_time(), again=True)
         if wait_s > 0:
-            detail = self.quota.explain(name, current_time())
+            reason, detail = self.quota.explain(name, current_time())
             delay = retry_after_s(wait_s, request.left_s(), self.random)
-            reason = self.quota.refusal_reason(name, current_time()).value
-            RATE_REFUSALS.labels(reason).inc()
+            RATE_REFUSALS.labels(reason.value).inc()
             raise RequestRefused(
-                Refusal("rate-exceeded", OVER_RATE, detail, "no", delay, reason)
+                Refusal("rate-exceeded", OVER_RATE, detail, "no", delay, reason.value)
             )
 
     def may_run(self, request: EntryRequest) -> bool:
--- a/primroseturn/limits/quota.py
+++ b/primroseturn/limits/quota.py
@@ -95,6 +95,13 @@
 }
 
 
+class RateExplanation(NamedTuple):
+    """Why a request is refused for the rate, and the figures that decided it."""
+
+    reason: RateRefusal
+    detail: str
+
+
 class Usage(NamedTuple):
     """Requests of a workspace that were asked and admitted since the last digest."""
 
@@ -292,30 +299,19 @@
         bucket.admitted += 1
         return 0.0
 
-    def explain(self, name: str, now: float) -> str:
-        """Return why a workspace is refused, with what decided it."""
+    def explain(self, name: str, now: float) -> RateExplanation:
+        """Return why `admit` has just refused a request, with what decided it."""
         bucket = self.buckets_by_name[name]
         live_part, demand = self.parts(bucket, now)
-        return (
-            f"{STATEMENTS[self.refusal_reason(name, now)]}; the workspace's rate is "
+        reason = refusal_reason(bucket, live_part, demand, now)
+        detail = (
+            f"{STATEMENTS[reason]}; the workspace's rate is "
             f"{bucket.workspace.rate:g} requests/s and its burst "
             f"{bucket.workspace.burst:g}, it asks {demand:.1f} requests/s, the "
             f"fleet's bucket is at {bucket.level:.1f}, and {live_part:.2f} of the "
             "rate belongs to the VMs within reach"
         )
-
-    def refusal_reason(self, name: str, now: float) -> RateRefusal:
-        """Return why `admit` has just refused a request of a workspace."""
-        bucket = self.buckets_by_name[name]
-        live_part, demand = self.parts(bucket, now)
-        if bucket.credit >= 1.0:
-            return RateRefusal.UNREPORTED
-        if now - bucket.created_at < DEMAND_SPAN_S:
-            return RateRefusal.JUST_STARTED
-        # Below 1.0 the whole rate would not have admitted the request either.
-        if live_part < 1.0 and bucket.admitted_part(demand, 1.0) >= 1.0:
-            return RateRefusal.CUT_OFF
-        return RateRefusal.OVER_RATE
+        return RateExplanation(reason, detail)
 
     def hears_fleet(self, now: float) -> bool:
         """Return whether other VMs are heard, or there are none."""
@@ -351,3 +347,17 @@
                 bucket.reported.append((now + REPORT_DELAY_S, bucket.asked))
                 bucket.asked = bucket.admitted = 0
         return tuple(found)
+
+
+def refusal_reason(
+    bucket: WorkspaceBucket, live_part: float, demand: float, now: float
+) -> RateRefusal:
+    """Return why a bucket has just refused a request."""
+    if bucket.credit >= 1.0:
+        return RateRefusal.UNREPORTED
+    if now - bucket.created_at < DEMAND_SPAN_S:
+        return RateRefusal.JUST_STARTED
+    # Below 1.0 the whole rate would not have admitted the request either.
+    if live_part < 1.0 and bucket.admitted_part(demand, 1.0) >= 1.0:
+        return RateRefusal.CUT_OFF
+    return RateRefusal.OVER_RATE
