--- a/primroseturn/kernel/background.py
+++ b/primroseturn/kernel/background.py
@@ -106,14 +106,11 @@
         """
         try:
             await call()
-        except get_cancelled_exc_class() as error:
-            if is_cancelled():
+        except BaseException as error:
+            if not is_error(error):
                 raise
             self.report(call.func, error, pause_s)
             return False
-        except Exception as error:
-            self.report(call.func, error, pause_s)
-            return False
         return True
 
     def report(
@@ -140,6 +137,13 @@
     return task is not None and task.cancelling() > 0
 
 
+def is_error(raised: BaseException) -> bool:
+    """Return whether something raised does not end the running task on purpose."""
+    if isinstance(raised, Exception):
+        return True
+    return isinstance(raised, get_cancelled_exc_class()) and not is_cancelled()
+
+
 class CancelledByLibrary(Exception):
     """A library cancelled what a task waited for, but not the task."""
 
@@ -166,19 +170,12 @@
     """Log and count an error of a part instead of raising it."""
     try:
         yield
-    except get_cancelled_exc_class() as error:
-        if is_cancelled():
+    except BaseException as error:
+        if not is_error(error):
             raise
-        report_part(events, part, error)
-    except Exception as error:
-        report_part(events, part, error)
-
-
-def report_part(events: EventLog, part: str, error: BaseException) -> None:
-    """Log and count an error that was contained."""
-    PART_FAILURES.labels(part).inc()
-    for found in describe_error(error):
-        events.emit(PART_FAILED, part=part, **found._asdict())
+        PART_FAILURES.labels(part).inc()
+        for found in describe_error(error):
+            events.emit(PART_FAILED, part=part, **found._asdict())
 
 
 @asynccontextmanager
