--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -404,16 +404,16 @@
         """Send each VM of this data centre what all others saw."""
         whole = self.center.drain(now)
         parts, self.parts_by_vm = self.parts_by_vm, {}
-        reached, missing = 1 + len(self.fleet.live(now)), self.fleet.missing(now)
+        live, missing = self.fleet.live(now), self.fleet.missing(now)
         names: tuple[str, ...] = ()
         voices: tuple[VoiceReport, ...] = ()
         # Names make up most of a digest in large data centres.
         if now - self.named_at >= HEARTBEAT_S - LEAST_GAP_S:
             self.named_at = now
-            names, voices = self.fleet.live(now), self.voices(now)
+            names, voices = live, self.voices(now)
         for vm in self.fleet.neighbours():
             left = whole.without(parts.get(vm.name, Collection()))
-            for digest in left.digests("", names, reached, True, voices, missing):
+            for digest in left.digests("", names, 1 + len(live), True, voices, missing):
                 await self.bus.send(vm.name, digest)
 
     def add_own(self, vm: str, part: Collection) -> None:
