--- a/features/steps/background_tasks.py
+++ b/features/steps/background_tasks.py
@@ -6,7 +6,7 @@
 from functools import partial
 from time import monotonic, sleep as sleep_blocking
 
-from anyio import create_task_group, current_time, fail_after, sleep
+from anyio import create_task_group, fail_after, sleep
 from behave import given, then, when
 from httpx import get, HTTPError
 
@@ -20,6 +20,7 @@
 )
 from features.entry_fleet import EntryFleet
 from features.steps.entry_process import start_process, WAIT_S
+from features.steps.entry_stop import stop
 from primroseturn.entry.process import ENTRY_SERVICES
 from primroseturn.kernel.kernel import run_kernel
 from primroseturn.requestpath.pool import TargetPool
@@ -159,15 +160,10 @@
 
     async def run():
         async with create_task_group() as tasks:
-            tasks.start_soon(stop)
+            tasks.start_soon(stop, context)
             await sleep(seconds)
             context.responses = [await fleet.ask(path, method="POST")]
 
-    async def stop():
-        started_at = current_time()
-        await fleet.stop("vm1")
-        context.stop_took_s = current_time() - started_at
-
     context.portal.call(run)
 
 
