Decode the objects of a page one by one, and check the ranges of entries

Cause: a list or a watch was decoded as a whole, so one entry with a number such as 1e400, a lone surrogate or a deep nesting hid all others; the RecursionError of the decoder ended the task that follows the targets again and again. Entries with ports, slots, times, hosts or data centres out of any range counted as targets. Ruled out: msgspec.Raw for the items. It skips values by recursion, so a deep nesting still fails the page. Change: a page that can't be decoded is split by a scanner without recursion, in linear time, and each object is decoded on its own; decode_document is the one place that knows what the decoder raises. Fields have ranges. An invalid entry is counted by reason and logged once for each revision. Before: the issue's probe on, a VM started afterwards served nothing. Conclusion: an odd object costs itself only, in lists, watches, the configuration and the objects of VMs.

--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -1,6 +1,6 @@
 """Follows the configuration and the list of targets in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from math import inf
 from random import uniform
 
@@ -16,12 +16,13 @@
     TARGET_LISTED,
     TARGET_UNLISTED,
 )
+from primroseturn.entry.metrics import SKIPPED_ENTRIES
 from primroseturn.entry.models import Target
 from primroseturn.entry.view import VmView
 from primroseturn.failures import StoreUnavailable
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.configuration import decode_configuration
-from primroseturn.platform.listing import decode_target
+from primroseturn.platform.listing import decode_target, EntryInvalid
 from primroseturn.platform.objects import (
     HistoryLost,
     ObjectClient,
@@ -64,6 +65,8 @@
 # Seconds after the response to a watch for which the list of targets is treated as up
 # to date: the longest duration of a watch, the timeout of a call and a pause.
 TARGETS_CURRENT_S = 3.0
+# Invalid entries that are remembered so that each is logged once.
+MAX_REMEMBERED_SKIPS = 1_000
 
 
 class StoreContact:
@@ -146,6 +149,12 @@
 class StoreFollower:
     """Keeps the view up to date from the store.
 
+    Parameters
+    ----------
+    data_centers
+        The data centres of the settings. Entries of targets in others are invalid; with
+        none, entries of all data centres are used.
+
     Attributes
     ----------
     revision
@@ -160,6 +169,8 @@
         itself; infinity while polling is paused.
     targets_applied_at
         Monotonic time in seconds at which a list of targets was last put in force.
+    skipped_revisions_by_name
+        Revisions of the invalid entries that were logged.
     """
 
     def __init__(
@@ -167,8 +178,10 @@
         store: ObjectClient,
         view: VmView,
         events: EventLog,
+        data_centers: Collection[str] = (),
     ) -> None:
         self.store = store
+        self.data_centers = data_centers
         self.view = view
         self.events = events
         self.polling_pause = PollingPause()
@@ -182,6 +195,7 @@
         self.retained_by_id: dict[str, Target] = {}
         self.polling_since = inf
         self.targets_applied_at = -inf
+        self.skipped_revisions_by_name: dict[str, int] = {}
 
     def has_current_targets(self) -> bool:
         """Return whether the list of targets is up to date if this VM reads it itself.
@@ -338,12 +352,25 @@
     def add_target(self, listed: dict[str, Target], stored: StoredValue) -> None:
         """Add an entry to a list of targets; an invalid entry removes its target."""
         self.retained_by_id.pop(stored.name, None)
-        decoded = decode_target(stored.name, stored.value)
-        if decoded.is_error():
-            self.events.emit(ENTRY_SKIPPED, reason=str(decoded.error))
-            listed.pop(stored.name, None)
-        else:
+        decoded = decode_target(stored.name, stored.value, self.data_centers)
+        if decoded.is_ok():
             listed[stored.name] = decoded.ok
+            self.skipped_revisions_by_name.pop(stored.name, None)
+        else:
+            listed.pop(stored.name, None)
+            self.record_skipped(stored, decoded.error)
+
+    def record_skipped(self, stored: StoredValue, failure: EntryInvalid) -> None:
+        """Count an invalid entry, and log it once for each of its revisions."""
+        SKIPPED_ENTRIES.labels(failure.reason).inc()
+        known = self.skipped_revisions_by_name
+        if known.get(stored.name) == stored.revision:
+            return
+        known.pop(stored.name, None)
+        if len(known) >= MAX_REMEMBERED_SKIPS:
+            del known[next(iter(known))]
+        known[stored.name] = stored.revision
+        self.events.emit(ENTRY_SKIPPED, kind=failure.reason, reason=str(failure))
 
     def retain_if_expired(
         self, listed: dict[str, Target], target: Target, now: float
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -186,5 +186,5 @@
     try:
         vm = RegisteredVm(**convert(value, dict[str, str | int]))
         return Ok(convert(tuple(vm), RegisteredVm))
-    except (ValidationError, TypeError) as error:
+    except (ValidationError, TypeError, ValueError, RecursionError) as error:
         return Error(VmInvalid(str(error)))
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -72,12 +72,15 @@
     yield VmView(kernel.find("settings").bounds.revoked_key_limit_s)
 
 
-@service("follower", needs=("objects", "view", "events"))
+@service("follower", needs=("objects", "view", "events", "settings"))
 @asynccontextmanager
 async def provide_follower(kernel: Kernel) -> AsyncIterator[StoreFollower]:
     """Follow the configuration and targets in the store for the life of the context."""
     follower = StoreFollower(
-        kernel.find("objects"), kernel.find("view"), kernel.find("events")
+        kernel.find("objects"),
+        kernel.find("view"),
+        kernel.find("events"),
+        kernel.find("settings").regions_by_data_center,
     )
     async with run_background(kernel.find("events")) as background:
         background.keep_running(follower.follow_configuration)
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -15,6 +15,10 @@
 Port = int
 
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
+
 class SelfTable(Struct, frozen=True):
     """Table ``self``, which describes this VM."""
 
@@ -163,6 +167,7 @@
         If the text is not of the form ``HOST:PORT``.
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not separator or not host or not is_number or int(port) > MAX_PORT:
         raise ValueError(f"an address of the form HOST:PORT, not {text!r}")
     return Address(host, int(port))
--- a/primroseturn/platform/configuration.py
+++ b/primroseturn/platform/configuration.py
@@ -16,6 +16,8 @@
 
 DEFAULT_MAX_CONNECTIONS = 330
 DEFAULT_TIMEOUT_S = 10.0
+# A version must fit the 64 bits of an integer in a control message.
+MAX_VERSION_DIGITS = 18
 
 
 class ConfigurationInvalid(Failure):
@@ -101,7 +103,7 @@
     try:
         wire = convert(spec, ConfigurationWire, strict=False)
         return Ok(translate(wire))
-    except (ValidationError, ValueError) as error:
+    except (ValidationError, ValueError, RecursionError) as error:
         return Error(ConfigurationInvalid(str(error)))
 
 
@@ -174,4 +176,7 @@
     ValueError
         If the text is not a number with an optional prefix ``r``.
     """
-    return int(text.removeprefix("r"))
+    digits = text.removeprefix("r")
+    if len(digits) > MAX_VERSION_DIGITS:
+        raise ValueError(f"the version has {len(digits)} digits")
+    return int(digits)
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -8,13 +8,22 @@
 
 from anyio import fail_after
 from httpx import AsyncClient, HTTPError, ReadError, Response
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode
+from msgspec import Struct
 
 from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
+from primroseturn.platform.documents import (
+    decode_document,
+    DocumentInvalid,
+    split_items,
+    split_members,
+)
 from primroseturn.platform.wire import OBJECTS_PATH
 from primroseturn.store.budget import CallBudget
-from primroseturn.store.metrics import STORE_CALLS, STORE_SECONDS
+from primroseturn.store.metrics import (
+    STORE_CALLS,
+    STORE_SECONDS,
+    UNREADABLE_OBJECTS,
+)
 
 CONFLICT_STATUS = 409
 GONE_STATUS = 410
@@ -72,8 +81,20 @@
     store_revision: int
 
 
+class UnreadableValue(NamedTuple):
+    """Takes the place of a stored value that can't be decoded."""
+
+    reason: str
+
+
 class StoredValue(NamedTuple):
-    """A named value in the store and the revision of its last change."""
+    """A named value in the store and the revision of its last change.
+
+    Attributes
+    ----------
+    value
+        The decoded value, or an `UnreadableValue`.
+    """
 
     name: str
     revision: int
@@ -124,7 +145,11 @@
         response = await self.call("GET", path_of(kind, name), timeout_s)
         if response.status_code == 404:
             return None
-        return stored_of(self.parse(response, ObjectWire))
+        self.check_status(response)
+        try:
+            return read_object(response.content)
+        except DocumentInvalid as failure:
+            raise self.invalid_response(response, str(failure)) from failure
 
     async def list_values(
         self, kind: str, stale: bool = False, after: str = ""
@@ -148,12 +173,14 @@
             if after:
                 query["after"] = after
             response = await self.call("GET", path_of(kind), params=query)
-            page = self.parse(response, PageWire)
+            page = self.parse_page(response, PAGE)
             revision = page.store_revision if revision is None else revision
-            found.extend(stored_of(item) for item in page.items)
-            if not page.more or not page.items:
+            found.extend(page.values)
+            if not page.more:
                 return revision, found
-            after = found[-1].name
+            if not page.values:
+                raise self.invalid_response(response, "no object has a readable name")
+            after = page.values[-1].name
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
@@ -175,9 +202,8 @@
         response = await self.call("GET", path_of(kind), timeout_s, params=query)
         if response.status_code == GONE_STATUS:
             raise HistoryLost(revision)
-        page = self.parse(response, EventsWire)
-        changes = [ValueChange(stored_of(e.object), e.deleted) for e in page.events]
-        return page.store_revision, changes
+        page = self.parse_page(response, EVENTS)
+        return page.store_revision, page.values
 
     async def create(self, kind: str, name: str, value: Any) -> int:
         """Create a value and return its revision.
@@ -259,12 +285,26 @@
 
     def parse(self, response: Response, decoded_type: type[Any]) -> Any:
         """Check and decode a response, which a server other than the store may send."""
+        self.check_status(response)
+        decoded = decode_document(response.content, decoded_type)
+        if decoded.is_error():
+            raise self.invalid_response(response, f"invalid body: {decoded.error}")
+        return decoded.ok
+
+    def parse_page(self, response: Response, form: "PageForm") -> "Page":
+        """Check and decode a response with several objects, each on its own."""
+        self.check_status(response)
+        try:
+            return read_page(response.content, form)
+        except DocumentInvalid as failure:
+            raise self.invalid_response(
+                response, f"invalid body: {failure}"
+            ) from failure
+
+    def check_status(self, response: Response) -> None:
+        """Raise `StoreUnavailable` unless the status of a response is a success."""
         if response.status_code not in (200, 201):
             raise self.invalid_response(response, f"status {response.status_code}")
-        try:
-            return decode(response.content, type=decoded_type)
-        except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-            raise self.invalid_response(response, f"invalid body: {error}") from error
 
     def invalid_response(self, response: Response, detail: str) -> StoreUnavailable:
         """Notify the listeners of an invalid response and return its failure."""
@@ -359,3 +399,110 @@
 def stored_of(wire: ObjectWire) -> StoredValue:
     """Return the value of a decoded object with its name and revision."""
     return StoredValue(wire.metadata.name, wire.metadata.revision, wire.spec)
+
+
+def change_of(wire: EventWire) -> ValueChange:
+    """Return the change that a decoded event describes."""
+    return ValueChange(stored_of(wire.object), wire.deleted)
+
+
+def read_object(data: bytes) -> StoredValue:
+    """Return a stored value whose spec may be unreadable.
+
+    Raises
+    ------
+    DocumentInvalid
+        If its name or revision can't be decoded.
+    """
+    decoded = decode_document(data, ObjectWire)
+    if decoded.is_ok():
+        return stored_of(decoded.ok)
+    members = split_members(data)
+    metadata = decode_document(members.get("metadata", b""), MetadataWire)
+    if metadata.is_error():
+        raise metadata.error
+    value = UnreadableValue(str(decoded.error))
+    return StoredValue(metadata.ok.name, metadata.ok.revision, value)
+
+
+def read_event(data: bytes) -> ValueChange:
+    """Return the change of a value whose spec may be unreadable.
+
+    Raises
+    ------
+    DocumentInvalid
+        If the name, the revision or the type of the change can't be decoded.
+    """
+    decoded = decode_document(data, EventWire)
+    if decoded.is_ok():
+        return change_of(decoded.ok)
+    members = split_members(data)
+    deleted = decode_document(members.get("deleted", b"false"), bool)
+    if deleted.is_error():
+        raise deleted.error
+    return ValueChange(read_object(members.get("object", b"")), deleted.ok)
+
+
+class PageForm(NamedTuple):
+    """How the response to a list or a watch is decoded.
+
+    Attributes
+    ----------
+    wire_type
+        Type of the whole response.
+    field
+        Name of the field that holds the objects or events.
+    translate
+        Converts a decoded object or event.
+    read
+        Decodes an object or event on its own.
+    """
+
+    wire_type: type[Any]
+    field: str
+    translate: Callable[[Any], Any]
+    read: Callable[[bytes], Any]
+
+
+PAGE = PageForm(PageWire, "items", stored_of, read_object)
+EVENTS = PageForm(EventsWire, "events", change_of, read_event)
+
+
+class Page(NamedTuple):
+    """Objects of a list or changes of a watch."""
+
+    values: list[Any]
+    store_revision: int
+    more: bool
+
+
+def read_page(data: bytes, form: PageForm) -> Page:
+    """Return the objects of a page; those that can't be decoded hide no others.
+
+    An object whose name can't be decoded either is left out and counted.
+
+    Raises
+    ------
+    DocumentInvalid
+        If the page itself can't be decoded.
+    """
+    decoded = decode_document(data, form.wire_type)
+    if decoded.is_ok():
+        page = decoded.ok
+        values = [form.translate(item) for item in getattr(page, form.field)]
+        return Page(values, page.store_revision, getattr(page, "more", False))
+    members = split_members(data)
+    if form.field not in members:
+        raise decoded.error
+    values = []
+    for part in split_items(members.pop(form.field)):
+        try:
+            values.append(form.read(part))
+        except DocumentInvalid:
+            UNREADABLE_OBJECTS.inc()
+    revision = decode_document(members.get("store_revision", b"0"), int)
+    more = decode_document(members.get("more", b"false"), bool)
+    for field in (revision, more):
+        if field.is_error():
+            raise field.error
+    return Page(values, revision.ok, more.ok)
