Believe a target's statements only when they bear the attempt's id; heed leaving and Retry-After

Cause: a response without an attempt id counted as the answer of the request on the connection unless it was a success. A second copy of a refusal made callers hear 'not run' for orders that had run, and sent them to a second target. Statuses that promise 'not run' (408, 421, 429, 503) were passed on although the target did not state it. Server-Leaving and the Retry-After of a target were not read. Ruled out: skipping such responses; the next one need not be the right one. Change: a response without exactly one id, or a success that says that it did not run, ends the attempt with an unknown outcome and closes the connection. Requests without exactly one id get 400, since nothing could be attributed to them. A target that states that it leaves gets nothing new, whatever the store lists, until its next start. Retry-After of a refusal keeps this VM away for its time, at most 30 s; when all targets want quiet, callers are refused at once and told when the first returns. Conclusion: what a target says of a request is attributed before it decides.

--- a/features/entry_target.py
+++ b/features/entry_target.py
@@ -40,6 +40,10 @@
         Ids of the attempts whose connection closed before the response.
     endless
         Sends responses that do not end.
+    retry_after
+        Value of the header Retry-After in refusals of a full target; empty for none.
+    is_leaving
+        Whether all responses state that the target is leaving.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -54,6 +58,8 @@
         self.bodies: list[bytes] = []
         self.cut_runs: list[str] = []
         self.endless = EndlessSender()
+        self.retry_after = ""
+        self.is_leaving = False
         self.port = 0
 
     def body_of(self, attempt: str) -> bytes:
@@ -124,11 +130,14 @@
         self.bodies.append(body)
         attempt = headers.get("attempt-id", "")
         mode = self.modes.pop(0) if self.modes else self.usual_mode
+        echo = ("attempt-id", attempt)
         if headers.get("expect-instance") != self.id:
-            await self.send(stream, state, 421, [("instance-id", self.id)], b"")
+            await self.send(stream, state, 421, [("instance-id", self.id), echo], b"")
             return True
         if mode == "full":
-            await self.send(stream, state, 503, [("not-executed", "1")], b"")
+            quiet = [("retry-after", self.retry_after)] if self.retry_after else []
+            refusal = [("not-executed", "1"), echo, *quiet]
+            await self.send(stream, state, 503, refusal, b"")
             return True
         kind, _, pace = mode.partition(" ")
         if pace:
@@ -194,6 +203,18 @@
             foreign = [("attempt-id", "another"), ("response-signature", "s-x")]
             await stream.send(response_head_bytes(200, foreign, 5) + b"other")
             await self.send(stream, state, 200, [*signed_headers, load], body)
+        elif mode.startswith("unattributed-"):
+            # As a second copy of an earlier refusal whose id is missing.
+            status = int(mode.removeprefix("unattributed-"))
+            refusal = [("not-executed", "1")]
+            await stream.send(response_head_bytes(status, refusal, 0))
+            await self.send(stream, state, 200, [*signed_headers, load], body)
+        elif mode.startswith("refuses-after-run-"):
+            status = int(mode.removeprefix("refuses-after-run-"))
+            await self.send(stream, state, status, signed_headers, b"busy")
+        elif mode == "success-not-run":
+            extra = [("not-executed", "1")]
+            await self.send(stream, state, 200, [*signed_headers, *extra], body)
         elif mode == "extra-after":
             await self.send(stream, state, 200, [*signed_headers, load], body)
             foreign = [("attempt-id", attempt), ("response-signature", "s-x")]
@@ -204,6 +225,8 @@
 
     async def send(self, stream, state, status, headers, body: bytes) -> None:
         """Send a whole response."""
+        if self.is_leaving:
+            headers = [*headers, ("server-leaving", "1")]
         headers = [*headers, ("content-length", str(len(body)))]
         data = state.send(h11.Response(status_code=status, headers=headers))
         data += state.send(h11.Data(data=body)) + state.send(h11.EndOfMessage())
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -37,7 +37,7 @@
     forwarded_response_headers,
     read_caller_headers,
 )
-from primroseturn.queueing.retry_after import retry_after_s
+from primroseturn.queueing.retry_after import retry_after_quiet_s, retry_after_s
 from primroseturn.requestpath.body import CallerGone, RequestBody
 from primroseturn.requestpath.checks import check_headers
 from primroseturn.requestpath.headers import (
@@ -165,6 +165,10 @@
         route = match_route(configuration, headers, scope["raw_path"])
         caller = read_caller_headers(headers)
         workspace = self.identify_workspace(configuration, route, caller.key)
+        if not caller.attempt_id:
+            # Without an id, no response can be attributed to the request.
+            detail = "the request has no attempt id, or several"
+            raise RequestRefused(Refusal("attempt-id-missing", 400, detail))
         return EntryRequest(
             RequestLine(scope["method"], path_and_query),
             caller,
@@ -281,10 +285,9 @@
             raise self.timeout_refusal(request)
         if result is None:
             raise self.no_target_refusal(request)
-        if result.head is None or result.end not in (
-            AttemptOutcome.ANSWERED,
-            AttemptOutcome.FAILED,
-        ):
+        if result.head is None or not is_deliverable(result):
+            if result.remainder is not None:
+                result.remainder.close()
             raise self.no_response_refusal(request, result)
         if result.remainder is None:
             await self.deliver(request, result, send)
@@ -402,8 +405,16 @@
         if not self.may_send(request):
             detail = "the key can't be checked any more"
             return self.retryable_refusal("keys-stale", detail, VIEW_REFRESH_S, left_s)
+        placement = self.forwarder.placement
+        quiet_s = placement.shortest_quiet_s(request.service, current_time())
+        if quiet_s is not None:
+            detail = f"all targets of the service want no requests for {quiet_s:.2f} s"
+            delay_s = retry_after_quiet_s(quiet_s, self.random)
+            return RequestRefused(
+                Refusal("targets-quiet", SERVICE_UNAVAILABLE, detail, "no", delay_s)
+            )
         detail = "no target of the service can take the request"
-        wait_s = self.forwarder.placement.typical_duration_s(request.traits)
+        wait_s = placement.typical_duration_s(request.traits)
         return self.retryable_refusal("no-target", detail, wait_s, left_s)
 
     def no_response_refusal(
@@ -552,6 +563,17 @@
     raise RequestRefused(Refusal("route-missing", 404, "no route has this path"))
 
 
+def is_deliverable(result: AttemptResult) -> bool:
+    """Return whether the response of an attempt may be sent to the caller.
+
+    A status that tells callers that a request did not run is kept from them unless the
+    target states so.
+    """
+    assert result.head is not None
+    has_response = result.end in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED)
+    return has_response and not result.head.has_false_status
+
+
 def unrouted_log_fields(headers: HeaderList) -> dict[str, Any]:
     """Return the event fields of a request whose route and workspace are not known."""
     caller = read_caller_headers(headers)
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -171,8 +171,13 @@
     ) -> AttemptResult:
         """End an attempt whose target states that it did not run the request."""
         detail = f"status {head.status}"
-        if await self.skip_body():
+        # A second copy of this response would look like the response to another attempt
+        # for the same request, so only a target that isn't tried again keeps its
+        # connection.
+        if end is AttemptOutcome.NOT_RUN and await self.skip_body():
             self.finish()
+        elif end is AttemptOutcome.MISDIRECTED:
+            self.close()
         else:
             self.close()
             detail += ", incomplete body"
@@ -235,18 +240,24 @@
     async def read_head(self) -> ResponseHead:
         """Read the status and headers of the response to this request.
 
-        Late responses to earlier requests are recognised by their id and skipped.
+        Late responses to earlier requests are recognised by their id and skipped. A
+        response without an id may be one of them, whatever its status.
 
         Raises
         ------
         ResponseRejected
-            If too many other responses arrive or the response is not the target's.
+            If too many other responses arrive, one can't be attributed to a request, or
+            the response is not the target's.
         """
         assert self.connection is not None
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             event = await self.connection.read_head(self.request.left_s())
             head = read_response_head(event.status_code, event.headers.raw_items())
-            if head.attempt_id in (None, self.request.headers.attempt_id):
+            if head.attempt_id is None:
+                raise ResponseRejected(
+                    f"the response with status {head.status} lacks an attempt id"
+                )
+            if head.attempt_id == self.request.headers.attempt_id:
                 return self.check_head(head)
             await self.connection.skip_response(self.request.left_s())
         raise ResponseRejected(
@@ -263,9 +274,9 @@
         """
         if head.encoded:
             raise ResponseRejected("the body was encoded on the way from the target")
-        if head.attempt_id is None and 200 <= head.status < 300:
+        if head.not_run and head.status < 400:
             raise ResponseRejected(
-                "the success response lacks the request's attempt id"
+                f"a response with status {head.status} states that nothing ran"
             )
         if not head.signed and 200 <= head.status < 300:
             raise ResponseRejected(
@@ -343,6 +354,6 @@
         return AttemptOutcome.MISDIRECTED
     if head.not_run:
         return AttemptOutcome.NOT_RUN
-    if head.status >= 500:
+    if head.status >= 500 or head.has_false_status:
         return AttemptOutcome.FAILED
     return AttemptOutcome.ANSWERED
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -48,6 +48,12 @@
 ATTEMPT_DENIED = define_event(
     1117, "entry-attempt-denied", "A request may not be sent to a further target."
 )
+TARGET_LEAVING = define_event(
+    1118, "target-leaving", "A target stated in a response that it is leaving."
+)
+TARGET_QUIET = define_event(
+    1119, "target-quiet", "A target that refused a request wants none for some time."
+)
 ENTRY_STARTED = define_event(1120, "entry-started", "The VM serves callers.")
 ENTRY_STOPPING = define_event(1121, "entry-stopping", "The VM has begun to stop.")
 ENTRY_STOPPED = define_event(1122, "entry-stopped", "The VM has stopped.")
@@ -60,3 +66,6 @@
 SETTINGS_REFUSED = define_event(
     1125, "entry-settings-refused", "The changed settings file is not valid."
 )
+STATEMENT_INVALID = define_event(
+    1126, "target-statement-invalid", "A header of a target's response is not valid."
+)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -24,10 +24,20 @@
 )
 from primroseturn.entry.connections import TargetPools
 from primroseturn.entry.digests import DigestExchange
-from primroseturn.entry.events import ATTEMPT_ADDED, ATTEMPT_DENIED, ATTEMPT_ENDED
+from primroseturn.entry.events import (
+    ATTEMPT_ADDED,
+    ATTEMPT_DENIED,
+    ATTEMPT_ENDED,
+    STATEMENT_INVALID,
+    TARGET_LEAVING,
+    TARGET_QUIET,
+)
+from primroseturn.entry.metrics import INVALID_STATEMENTS
+from primroseturn.entry.models import Target
 from primroseturn.entry.request import EntryRequest
 from primroseturn.kernel.background import contain_errors
 from primroseturn.observation.events import EventLog
+from primroseturn.platform.headers import parse_delay, ResponseHead
 from primroseturn.retries.repeats import RepeatBudget
 from primroseturn.routing.placement import Choice, Placement, UNREACHABLE_BACKOFF_S
 
@@ -40,6 +50,8 @@
 MIN_TIME_LEFT_SHARE = 0.6
 # Largest number of attempts of one request, including those that get no connection.
 MAX_ATTEMPTS = 4
+# Bytes of an invalid header that are logged.
+MAX_LOGGED_BYTES = 60
 
 
 class Forwarder:
@@ -257,9 +269,8 @@
                 placement.record_missing_response(target_id, now)
                 self.log_outcome(request, choice, "overdue", missing, duration_s)
             return
-        if result.head is not None and result.head.load is not None:
-            placement.record_load(target_id, result.head.load, now)
-            self.digests.record_load(target_id, result.head.load)
+        if result.head is not None and result.end is not AttemptOutcome.MISDIRECTED:
+            self.record_statements(request, choice.target, result.head, now)
         match result.end:
             case AttemptOutcome.ANSWERED:
                 placement.record_success(target_id, request.traits, duration_s, now)
@@ -279,6 +290,28 @@
                 placement.record_unreachable(target_id, now)
         self.log_outcome(request, choice, result.end.value, result.detail, duration_s)
 
+    def record_statements(
+        self, request: EntryRequest, target: Target, head: ResponseHead, now: float
+    ) -> None:
+        """Record what a target states of itself in a response."""
+        if head.load is not None:
+            self.placement.record_load(target.id, head.load, now)
+            self.digests.record_load(target.id, head.load)
+        if head.leaving and self.pools.view.record_leaving(target):
+            self.events.emit(TARGET_LEAVING, target=target.id, request=request.id)
+        if head.retry_after is None:
+            return
+        quiet_s = parse_delay(head.retry_after)
+        if quiet_s is None:
+            value = head.retry_after[:MAX_LOGGED_BYTES].decode("latin-1")
+            INVALID_STATEMENTS.labels("retry-after").inc()
+            self.events.emit(STATEMENT_INVALID, target=target.id, retry_after=value)
+            return
+        applied_s = self.placement.record_quiet(target.id, quiet_s, now)
+        self.events.emit(
+            TARGET_QUIET, target=target.id, stated_s=quiet_s, applied_s=applied_s
+        )
+
     def record_broken_response(
         self, request: EntryRequest, result: AttemptResult, detail: str
     ) -> None:
--- a/primroseturn/entry/metrics.py
+++ b/primroseturn/entry/metrics.py
@@ -17,6 +17,16 @@
 for reason in RateRefusal:
     # Creates the counter, which is then exported as 0 until the first refusal.
     RATE_REFUSALS.labels(reason.value)
+SKIPPED_ENTRIES = Counter(
+    "primroseturn_entry_skipped_entries_total",
+    "Invalid entries in lists of targets and in their changes, by reason.",
+    ("reason",),
+)
+INVALID_STATEMENTS = Counter(
+    "primroseturn_entry_invalid_statements_total",
+    "Headers in which targets state something of themselves that can't be used.",
+    ("header",),
+)
 REQUEST_SECONDS = Histogram(
     "primroseturn_entry_request_seconds",
     "Time from a request's arrival to its whole answer.",
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -1,7 +1,7 @@
 """The configuration and the targets that are in force on this VM, and their age."""
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 from primroseturn.entry.models import Configuration, Target
 
@@ -9,9 +9,22 @@
 # request to its target.
 KEY_MARGIN_S = 0.6
 
+# Starts of targets that are remembered as leaving. A release replaces the targets of a
+# service, of which there are some hundreds.
+MAX_LEAVING_STARTS = 10_000
+
 T = TypeVar("T")
 
 
+class TargetStart(NamedTuple):
+    """Identifies one start of a target."""
+
+    id: str
+    start_unix_ms: int
+    host: str
+    port: int
+
+
 class VmView:
     """The configuration and targets that are in force on this VM, with their age.
 
@@ -28,6 +41,9 @@
     confirmed_at
         Latest time since boot in seconds at which the configuration is known to have
         been the newest one: the time of the request, not that of the response.
+    leaving_starts
+        Starts of targets that have stated in a response that they are leaving, the
+        oldest statement first. They count as leaving whatever the store lists.
     must_repeat_configuration, must_repeat_targets
         Whether a listener has failed, so that the next update with the same content
         calls all listeners again.
@@ -39,6 +55,7 @@
         self.configuration: Configuration | None = None
         self.stored_configuration: Any = None
         self.targets_by_id: dict[str, Target] = {}
+        self.leaving_starts: dict[TargetStart, None] = {}
         self.revision = 0
         self.confirmed_at: float | None = None
         self.must_repeat_configuration = self.must_repeat_targets = False
@@ -102,6 +119,10 @@
     def apply_targets(self, targets_by_id: dict[str, Target], revision: int) -> None:
         """Replace the listed targets and notify the listeners of a change."""
         self.revision = revision
+        targets_by_id = {
+            target_id: self.with_statement(target)
+            for target_id, target in targets_by_id.items()
+        }
         if targets_by_id == self.targets_by_id and not self.must_repeat_targets:
             return
         self.targets_by_id = targets_by_id
@@ -109,6 +130,39 @@
         notify_listeners(self.target_listeners, targets_by_id)
         self.must_repeat_targets = False
 
+    def record_leaving(self, target: Target) -> bool:
+        """Record that a target has stated that it is leaving.
+
+        A later start of the target, also under the same id, is not affected.
+
+        Returns
+        -------
+        bool
+            Whether this VM has not yet treated the target as leaving.
+        """
+        start = start_of(target)
+        if start in self.leaving_starts:
+            return False
+        while len(self.leaving_starts) >= MAX_LEAVING_STARTS:
+            del self.leaving_starts[next(iter(self.leaving_starts))]
+        self.leaving_starts[start] = None
+        listed = self.targets_by_id.get(target.id)
+        if listed is None or listed.leaving or start_of(listed) != start:
+            return False
+        self.apply_targets(self.targets_by_id, self.revision)
+        return True
+
+    def with_statement(self, target: Target) -> Target:
+        """Return a listed target, as leaving if it has stated so itself."""
+        if target.leaving or start_of(target) not in self.leaving_starts:
+            return target
+        return target._replace(leaving=True)
+
+
+def start_of(target: Target) -> TargetStart:
+    """Return what identifies one start of a target."""
+    return TargetStart(target.id, target.start_unix_ms, target.host, target.port)
+
 
 def notify_listeners(listeners: list[Callable[[T], None]], value: T) -> None:
     """Call all listeners, even when one of them fails.
--- a/primroseturn/platform/headers.py
+++ b/primroseturn/platform/headers.py
@@ -1,5 +1,6 @@
 """Reads and writes the headers that the platform defines."""
 
+from re import compile
 from typing import NamedTuple
 
 from primroseturn.entry.models import Target
@@ -9,10 +10,14 @@
     DEADLINE_MS,
     EXPECTED_TARGET,
     KEY_SCHEME,
+    LEAVING,
     LOAD,
     MISDIRECTED_STATUS,
     NOT_RUN,
+    NOT_RUN_STATUSES,
+    RETRY_AFTER,
     SIGNATURE,
+    UNAVAILABLE_STATUS,
     WORKSPACE,
 )
 from primroseturn.requestpath.headers import (
@@ -30,6 +35,11 @@
 CONTENT_ENCODING = b"content-encoding"
 # Longer values of the deadline header are ignored.
 MAX_DEADLINE_DIGITS = 9
+# Seconds, with fractions, as the platform states delays. Dates are not used there.
+DELAY = compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
+MAX_LENGTH_DIGITS = 18
+# Digits of a number of requests that a target may state.
+MAX_LOAD_DIGITS = 9
 
 
 class CallerHeaders(NamedTuple):
@@ -38,7 +48,7 @@
     Attributes
     ----------
     attempt_id
-        Id that the caller gave its attempt; empty if it gave none.
+        Id that the caller gave its attempt; empty unless it gave exactly one.
     key
         The caller's key, if it sent one.
     timeout_s
@@ -72,6 +82,11 @@
         Number of requests that the target runs or queues, if it states them.
     length
         Length of the body in bytes from the header; None without exactly one.
+    leaving
+        Whether the target states that it is leaving.
+    retry_after
+        Value of the header with which a target that refuses a request states for how
+        long it wants no further ones; None without it.
     """
 
     status: int
@@ -83,6 +98,16 @@
     load: int | None
     length: int | None
     headers: HeaderList
+    leaving: bool = False
+    retry_after: bytes | None = None
+
+    @property
+    def has_false_status(self) -> bool:
+        """Return whether its status would tell the caller that the request did not run.
+
+        The target does not state that, so the request may have run.
+        """
+        return self.status in NOT_RUN_STATUSES and not self.not_run
 
 
 def read_caller_headers(headers: HeaderList) -> CallerHeaders:
@@ -91,7 +116,7 @@
     dropped -= {ATTEMPT_ID, CONTENT_LENGTH}
     ids = values_of(headers, ATTEMPT_ID)
     return CallerHeaders(
-        attempt_id=ids[0] if ids else b"",
+        attempt_id=ids[0] if len(ids) == 1 else b"",
         key=read_key(headers),
         timeout_s=read_timeout(headers),
         forwarded=[item for item in headers if item[0] not in dropped],
@@ -146,27 +171,44 @@
     ids = values_of(headers, ATTEMPT_ID)
     encodings = values_of(headers, CONTENT_ENCODING)
     lengths = values_of(headers, CONTENT_LENGTH)
+    delays = values_of(headers, RETRY_AFTER)
     misdirected = status == MISDIRECTED_STATUS
     return ResponseHead(
         status=status,
-        attempt_id=ids[0] if ids else None,
+        attempt_id=ids[0] if len(ids) == 1 else None,
         signed=bool(values_of(headers, SIGNATURE)),
         encoded=any(value.strip().lower() != b"identity" for value in encodings),
         not_run=misdirected or bool(values_of(headers, NOT_RUN)),
         misdirected=misdirected,
         load=read_load(headers),
-        length=int(lengths[0]) if len(lengths) == 1 else None,
+        length=read_length(lengths),
         headers=headers,
+        leaving=values_of(headers, LEAVING) == [b"1"],
+        retry_after=delays[0] if delays and status == UNAVAILABLE_STATUS else None,
     )
 
 
+def read_length(values: list[bytes]) -> int | None:
+    """Return the length that exactly one header states, otherwise None."""
+    if len(values) != 1 or not values[0].isdigit():
+        return None
+    return int(values[0]) if len(values[0]) <= MAX_LENGTH_DIGITS else None
+
+
+def parse_delay(value: bytes) -> float | None:
+    """Return the seconds in the value of a Retry-After header, None if it has none."""
+    return float(value) if DELAY.fullmatch(value.strip()) else None
+
+
 def read_load(headers: HeaderList) -> int | None:
     """Return the number of requests that a target runs or queues, if it states it."""
     values = values_of(headers, LOAD)
     if not values:
         return None
     numbers = values[0].split(b",")
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+    if len(numbers) != 3 or not all(
+        item.strip().isdigit() and len(item) <= MAX_LOAD_DIGITS for item in numbers
+    ):
         return None
     return int(numbers[0]) + int(numbers[1])
 
--- a/primroseturn/platform/wire.py
+++ b/primroseturn/platform/wire.py
@@ -29,7 +29,12 @@
 # Present if the target states that it did not run the request.
 NOT_RUN = b"not-executed"
 RETRY_AFTER = b"retry-after"
+# "1" in all responses of a target that is leaving.
+LEAVING = b"server-leaving"
 AUTHORIZATION = b"authorization"
 KEY_SCHEME = b"bearer "
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+# Statuses by which a refusal states that the request did not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/primroseturn/queueing/retry_after.py
+++ b/primroseturn/queueing/retry_after.py
@@ -17,6 +17,16 @@
 SPREAD = 0.5
 
 
+def retry_after_quiet_s(quiet_s: float, random: Random) -> float:
+    """Return the delay in seconds after which a caller should retry.
+
+    No target takes requests before `quiet_s` seconds have passed, so an earlier retry
+    is refused again whatever time the caller has left. Retries are spread over a part
+    of the same time, in which the targets return one after the other.
+    """
+    return round(max(MIN_RETRY_AFTER_S, quiet_s * (1.0 + SPREAD * random.random())), 3)
+
+
 def retry_after_s(expected_wait_s: float, left_s: float, random: Random) -> float:
     """Return the delay in seconds after which the caller should retry.
 
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -214,6 +214,8 @@
         if not data:
             return
         if not self.sent:
+            if self.reader.received_bytes != self.consumed_bytes:
+                raise RemoteProtocolError("bytes arrived before the request was sent")
             self.sent = True
             self.note_sent()
         try:
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -52,6 +52,9 @@
 # Backoff after a target could not be reached; it doubles up to the limit.
 UNREACHABLE_BACKOFF_S = 0.5
 UNREACHABLE_BACKOFF_LIMIT_S = 4.0
+# Longest time for which a target that refuses requests gets none. A target that states
+# a longer one by mistake must return.
+MAX_QUIET_S = 30.0
 # Slowness of a target (see `TargetState.slowness`): weight of one response, time
 # constant of the decay, and upper bound of the slowness of one response.
 SLOWNESS_WEIGHT = 0.3
@@ -140,6 +143,8 @@
         Time until which the target is slow after its start.
     unreachable_until, unreachable_s
         End and duration of the last backoff after the target could not be reached.
+    quiet_until
+        Time until which the target wants no requests of this VM.
     """
 
     def __init__(
@@ -157,6 +162,11 @@
         self.cold_until = now + target.cold_s
         self.unreachable_until = 0.0
         self.unreachable_s = 0.0
+        self.quiet_until = 0.0
+
+    def is_available(self, now: float) -> bool:
+        """Return whether an attempt may be sent to the target now."""
+        return self.unreachable_until <= now and self.quiet_until <= now
 
     def expected_load(self, now: float) -> float:
         """Return the expected number of requests at the target."""
@@ -274,7 +284,7 @@
             for state in self.states_by_service.get(traits.service, ())
             if not state.target.leaving and state.target.id not in excluded
         ]
-        reachable = [state for state in states if state.unreachable_until <= now]
+        reachable = [state for state in states if state.is_available(now)]
         if not reachable:
             return None
         trial = self.choose_trial(
@@ -435,6 +445,37 @@
             state.unreachable_s = min(UNREACHABLE_BACKOFF_LIMIT_S, doubled_s)
             state.unreachable_until = now + state.unreachable_s
 
+    def record_quiet(self, target_id: str, quiet_s: float, now: float) -> float:
+        """Record that a target wants no requests of this VM for some time.
+
+        Returns
+        -------
+        float
+            The time in seconds for which it gets none.
+        """
+        quiet_s = min(MAX_QUIET_S, quiet_s)
+        state = self.states_by_id.get(target_id)
+        if state is not None:
+            state.quiet_until = max(state.quiet_until, now + quiet_s)
+        return quiet_s
+
+    def shortest_quiet_s(self, service: str, now: float) -> float | None:
+        """Return when the first target of a service takes requests again.
+
+        Returns
+        -------
+        float | None
+            Seconds from now; None unless all targets that stay want no requests.
+        """
+        quiet_s = [
+            state.quiet_until - now
+            for state in self.states_by_service.get(service, ())
+            if not state.target.leaving
+        ]
+        if not quiet_s or min(quiet_s) <= 0:
+            return None
+        return min(quiet_s)
+
     def record_load(self, target_id: str, request_count: int, now: float) -> None:
         """Record the number of requests that a target has according to its response.
 
