Missing responses are evidence for all VMs of a region

Cause: a reset, a hang or a truncated response counted only for the VM that saw it. Ruled out: counting them like error responses. An error shows that the path is sound; a missing response may be the fault of one VM's or one data centre's path. Change: digests carry missing responses, apart for the own and for other data centres. A VM that gets no response from most targets suspects its own path and reports nothing; a VM counts as one witness per target in 3 s, other data centres as one per second, which own responses outweigh. Tests: entry_placement.feature plays resets with and without the reports, and cuts of a VM and of a data centre.

--- a/features/entry_placement.feature
+++ b/features/entry_placement.feature
@@ -21,6 +21,41 @@
       | 50   | 0.17 of the targets take 5 times as long                         | 1    | 0.60  | 0.85  |
       | 50   | 0.17 of the targets take 5 times as long                         | 2    | 0.60  | 0.85  |
 
+  Scenario Outline: Resets of one target are learned by all VMs from those that saw them
+    Given callers that send <rate> requests per second in each data centre
+    And 0.3 of the targets reset 0.85 of their requests in periods of 5 s
+    When the load is simulated for 20 s with seed <seed>
+    Then at-most-once requests lose at most <share> of the score that a random choice loses
+    And they lose more than that while VMs keep missing responses to themselves
+
+    Examples:
+      | rate | seed | share |
+      | 40   | 1    | 0.35  |
+      | 40   | 2    | 0.35  |
+      | 57   | 1    | 0.45  |
+      | 57   | 2    | 0.45  |
+
+  Scenario Outline: A cut of <what> makes no other VM avoid the targets behind it
+    Given callers that send 40 requests per second in each data centre
+    And <what> gets no response from the targets of the other data centre
+    When the load is simulated for 20 s with seed 1
+    Then VMs that are not cut send at least 0.7 of their usual part to these targets
+
+    Examples:
+      | what             |
+      | one VM           |
+      | one data centre  |
+
+  Scenario: A VM without responses of most targets suspects its own path
+    Given a VM whose last requests to 2 of 8 targets were answered
+    When its requests to the other 6 targets get no response
+    Then it reports at most 4 of them
+
+  Scenario: One VM counts as one witness whatever it reports
+    Given a judge of reports
+    When a VM reports each 0.1 s for 6 s that a target does not respond
+    Then at most 3 of its reports count
+
   Scenario: Idempotent requests are hardly affected by targets that fail in periods
     Given callers that send 40 requests per second in each data centre
     And 0.3 of the targets fail 0.85 of their requests in periods of 5 s
--- a/features/placement_simulation.py
+++ b/features/placement_simulation.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
+from primroseturn.ejection.witnesses import MissingWitnesses
 from primroseturn.entry.models import Target
 from primroseturn.routing.placement import Placement, RequestTraits
 
@@ -39,6 +40,10 @@
         Share of the targets that are always slow, and their multiple of the duration.
     cold_targets
         Number of targets that stay cold.
+    is_reset
+        Whether failed requests get no response instead of an error.
+    shares_missing
+        Whether the VMs report missing responses to each other.
     """
 
     requests_per_s: float = 50.0
@@ -49,6 +54,17 @@
     slow_target_share: float = 0.0
     slow_factor: float = 5.0
     cold_targets: int = 0
+    is_reset: bool = False
+    shares_missing: bool = True
+
+
+class Report(NamedTuple):
+    """What a VM reports to the others of one attempt."""
+
+    request_count: int
+    failed: int = 0
+    succeeded: int = 0
+    missing: int = 0
 
 
 class SimulatedTarget:
@@ -90,6 +106,7 @@
         self.event_numbers = count()
         self.outcomes = []
         self.attempts_sent = []
+        self.names_by_vm = {}
         self.targets_by_name = {}
         for center in REGIONS_BY_DATA_CENTER:
             for number in range(targets_per_center):
@@ -104,6 +121,9 @@
             for center in REGIONS_BY_DATA_CENTER
         }
         self.all_vms = [vm for vms in self.vms_by_center.values() for vm in vms]
+        self.witnesses_by_vm = {vm: MissingWitnesses() for vm in self.all_vms}
+        # VMs that get no response from some targets, by name of the target.
+        self.cut_vms_by_target = {}
         slow = int(load.slow_target_share * len(self.targets_by_name))
         for name in self.random.sample(sorted(self.targets_by_name), slow):
             self.targets_by_name[name].slow_factor = load.slow_factor
@@ -170,6 +190,7 @@
             return
         name = choice.target.id
         self.attempts_sent.append((self.now, name))
+        self.names_by_vm.setdefault(vm, []).append(name)
         request["tried"] |= {name}
         attempt = {"request": request, "name": name, "at": self.now, "alive": True}
         request["attempt"] = attempt
@@ -182,7 +203,8 @@
 
     def start_service(self, target, attempt):
         target.running += 1
-        if (
+        cut_vms = self.cut_vms_by_target.get(attempt["name"], ())
+        if attempt["request"]["vm"] in cut_vms or (
             self.now < target.failing_until
             and self.random.random() < self.load.failed_request_share
         ):
@@ -213,28 +235,51 @@
         vm.end_attempt(name, attempt["number"], self.now)
         request_count = target.running + len(target.queue) + 1
         vm.record_load(name, request_count, self.now)
-        if failed:
+        witnesses = self.witnesses_by_vm[vm]
+        is_cut = vm in self.cut_vms_by_target.get(name, ())
+        is_missing = failed and (self.load.is_reset or is_cut)
+        if is_missing:
+            vm.record_missing_response(name, self.now)
+            if witnesses.record_missing(name, self.now) and witnesses.accept(
+                "self", name, self.now
+            ):
+                self.report_later(vm, name, Report(request_count, missing=1))
+        elif failed:
             vm.record_error_response(name, self.now)
         else:
+            witnesses.record_answer(name, self.now)
             vm.record_success(name, traits, self.now - attempt["at"], self.now)
-        delay = (
-            URGENT_DIGEST_DELAY_S
-            if failed
-            else DIGEST_DELAY_S * self.random.random() + 0.02
-        )
-        self.schedule(
-            self.now + delay, self.report_to_peers, vm, name, failed, request_count
-        )
+        if not is_missing:
+            report = Report(request_count, int(failed), int(not failed))
+            self.report_later(vm, name, report)
         if failed and traits.repeatable and len(request["tried"]) < 2:
             self.send(request, first=False)
         else:
             self.finish(request, not failed)
 
-    def report_to_peers(self, sender, name, failed, request_count):
+    def report_later(self, vm, name, report):
+        is_urgent = report.failed or report.missing
+        delay = (
+            URGENT_DIGEST_DELAY_S
+            if is_urgent
+            else DIGEST_DELAY_S * self.random.random() + 0.02
+        )
+        self.schedule(self.now + delay, self.report_to_peers, vm, name, report)
+
+    def report_to_peers(self, sender, name, report):
+        missing = report.missing if self.load.shares_missing else 0
         for vm in self.all_vms:
             if vm is not sender:
-                vm.record_peer_outcomes(name, int(failed), int(not failed), self.now)
-                vm.record_load(name, request_count, self.now)
+                is_remote = vm.data_center != sender.data_center
+                vm.record_peer_outcomes(
+                    name,
+                    report.failed,
+                    report.succeeded,
+                    self.now,
+                    missing,
+                    is_remote,
+                )
+                vm.record_load(name, report.request_count, self.now)
 
     def time_out(self, request):
         attempt = request["attempt"]
--- a/features/steps/digest_order.py
+++ b/features/steps/digest_order.py
@@ -55,10 +55,10 @@
         super().__init__(*arguments)
         self.peer_counts = Counter()
 
-    def record_peer_outcomes(self, target_id, failed, succeeded, now):
+    def record_peer_outcomes(self, target_id, failed, succeeded, now, *others):
         self.peer_counts["failed"] += failed
         self.peer_counts["succeeded"] += succeeded
-        super().record_peer_outcomes(target_id, failed, succeeded, now)
+        super().record_peer_outcomes(target_id, failed, succeeded, now, *others)
 
 
 class SimulatedBus(Endpoint):
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -218,9 +218,9 @@
 
     peer_failures = 0
 
-    def record_peer_outcomes(self, target_id, failed, succeeded, now):
+    def record_peer_outcomes(self, target_id, failed, succeeded, now, *others):
         self.peer_failures += failed
-        super().record_peer_outcomes(target_id, failed, succeeded, now)
+        super().record_peer_outcomes(target_id, failed, succeeded, now, *others)
 
 
 class CountingQuota(FleetQuota):
--- a/features/steps/entry_placement.py
+++ b/features/steps/entry_placement.py
@@ -6,6 +6,7 @@
 
 from features.placement_simulation import Load, PlacementSimulation
 from primroseturn.ejection.suspicion import ERROR_RESPONSE_MODEL, Suspicion
+from primroseturn.ejection.witnesses import MissingWitnesses
 from primroseturn.entry.models import Target
 from primroseturn.routing.placement import Choice, Placement, RequestTraits
 
@@ -32,6 +33,15 @@
     )
 
 
+@given(
+    "{share:g} of the targets reset {failing:g} of their requests in periods of "
+    "{seconds:g} s"
+)
+def step_reset_periods(context, share, failing, seconds):
+    step_failure_periods(context, share, failing, seconds)
+    context.load = context.load._replace(is_reset=True)
+
+
 @given("{share:g} of the targets take {factor:g} times as long")
 def step_slow(context, share, factor):
     context.load = context.load._replace(slow_target_share=share, slow_factor=factor)
@@ -44,7 +54,13 @@
 
 @when("the load is simulated for {seconds:g} s with seed {seed:d}")
 def step_simulate(context, seconds, seed):
+    context.simulated = (seconds, seed)
     context.simulation = PlacementSimulation(context.load, seed)
+    cut = getattr(context, "cut_part", None)
+    if cut is not None:
+        context.usual = PlacementSimulation(context.load, seed)
+        context.usual.run(seconds)
+        cut_off(context.simulation, cut)
     context.simulation.run(seconds)
     context.random_choice = PlacementSimulation(context.load, seed)
     choose_at_random(context.random_choice)
@@ -70,11 +86,98 @@
     "loses"
 )
 def step_loss(context, share):
+    context.allowed_share = share
     lost = 1 - context.simulation.mean_score(False)
     lost_by_random_choice = 1 - context.random_choice.mean_score(False)
     assert lost <= share * lost_by_random_choice, (lost, lost_by_random_choice)
 
 
+@then("they lose more than that while VMs keep missing responses to themselves")
+def step_variant(context):
+    seconds, seed = context.simulated
+    variant = PlacementSimulation(context.load._replace(shares_missing=False), seed)
+    variant.run(seconds)
+    lost = 1 - variant.mean_score(False)
+    lost_by_random_choice = 1 - context.random_choice.mean_score(False)
+    assert lost > context.allowed_share * lost_by_random_choice, lost
+
+
+@given("{part} gets no response from the targets of the other data centre")
+def step_cut(context, part):
+    context.cut_part = part
+
+
+def cut_off(simulation, part):
+    """Cut one VM, or all of data centre a, from the targets of data centre b."""
+    vms = simulation.vms_by_center["a"]
+    cut_vms = set(vms[:1] if part == "one VM" else vms)
+    for name, target in simulation.targets_by_name.items():
+        if target.target.data_center == "b":
+            simulation.cut_vms_by_target[name] = cut_vms
+
+
+def far_share(simulation, vms):
+    """Return the part of the attempts of some VMs that goes to data centre b."""
+    names = [name for vm in vms for name in simulation.names_by_vm[vm]]
+    targets = [simulation.targets_by_name[name].target for name in names]
+    return sum(target.data_center == "b" for target in targets) / len(targets)
+
+
+@then(
+    "VMs that are not cut send at least {share:g} of their usual part to these targets"
+)
+def step_not_avoided(context, share):
+    simulation, usual = context.simulation, context.usual
+    cut_vms = next(iter(simulation.cut_vms_by_target.values()))
+    numbers = [
+        number for number, vm in enumerate(simulation.all_vms) if vm not in cut_vms
+    ]
+    found, expected = (
+        far_share(item, [item.all_vms[number] for number in numbers])
+        for item in (simulation, usual)
+    )
+    assert found >= share * expected, (found, expected)
+
+
+@given("a VM whose last requests to {count:d} of {total:d} targets were answered")
+def step_own_answers(context, count, total):
+    context.witnesses = MissingWitnesses()
+    context.unanswered = [f"t{number}" for number in range(count, total)]
+    for number in range(count):
+        context.witnesses.record_answer(f"t{number}", 0.0)
+
+
+@when("its requests to the other {count:d} targets get no response")
+def step_own_missing(context, count):
+    context.reported = [
+        context.witnesses.record_missing(name, 0.1) for name in context.unanswered
+    ]
+    assert len(context.reported) == count
+
+
+@then("it reports at most {most:d} of them")
+def step_reported(context, most):
+    assert 1 <= sum(context.reported) <= most, context.reported
+
+
+@given("a judge of reports")
+def step_judge(context):
+    context.witnesses = MissingWitnesses()
+
+
+@when("a VM reports each {gap:g} s for {seconds:g} s that a target does not respond")
+def step_reports(context, gap, seconds):
+    context.counted = [
+        context.witnesses.accept("vm1", "t1", number * gap)
+        for number in range(round(seconds / gap))
+    ]
+
+
+@then("at most {most:d} of its reports count")
+def step_counted(context, most):
+    assert 1 <= sum(context.counted) <= most, sum(context.counted)
+
+
 @then("the mean of their scores is at least {score:g}")
 def step_score(context, score):
     assert context.simulation.mean_score(False) >= score, context.simulation.mean_score(
--- a/primroseturn/ejection/suspicion.py
+++ b/primroseturn/ejection/suspicion.py
@@ -40,6 +40,9 @@
 # Missing responses, for instance in a one-way partition, which affects the network path
 # of one VM only. A healthy target rarely takes several times the typical time.
 MISSING_RESPONSE_MODEL = FailureModel(0.03, 0.2, 0.8, 0.01, 12.0)
+# Missing responses that other VMs of the data centre report, and at a low rate those of
+# other data centres. The target may be at fault, or the path of the VM that reports.
+PEER_MISSING_MODEL = FailureModel(0.1, 0.25, 0.75, 0.03, 1.0)
 
 # Bounds of the probability. A failure period may start at any time, however many
 # requests were served before.
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -11,10 +11,12 @@
 
 from anyio import current_time, Event, move_on_after, sleep
 from msgspec import Meta
+from msgspec.structs import replace
 
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
 from primroseturn.control.order import MessageOrder
+from primroseturn.ejection.witnesses import MissingWitnesses
 from primroseturn.limits.quota import Count, FleetQuota, Usage
 from primroseturn.membership.fleet import Fleet, LIVENESS_TIMEOUT_S, RegisteredVm
 from primroseturn.routing.placement import Placement
@@ -34,17 +36,24 @@
 # Requests of one workspace that make the next digest urgent.
 URGENT_REQUESTS = 4
 # Items of each kind in one digest, so that it fits a datagram.
-MAX_ITEMS = 20
+MAX_ITEMS = 15
 # Live VMs listed in one digest; a data centre has some dozens.
 MAX_LIVE_VMS = 40
 
 
 class OutcomeCount(NamedTuple):
-    """Numbers of failed and of successful requests at a target."""
+    """Numbers of requests at a target by outcome.
+
+    Attributes
+    ----------
+    missing
+        Requests whose response was missing or not the target's.
+    """
 
     target: str
     failed: Count
     succeeded: Count
+    missing: Count = 0
 
 
 class LoadReport(NamedTuple):
@@ -83,7 +92,7 @@
     is_stopping: bool = False
 
 
-@message("entry-digest-2")
+@message("entry-digest-3")
 class Digest(Message, frozen=True, array_like=True):
     """Outcomes and usage since the sender's last digest, and last reported loads.
 
@@ -112,6 +121,8 @@
         aggregator needs.
     unreachable_count
         Number of VMs of the fleet whose digests do not reach the sender.
+    remote_outcomes
+        Outcomes at VMs of other data centres, in a relayed digest.
     """
 
     center: str = ""
@@ -123,6 +134,7 @@
     relayed: bool = False
     center_reports: tuple[CenterReport, ...] = ()
     unreachable_count: Count = 0
+    remote_outcomes: tuple[OutcomeCount, ...] = ()
 
 
 class DigestCounts:
@@ -131,7 +143,9 @@
     Attributes
     ----------
     outcomes_by_target
-        Numbers of failed and of successful requests.
+        Numbers of failed, of successful and of unanswered requests.
+    remote_outcomes_by_target
+        The same at VMs of other data centres.
     load_by_target
         Last reported number of requests at the target.
     usage_by_workspace
@@ -142,6 +156,7 @@
 
     def __init__(self) -> None:
         self.outcomes_by_target: dict[str, list[int]] = {}
+        self.remote_outcomes_by_target: dict[str, list[int]] = {}
         self.load_by_target: dict[str, int] = {}
         self.usage_by_workspace: dict[str, list[int]] = {}
         self.is_urgent = False
@@ -149,15 +164,29 @@
     def has_content(self) -> bool:
         """Return whether there are any counts."""
         return bool(
-            self.outcomes_by_target or self.load_by_target or self.usage_by_workspace
+            self.outcomes_by_target
+            or self.remote_outcomes_by_target
+            or self.load_by_target
+            or self.usage_by_workspace
         )
 
-    def add_outcome(self, target: str, failed: int, succeeded: int) -> None:
+    def add_outcome(
+        self,
+        target: str,
+        failed: int,
+        succeeded: int,
+        missing: int = 0,
+        is_remote: bool = False,
+    ) -> None:
         """Add outcomes of a target; a failure makes the counts urgent."""
-        counts = self.outcomes_by_target.setdefault(target, [0, 0])
+        counts_by_target = (
+            self.remote_outcomes_by_target if is_remote else self.outcomes_by_target
+        )
+        counts = counts_by_target.setdefault(target, [0, 0, 0])
         counts[0] += failed
         counts[1] += succeeded
-        self.is_urgent = self.is_urgent or failed > 0
+        counts[2] += missing
+        self.is_urgent = self.is_urgent or failed > 0 or missing > 0
 
     def add_usage(self, usage: tuple[Usage, ...]) -> None:
         """Add usage of workspaces; many requests of one make the counts urgent."""
@@ -170,7 +199,7 @@
     def add_digest(self, digest: Digest) -> None:
         """Add the counts of a received digest."""
         for outcome in digest.outcomes:
-            self.add_outcome(*outcome)
+            self.add_outcome(*outcome, is_remote=bool(digest.center))
         for report in digest.loads:
             self.load_by_target[report.target] = report.request_count
         self.add_usage(digest.usage)
@@ -179,6 +208,8 @@
         """Add the counts of another collection."""
         for target, counts in other.outcomes_by_target.items():
             self.add_outcome(target, *counts)
+        for target, counts in other.remote_outcomes_by_target.items():
+            self.add_outcome(target, *counts, is_remote=True)
         self.load_by_target.update(other.load_by_target)
         for name, counts in other.usage_by_workspace.items():
             self.add_usage((Usage(name, *counts),))
@@ -186,9 +217,11 @@
     def without(self, other: "DigestCounts") -> "DigestCounts":
         """Return these counts with those of another collection subtracted.
 
-        Loads stay, since they are not added up.
+        Loads stay, since they are not added up, and so do outcomes at other data
+        centres, which no VM of this one reports.
         """
         difference = DigestCounts()
+        difference.remote_outcomes_by_target = self.remote_outcomes_by_target
         difference.load_by_target = self.load_by_target
         difference.outcomes_by_target = subtract_counts(
             self.outcomes_by_target, other.outcomes_by_target
@@ -215,6 +248,10 @@
             OutcomeCount(target, *counts)
             for target, counts in self.outcomes_by_target.items()
         ]
+        remote_outcomes = [
+            OutcomeCount(target, *counts)
+            for target, counts in self.remote_outcomes_by_target.items()
+        ]
         loads = [LoadReport(*item) for item in self.load_by_target.items()]
         usage = [
             Usage(name, *counts) for name, counts in self.usage_by_workspace.items()
@@ -237,15 +274,17 @@
                     relayed,
                     center_reports,
                     unreachable_count,
+                    tuple(remote_outcomes[:item_count]),
                 )
             )
             center_reports = ()
-            outcomes, loads, usage = (
+            outcomes, loads, usage, remote_outcomes = (
                 outcomes[item_count:],
                 loads[item_count:],
                 usage[item_count:],
+                remote_outcomes[item_count:],
             )
-            if not (outcomes or loads or usage or live):
+            if not (outcomes or loads or usage or remote_outcomes or live):
                 return digests
 
 
@@ -255,8 +294,10 @@
     """Return the counts of `total` without those of `part`; zeros are left out."""
     difference = {}
     for name, counts in total.items():
-        subtracted = part.get(name, (0, 0))
-        counts = [counts[0] - subtracted[0], counts[1] - subtracted[1]]
+        subtracted = part.get(name, [0] * len(counts))
+        counts = [
+            count - known for count, known in zip(counts, subtracted, strict=True)
+        ]
         if any(counts):
             difference[name] = counts
     return difference
@@ -330,6 +371,7 @@
         self.placement = placement
         self.quota = quota
         self.order = MessageOrder()
+        self.witnesses = MissingWitnesses()
         self.own_channel = DigestChannel(DIGEST_INTERVAL_S)
         self.center_channel = DigestChannel(DIGEST_INTERVAL_S)
         self.center_counts_by_vm: dict[str, DigestCounts] = {}
@@ -350,6 +392,14 @@
         if failed:
             self.send_requested.set()
 
+    def record_missing(self, target: str, now: float) -> None:
+        """Count a response that is missing, unless this VM's own path is suspected."""
+        if self.witnesses.record_missing(target, now) and self.witnesses.accept(
+            self.fleet.own.name, target, now
+        ):
+            self.own_channel.pending.add_outcome(target, 0, 0, 1)
+            self.send_requested.set()
+
     def record_load(self, target: str, request_count: int) -> None:
         """Record the load that a target has reported to this VM."""
         self.own_channel.pending.load_by_target[target] = request_count
@@ -507,6 +557,7 @@
         else:
             self.fleet.record_seen(sender.vm, now, body.live)
             if not body.relayed:
+                body = self.limit_missing(sender.vm, body, now)
                 counts = DigestCounts()
                 counts.add_digest(body)
                 self.add_center_counts(sender.vm, counts)
@@ -519,6 +570,16 @@
             self.send_requested.set()
         self.apply_counts(body, now)
 
+    def limit_missing(self, vm: str, body: Digest, now: float) -> Digest:
+        """Return a digest of a VM with the missing responses that are counted."""
+        outcomes = []
+        for outcome in body.outcomes:
+            if outcome.missing:
+                is_counted = self.witnesses.accept(vm, outcome.target, now)
+                outcome = outcome._replace(missing=int(is_counted))
+            outcomes.append(outcome)
+        return replace(body, outcomes=tuple(outcomes))
+
     def is_member(self, sender: Sender) -> bool:
         """Return whether a message comes from another VM of the fleet."""
         if sender.vm == self.fleet.own.name:
@@ -578,12 +639,20 @@
             origin=sender.origin,
         )
 
-    def apply_counts(self, digest: Digest, now: float) -> None:
-        """Pass the counts of a digest on to placement and quota."""
-        for outcome in digest.outcomes:
+    def apply_outcomes(
+        self, outcomes: tuple[OutcomeCount, ...], is_remote: bool, now: float
+    ) -> None:
+        """Pass outcomes at other VMs on to the placement."""
+        for item in outcomes:
             self.placement.record_peer_outcomes(
-                outcome.target, outcome.failed, outcome.succeeded, now
+                item.target, item.failed, item.succeeded, now, item.missing, is_remote
             )
+
+    def apply_counts(self, digest: Digest, now: float) -> None:
+        """Pass the counts of a digest on to placement and quota."""
+        is_remote = bool(digest.center)
+        self.apply_outcomes(digest.outcomes, is_remote, now)
+        self.apply_outcomes(digest.remote_outcomes, True, now)
         for report in digest.loads:
             self.placement.record_load(report.target, report.request_count, now)
         self.quota.record_peer_usage(digest.usage, now)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -267,10 +267,13 @@
             # an unexpected error ended this one.
             if missing is not None:
                 placement.record_missing_response(target_id, now)
+                self.digests.record_missing(target_id, now)
                 self.log_outcome(request, choice, "overdue", missing, duration_s)
             return
         if result.head is not None and result.end is not AttemptOutcome.MISDIRECTED:
             self.record_statements(request, choice.target, result.head, now)
+        if result.end in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
+            self.digests.witnesses.record_answer(target_id, now)
         match result.end:
             case AttemptOutcome.ANSWERED:
                 placement.record_success(target_id, request.traits, duration_s, now)
@@ -281,6 +284,7 @@
                 self.digests.record_outcome(target_id, True)
             case AttemptOutcome.BROKEN:
                 placement.record_missing_response(target_id, now)
+                self.digests.record_missing(target_id, now)
             case AttemptOutcome.NOT_RUN:
                 placement.record_full(target_id, now)
             case AttemptOutcome.UNREACHABLE | AttemptOutcome.MISDIRECTED:
@@ -319,6 +323,7 @@
         now = current_time()
         target_id, end = result.target.id, AttemptOutcome.BROKEN.value
         self.placement.record_missing_response(target_id, now)
+        self.digests.record_missing(target_id, now)
         choice = Choice(result.target, False, 0.0)
         self.log_outcome(request, choice, end, detail, now - request.started_at)
 
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -9,13 +9,14 @@
 """
 
 from collections.abc import Iterable
-from math import exp
+from math import exp, inf
 from random import Random
 from typing import NamedTuple
 
 from primroseturn.ejection.suspicion import (
     ERROR_RESPONSE_MODEL,
     MISSING_RESPONSE_MODEL,
+    PEER_MISSING_MODEL,
     Suspicion,
 )
 from primroseturn.entry.models import Target
@@ -69,6 +70,8 @@
 TRIAL_IDLE_S = 0.8
 # Fraction of the requests that become a trial while a target is due for one.
 TRIAL_FRACTION = 0.5
+# Interval in seconds at which a missing response that other data centres report counts.
+REMOTE_MISSING_INTERVAL_S = 1.0
 # Multiple of the typical duration at a target that is still cold after its start.
 COLD_SLOWNESS = 2.0
 
@@ -130,6 +133,12 @@
         Probability that the target fails requests, by the outcomes of all VMs.
     path_suspicion
         Probability that responses are lost, by the attempts of this VM.
+    peer_suspicion
+        Probability that responses are lost, by the attempts of the other VMs of this
+        data centre and by single reports of other data centres.
+    remote_missing_at
+        Time of the last report of a missing response by another data centre that was
+        counted.
     started_by_attempt
         Start and expected duration in seconds of this VM's attempts in flight.
     typical_peer_load
@@ -154,6 +163,8 @@
         self.typical_peer_load = typical_peer_load
         self.error_suspicion = Suspicion(ERROR_RESPONSE_MODEL, now)
         self.path_suspicion = Suspicion(MISSING_RESPONSE_MODEL, now)
+        self.peer_suspicion = Suspicion(PEER_MISSING_MODEL, now)
+        self.remote_missing_at = -inf
         self.started_by_attempt: dict[int, tuple[float, float]] = {}
         self.peer_load = 0.0
         self.peer_load_at = now
@@ -198,8 +209,10 @@
         path_probability = self.path_suspicion.probability_with_overdue(
             self.overdue_attempts(now), now
         )
-        return 1.0 - (1.0 - self.error_suspicion.probability_at(now)) * (
-            1.0 - path_probability
+        return 1.0 - (
+            (1.0 - self.error_suspicion.probability_at(now))
+            * (1.0 - path_probability)
+            * (1.0 - self.peer_suspicion.probability_at(now))
         )
 
     def is_due_for_trial(self, now: float) -> bool:
@@ -411,6 +424,7 @@
             state.record_duration(took_s / typical_s, now)
             state.error_suspicion.record_outcomes(False, now)
             state.path_suspicion.record_outcomes(False, now)
+            state.peer_suspicion.record_outcomes(False, now)
             state.unreachable_s = 0.0
 
     def record_error_response(self, target_id: str, now: float) -> None:
@@ -427,15 +441,46 @@
             state.path_suspicion.record_outcomes(True, now)
 
     def record_peer_outcomes(
-        self, target_id: str, failed: int, succeeded: int, now: float
+        self,
+        target_id: str,
+        failed: int,
+        succeeded: int,
+        now: float,
+        missing: int = 0,
+        is_remote: bool = False,
     ) -> None:
-        """Record outcomes that other VMs report."""
+        """Record outcomes that other VMs report.
+
+        An error response shows that the path is sound, so it counts from everywhere. A
+        missing response may be a fault of the path: other data centres that are cut
+        from the target count as one witness, which the outcomes of this data centre
+        outweigh.
+
+        Parameters
+        ----------
+        missing
+            Number of responses that are missing or not the target's.
+        is_remote
+            Whether the VMs are those of other data centres.
+        """
         state = self.states_by_id.get(target_id)
-        if state is not None:
-            if succeeded:
-                state.error_suspicion.record_outcomes(False, now, succeeded)
-            if failed:
-                state.error_suspicion.record_outcomes(True, now, failed)
+        if state is None:
+            return
+        if succeeded:
+            state.error_suspicion.record_outcomes(False, now, succeeded)
+        if failed:
+            state.error_suspicion.record_outcomes(True, now, failed)
+        if is_remote:
+            is_due = now - state.remote_missing_at >= REMOTE_MISSING_INTERVAL_S
+            if missing and is_due:
+                state.remote_missing_at = now
+                state.peer_suspicion.record_outcomes(True, now)
+            return
+        answered = succeeded + failed
+        if answered:
+            state.peer_suspicion.record_outcomes(False, now, answered)
+        if missing:
+            state.peer_suspicion.record_outcomes(True, now, missing)
 
     def record_unreachable(self, target_id: str, now: float) -> None:
         """Record that a request did not reach the target, and start a backoff."""
