Refuse WebSocket offers, and headers and chunked bodies beyond the limits

Cause: the application of entry VMs ignored scopes that are not HTTP, which ended in an empty 500, and compared only the stated length of a body with the configuration.

--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -26,10 +26,15 @@
 )
 from primroseturn.entry.forwarding import Forwarder
 from primroseturn.entry.metrics import OUTCOMES, RATE_REFUSALS, REQUEST_SECONDS
-from primroseturn.entry.models import Configuration, Route, Workspace
+from primroseturn.entry.models import (
+    CallerLimits,
+    Configuration,
+    Route,
+    Workspace,
+)
 from primroseturn.entry.request import EntryRequest, RequestLine
 from primroseturn.entry.view import VmView
-from primroseturn.failures import Failure, Refusal
+from primroseturn.failures import Refusal
 from primroseturn.kernel.background import contain_errors, raise_library_cancellation
 from primroseturn.limits.quota import ADMISSION_WAIT_S, FleetQuota
 from primroseturn.observation.events import EventLog
@@ -38,7 +43,11 @@
     read_caller_headers,
 )
 from primroseturn.queueing.retry_after import retry_after_quiet_s, retry_after_s
-from primroseturn.requestpath.body import CallerGone, RequestBody
+from primroseturn.requestpath.body import (
+    body_too_large,
+    CallerGone,
+    RequestBody,
+)
 from primroseturn.requestpath.checks import check_headers
 from primroseturn.requestpath.headers import (
     CONTENT_LENGTH,
@@ -66,6 +75,8 @@
 # run.
 SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS = 503, 429
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
+# Separators and end of a line in the head of a request.
+HEADER_LINE_BYTES = 4
 
 
 class EntryApplication:
@@ -100,6 +111,9 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
+        if scope["type"] == "websocket":
+            await self.refuse_upgrade(scope["headers"], send)
+            return
         if scope["type"] != "http":
             return
         headers: HeaderList = scope["headers"]
@@ -136,6 +150,14 @@
             with suppress(UnexpectedMessageError):
                 await send_refusal(sender, refusal)
 
+    async def refuse_upgrade(self, headers: HeaderList, send: Any) -> None:
+        """Refuse an offer to change to WebSocket."""
+        refusal = Refusal(
+            "upgrade-unsupported", 501, "the connection can't be upgraded"
+        )
+        self.note_refusal(None, headers, refusal)
+        await send_refusal(send, refusal, "websocket.http")
+
     async def wait_first_view(self) -> None:
         """Wait for the first view, for a bounded time and while the store responds."""
         with move_on_after(FIRST_VIEW_TIMEOUT_S):
@@ -158,7 +180,7 @@
             raise self.retryable_refusal(
                 "not-ready", "this VM has no configuration yet"
             )
-        check_body_length(headers, configuration)
+        check_sizes(headers, body, configuration.limits)
         path_and_query = scope["raw_path"]
         if scope["query_string"]:
             path_and_query += b"?" + scope["query_string"]
@@ -520,25 +542,26 @@
         return self.sending_s < 0.5 * (current_time() - self.started_at)
 
 
-class BodyTooLarge(Failure):
-    """A caller states a body length above the limit of the configuration."""
-
-    code = "body-too-large"
-
+def check_sizes(headers: HeaderList, body: RequestBody, limits: CallerLimits) -> None:
+    """Check the size of the headers and the stated length of the body.
 
-def check_body_length(headers: HeaderList, configuration: Configuration) -> None:
-    """Check the stated length of a request's body.
+    A body without a stated length is checked while it is read.
 
     Raises
     ------
     RequestRefused
-        If the length exceeds the limit.
+        If one of them exceeds its limit.
     """
+    size_bytes = sum(
+        len(name) + len(value) + HEADER_LINE_BYTES for name, value in headers
+    )
+    if size_bytes > limits.header_bytes:
+        detail = f"the headers exceed {limits.header_bytes} bytes"
+        raise RequestRefused(Refusal("headers-too-large", 431, detail))
+    body.limit_bytes = limits.body_bytes
     lengths = values_of(headers, CONTENT_LENGTH)
-    limit = configuration.limits.body_bytes
-    if lengths and lengths[0].isdigit() and int(lengths[0]) > limit:
-        detail = f"the body exceeds {limit} bytes"
-        raise RequestRefused(Refusal(BodyTooLarge.code, 413, detail))
+    if lengths and lengths[0].isdigit() and int(lengths[0]) > limits.body_bytes:
+        raise body_too_large(limits.body_bytes)
 
 
 def match_route(
--- a/primroseturn/requestpath/body.py
+++ b/primroseturn/requestpath/body.py
@@ -1,6 +1,7 @@
 """The body of a caller's request, which is buffered for retries while it is small."""
 
 from collections.abc import AsyncIterator
+from math import inf
 from typing import Any
 
 from anyio import Event, fail_after
@@ -15,6 +16,18 @@
 DISCARD_TIMEOUT_S = 0.5
 
 
+class BodyTooLarge(Failure):
+    """A body exceeds the limit of the configuration."""
+
+    code = "body-too-large"
+
+
+def body_too_large(limit_bytes: float) -> RequestRefused:
+    """Return the refusal of a request whose body exceeds a limit."""
+    detail = f"the body exceeds {limit_bytes:.0f} bytes"
+    return RequestRefused(Refusal(BodyTooLarge.code, 413, detail))
+
+
 class CallerGone(Failure):
     """The caller closed its connection."""
 
@@ -37,6 +50,10 @@
         Set when the caller has sent the whole body.
     is_resendable
         Whether the body can be sent in another attempt.
+    limit_bytes
+        Longest body that is read.
+    received_bytes
+        Bytes of the body that were read.
     """
 
     def __init__(self, receive: Any, is_present: bool) -> None:
@@ -45,6 +62,8 @@
         self.buffered = b""
         self.complete = Event()
         self.is_resendable = True
+        self.limit_bytes = inf
+        self.received_bytes = 0
         if not is_present:
             self.complete.set()
 
@@ -67,7 +86,8 @@
         Raises
         ------
         RequestRefused
-            If no part arrives within `CALLER_PROGRESS_TIMEOUT_S`.
+            If no part arrives within `CALLER_PROGRESS_TIMEOUT_S`, or the body exceeds
+            `limit_bytes`.
         CallerGone
             If the caller closed its connection.
         """
@@ -81,7 +101,11 @@
             raise CallerGone
         if not event.get("more_body", False):
             self.complete.set()
-        return event.get("body", b"")
+        part = event.get("body", b"")
+        self.received_bytes += len(part)
+        if self.received_bytes > self.limit_bytes:
+            raise body_too_large(self.limit_bytes)
+        return part
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the body from its start."""
