--- a/features/digest_order.feature
+++ b/features/digest_order.feature
@@ -55,3 +55,12 @@
   Scenario: The numbers of many VMs and incarnations take bounded memory
     Given 5000 VMs that start 10 times each and send 3 digests
     Then numbers of at most 1000 VMs, 4 incarnations of each and 2 s are kept
+
+  Scenario: Usage that an aggregator has received is not repeated to the next one
+    Given usage that was sent to "vm1"
+    Then the next 3 digests to "vm1" repeat it 1, 1 and 0 times
+    Given usage that was sent to "vm1"
+    Then the next 3 digests to "vm2" repeat it 0, 0 and 0 times
+
+  Scenario: Usage counts once, whichever of the digests that hold it arrive, and in which order
+    Then any order and loss of three digests that repeat usage count each unit once
--- a/features/steps/digest_order.py
+++ b/features/steps/digest_order.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, permutations
 from random import Random
 
 from behave import given, then, when
@@ -21,6 +21,10 @@
 )
 from primroseturn.entry.digests import Digest, DigestExchange, VmNotice
 from primroseturn.entry.models import Target, Workspace
+from primroseturn.entry.usage_repeats import (
+    UsageNumbers,
+    UsageRepeats,
+)
 from primroseturn.limits.quota import FleetQuota, Usage
 from primroseturn.membership.fleet import Fleet, RegisteredVm
 from primroseturn.routing.placement import Placement
@@ -375,3 +379,46 @@
         order.check_and_record(Sender("vm1", "start-1", number), 1000.0 + number / 1000)
     (kept,) = order.incarnations_by_vm["vm1"].values()
     assert len(kept.seen) == len(kept.recent) <= 1000 * seconds + 1, len(kept.seen)
+
+
+@given('usage that was sent to "{vm}"')
+def step_sent_usage(context, vm):
+    context.repeats = UsageRepeats()
+    context.repeats.take(vm)
+    context.repeats.add(1, (Usage("shop", 1, 1),))
+
+
+@then(
+    'the next 3 digests to "{vm}" repeat it {first:d}, {second:d} and {third:d} times'
+)
+def step_repeated(context, vm, first, second, third):
+    found = [len(context.repeats.take(vm)) for _ in range(3)]
+    assert found == [first, second, third], found
+
+
+@then("any order and loss of three digests that repeat usage count each unit once")
+def step_any_order(context):
+    units = [(Usage(f"shop{number}", 1, 1),) for number in range(3)]
+    repeats = UsageRepeats()
+    digests = []
+    for number, usage in enumerate(units, 1):
+        digests.append((number, usage, repeats.take("vm1")))
+        repeats.add(number, usage)
+    sender = Sender("vm2", "start-1", 1)
+    for length in (1, 2, 3):
+        for arrived in permutations(digests, length):
+            numbers = UsageNumbers()
+            counted = [
+                item.workspace
+                for number, usage, repeated in arrived
+                for item in numbers.collect(sender, usage, number, repeated, 1.0)
+            ]
+            expected = {
+                item.workspace
+                for _, usage, repeated in arrived
+                for item in (
+                    *usage,
+                    *(part for unit in repeated for part in unit.usage),
+                )
+            }
+            assert sorted(counted) == sorted(expected), (arrived, counted)
