Let the number of usage grow beyond a million

Cause: the number of usage had the bound of a count. An aggregator of 40 VMs numbers some hundreds of digests in a second, so after about 40 minutes all its digests would have been refused as malformed. Change: a type of its own, up to 2^62; the groups of receivers are bounded. Test: digest_order.feature, 'Digests are valid however many their sender has sent', which failed before.

--- a/features/digest_order.feature
+++ b/features/digest_order.feature
@@ -64,3 +64,6 @@
 
   Scenario: Usage counts once, whichever of the digests that hold it arrive, and in which order
     Then any order and loss of three digests that repeat usage count each unit once
+
+  Scenario: Digests are valid however many their sender has sent
+    Then a digest with the usage number 10000000000 and a repeat can be decoded
--- a/features/steps/digest_order.py
+++ b/features/steps/digest_order.py
@@ -12,6 +12,7 @@
 from features.fleet_simulation import run_synchronously
 from primroseturn.control.bus import Sender
 from primroseturn.control.endpoint import Endpoint
+from primroseturn.control.messages import decode_message, encode_message
 from primroseturn.control.order import (
     IncarnationNumbers,
     MAX_DELAY_S,
@@ -22,6 +23,7 @@
 from primroseturn.entry.digests import Digest, DigestExchange, VmNotice
 from primroseturn.entry.models import Target, Workspace
 from primroseturn.entry.usage_repeats import (
+    NumberedUsage,
     UsageNumbers,
     UsageRepeats,
 )
@@ -422,3 +424,12 @@
                 )
             }
             assert sorted(counted) == sorted(expected), (arrived, counted)
+
+
+@then("a digest with the usage number {number:d} and a repeat can be decoded")
+def step_large_number(context, number):
+    usage = (Usage("shop", 1, 1),)
+    repeated = (NumberedUsage(number - 1, usage),)
+    digest = Digest(usage=usage, usage_number=number, repeated_usage=repeated)
+    decoded = decode_message(encode_message(digest, "vm1", "start-1", 1))
+    assert decoded.is_ok() and decoded.ok.body == digest, decoded
--- a/primroseturn/entry/digests.py
+++ b/primroseturn/entry/digests.py
@@ -19,6 +19,7 @@
 from primroseturn.ejection.witnesses import MissingWitnesses
 from primroseturn.entry.usage_repeats import (
     NumberedUsage,
+    UsageNumber,
     UsageNumbers,
     UsageRepeats,
 )
@@ -42,6 +43,8 @@
 URGENT_REQUESTS = 4
 # Items of each kind in one digest, so that it fits a datagram.
 MAX_ITEMS = 15
+# Groups of receivers whose usage is kept for repeats, so that memory is bounded.
+MAX_REPEAT_GROUPS = 2_000
 # Live VMs listed in one digest; a data centre has some dozens.
 MAX_LIVE_VMS = 40
 
@@ -144,7 +147,7 @@
     center_reports: tuple[CenterReport, ...] = ()
     unreachable_count: Count = 0
     remote_outcomes: tuple[OutcomeCount, ...] = ()
-    usage_number: Count = 0
+    usage_number: UsageNumber = 0
     repeated_usage: tuple[NumberedUsage, ...] = ()
 
 
@@ -457,6 +460,9 @@
             What the digests are for: a data centre, a VM, or empty for the aggregator.
             Only one VM at a time receives the digests of a group.
         """
+        if len(self.repeats_by_group) > MAX_REPEAT_GROUPS:
+            # Most of them are VMs that have left.
+            self.repeats_by_group.clear()
         repeats = self.repeats_by_group.setdefault(group, UsageRepeats())
         repeated = repeats.take(vm)
         for digest in digests:
--- a/primroseturn/entry/usage_repeats.py
+++ b/primroseturn/entry/usage_repeats.py
@@ -7,11 +7,13 @@
 """
 
 from collections import deque
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 from primroseturn.control.bus import Sender
 from primroseturn.control.order import IncarnationNumbers, insert_bounded
-from primroseturn.limits.quota import Count, Usage
+from primroseturn.limits.quota import Usage
 
 # Number of the next digests to the same receiver that repeat the usage of one digest.
 REPEATS = 2
@@ -21,10 +23,14 @@
 MAX_SENDERS = 1_000
 
 
+# A busy aggregator numbers some thousands of digests in a second.
+UsageNumber = Annotated[int, Meta(ge=0, le=2**62)]
+
+
 class NumberedUsage(NamedTuple):
     """The usage of an earlier digest and its number."""
 
-    number: Count
+    number: UsageNumber
     usage: tuple[Usage, ...]
 
 
