Split digests, the store client and the placement by what they hold

The messages and the counts of digests, the pages of the store and the state of a target are modules of their own now.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -13,7 +13,8 @@
 from msgspec.msgpack import encode
 
 from primroseturn.control.bus import Sender
-from primroseturn.entry.digests import Digest, DIGEST_INTERVAL_S, DigestExchange
+from primroseturn.entry.digest_messages import Digest
+from primroseturn.entry.digests import DIGEST_INTERVAL_S, DigestExchange
 from primroseturn.entry.models import Workspace
 from primroseturn.entry.registry import (
     AGGREGATOR_LIST_INTERVAL_S,
--- a/features/steps/datagrams.py
+++ b/features/steps/datagrams.py
@@ -12,7 +12,7 @@
 
 from features.steps.entry_requests import start_fleet
 from primroseturn.control.messages import Envelope, Message, message, PROTOCOL_VERSION
-from primroseturn.entry.digests import CenterReport, Digest, VmNotice
+from primroseturn.entry.digest_messages import CenterReport, Digest, VmNotice
 from primroseturn.limits.quota import Usage
 from primroseturn.membership.fleet import RegisteredVm, START_UNLISTED_S
 
--- a/features/steps/digest_order.py
+++ b/features/steps/digest_order.py
@@ -20,7 +20,8 @@
     MAX_VMS,
     MessageOrder,
 )
-from primroseturn.entry.digests import Digest, DigestExchange, VmNotice
+from primroseturn.entry.digest_messages import Digest, VmNotice
+from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.models import Target, Workspace
 from primroseturn.entry.usage_repeats import (
     NumberedUsage,
--- a/features/steps/fleet_stops.py
+++ b/features/steps/fleet_stops.py
@@ -6,7 +6,8 @@
 
 from features.fleet_simulation import SimulatedFleet
 from primroseturn.control.order import IncarnationNumbers
-from primroseturn.entry.digests import Digest, DigestExchange
+from primroseturn.entry.digest_messages import Digest
+from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.usage_repeats import UsageRepeats
 from primroseturn.membership.fleet import Fleet
 
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -12,7 +12,7 @@
 
 from features.steps.target_statements import log_lines
 from primroseturn.platform.documents import DocumentInvalid, split_items
-from primroseturn.platform.objects import PAGE, read_page, UnreadableValue
+from primroseturn.platform.pages import PAGE, read_page, UnreadableValue
 
 VIEW_TIMEOUT_S = 5.0
 # Repeats of the pause of a follower after a lost history.
@@ -193,7 +193,7 @@
 def read_whole(data, form):
     """Decode a page as a whole, without splitting it."""
     with patch(
-        "primroseturn.platform.objects.split_members",
+        "primroseturn.platform.pages.split_members",
         side_effect=DocumentInvalid("not split"),
     ):
         return read_page(data, form)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -23,12 +23,8 @@
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.configuration import decode_configuration
 from primroseturn.platform.listing import decode_target, EntryInvalid
-from primroseturn.platform.objects import (
-    HistoryLost,
-    ObjectClient,
-    StoredValue,
-    ValueChange,
-)
+from primroseturn.platform.objects import HistoryLost, ObjectClient
+from primroseturn.platform.pages import StoredValue, ValueChange
 from primroseturn.platform.wire import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -13,7 +13,8 @@
 from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
 from primroseturn.membership.fleet import Fleet, RegisteredVm
 from primroseturn.observation.events import EventLog
-from primroseturn.platform.objects import ObjectClient, StoredValue
+from primroseturn.platform.objects import ObjectClient
+from primroseturn.platform.pages import StoredValue
 
 # Kind of the store objects by which VMs find each other.
 VMS_KIND = "primroseturn-vms"
--- a/primroseturn/store/client.py
+++ b/primroseturn/store/client.py
@@ -14,7 +14,8 @@
 from primroseturn.failures import StoreUnavailable
 from primroseturn.kernel.kernel import Kernel
 from primroseturn.kernel.registry import service
-from primroseturn.platform.objects import HistoryLost, ObjectClient, StoredValue
+from primroseturn.platform.objects import HistoryLost, ObjectClient
+from primroseturn.platform.pages import StoredValue
 from primroseturn.settings.models import StoreSettings
 from primroseturn.store.budget import CallBudget
 
