Let the bucket of a small workspace hold five requests

Cause: with the refill mended, a bucket of one second's rate is empty after a few requests that come together, and a workspace of 2 requests/s was refused while it stayed within its rate over seconds. Change: a bucket holds at least 5 requests. Test: fleet_stops.feature, below 0.01, with the variant without it.

--- a/features/fleet_simulation.py
+++ b/features/fleet_simulation.py
@@ -100,14 +100,21 @@
 class SimulatedFleet:
     """VMs, their network and their callers on a virtual clock."""
 
-    def __init__(self, size: int, load: float = 180.0, seed: int = 1) -> None:
+    def __init__(
+        self,
+        size: int,
+        load: float = 180.0,
+        seed: int = 1,
+        shares: tuple[float, ...] = WORKSPACE_SHARES,
+    ) -> None:
         self.random = Random(seed)
+        self.shares = tuple(share / sum(shares) for share in shares)
         self.now = 1000.0
         self.load = load
         self.regions_by_center = {center: center[0] for center in CENTERS}
         self.workspaces_by_name = {
             f"w{index}": Workspace(f"w{index}", rate, rate, None)
-            for index, share in enumerate(WORKSPACE_SHARES)
+            for index, share in enumerate(self.shares)
             for rate in (RATE_FACTOR * share * load,)
         }
         self.load_factor = 1.0
@@ -302,7 +309,7 @@
         number = int(expected) + (self.random.random() < expected % 1)
         names = list(self.workspaces_by_name)
         for _ in range(number if serving_vms else 0):
-            (name,) = self.random.choices(names, WORKSPACE_SHARES)
+            (name,) = self.random.choices(names, self.shares)
             vm = self.random.choice(serving_vms)
             if vm.queued_datagrams is None:
                 self.request_times.append(self.now)
--- a/features/fleet_stops.feature
+++ b/features/fleet_stops.feature
@@ -27,6 +27,17 @@
     And 8 s pass in the simulation
     Then less than 0.01 of the requests are refused in any 2 s
 
+  Scenario: Workspaces of few requests are hardly refused (below 1 %) within their rate
+    Given a simulated fleet of 96 VMs with 140 workspaces, a few of them large, and seed 1
+    When 8 s pass in the simulation
+    Then less than 0.01 of the requests are refused
+
+  Scenario: A variant whose buckets hold no more than the burst fails that test
+    Given a simulated fleet of 96 VMs with 140 workspaces, a few of them large, and seed 1
+    And its VMs are of a variant whose buckets hold no more than the burst
+    When 8 s pass in the simulation
+    Then at least 0.01 of the requests are refused
+
   Scenario Outline: From 1 s after <loss> there are almost no refusals (below 1 %) within the rate
     Given a simulated fleet of 36 VMs with seed 1
     When <loss> happens
--- a/features/steps/fleet_stops.py
+++ b/features/steps/fleet_stops.py
@@ -1,6 +1,7 @@
 """Steps for a simulated fleet whose VMs stop, start and leave."""
 
 from collections.abc import Callable
+from random import Random
 
 from behave import given, then, when
 
@@ -9,12 +10,19 @@
 from primroseturn.entry.digest_messages import Digest
 from primroseturn.entry.digests import DigestExchange
 from primroseturn.entry.usage_repeats import UsageRepeats
+from primroseturn.limits.quota import WorkspaceBucket
 from primroseturn.membership.fleet import Fleet
 
 # Simulated seconds before the first step: in a settled fleet, until all VMs know each
 # other, and in a fleet that has just started.
 SETTLED_S = 6.0
 STARTED_S = 4.0
+# Simulated seconds in which the buckets of small workspaces are filled.
+FILLED_S = 16.0
+# Requests per second and VM, as on a large deployment, and the exponent of the Pareto
+# distribution of the workspaces' sizes.
+REQUESTS_PER_VM = 2.8
+LARGE_WORKSPACES_EXPONENT = 1.2
 
 Variant = Callable[[], tuple[type, str, object]]
 variants_by_name: dict[str, Variant] = {}
@@ -59,6 +67,11 @@
     )
 
 
+@variant("whose buckets hold no more than the burst")
+def without_least_depth():
+    return WorkspaceBucket, "depth", property(lambda self: self.workspace.burst)
+
+
 @variant("that sends the usage of each digest once")
 def without_usage_repeats():
     return UsageRepeats, "take", lambda self, receiver: ()
@@ -93,6 +106,29 @@
     context.since = fleet.now
 
 
+@given(
+    "a simulated fleet of {size:d} VMs with {count:d} workspaces, a few of them large, "
+    "and seed {seed:d}"
+)
+def step_many_workspaces(context, size, count, seed):
+    random = Random(seed)
+    shares = tuple(
+        random.paretovariate(LARGE_WORKSPACES_EXPONENT) for _ in range(count)
+    )
+    load = REQUESTS_PER_VM * size
+    fleet = context.simulation = SimulatedFleet(size, load, seed, shares)
+    fleet.run(FILLED_S)
+    context.since = fleet.now
+
+
+@then("at least {share:g} of the requests are refused")
+def step_share_reached(context, share):
+    fleet = context.simulation
+    requested = sum(at >= context.since for at in fleet.request_times)
+    refused = sum(item.at >= context.since for item in fleet.refusals)
+    assert refused >= share * requested, (refused, requested)
+
+
 @given(
     "a fraction of {loss:g} of its datagrams is lost and one of {duplication:g} "
     "arrives twice and late"
--- a/primroseturn/limits/quota.py
+++ b/primroseturn/limits/quota.py
@@ -66,6 +66,9 @@
 # its socket. It reads them within `CATCH_UP_S`.
 STANDSTILL_S = 0.5
 CATCH_UP_S = 0.2
+# Requests that a bucket holds at least. A workspace of a few requests per second sends
+# several within a second while it stays within its rate over some seconds.
+MIN_DEPTH = 5.0
 # Larger than the requests of a data centre in one digest. Sums of counts up to it still
 # fit into a message.
 MAX_COUNT = 1_000_000
@@ -194,10 +197,15 @@
         self.requested = 0
         self.admitted = 0
 
+    @property
+    def depth(self) -> float:
+        """Return the requests that a full bucket holds."""
+        return max(MIN_DEPTH, self.workspace.burst)
+
     def set_workspace(self, workspace: Workspace) -> None:
         """Replace the workspace, and keep the level within its burst."""
         self.workspace = workspace
-        self.level = min(self.level, workspace.burst)
+        self.level = min(self.level, self.depth)
 
     def refill(
         self, now: float, reachable_fraction: float, is_catching_up: bool = False
@@ -215,7 +223,7 @@
         self.refilled_at = now
         self.level += self.workspace.rate * reachable_fraction * elapsed
         if not is_catching_up:
-            self.level = min(self.workspace.burst * reachable_fraction, self.level)
+            self.level = min(self.depth * reachable_fraction, self.level)
 
     def admitted_fraction(self, demand: float, reachable_fraction: float) -> float:
         """Return the fraction of the requests that all VMs admit now.
@@ -227,7 +235,7 @@
         reachable_fraction
             Part of the rate that belongs to the reachable VMs, 0 to 1.
         """
-        level = min(self.level, self.workspace.burst * reachable_fraction)
+        level = min(self.level, self.depth * reachable_fraction)
         room = self.workspace.rate * reachable_fraction + level / SPEND_S
         return min(1.0, max(0.0, room / demand))
 
