--- a/primroseturn/entry/usage_repeats.py
+++ b/primroseturn/entry/usage_repeats.py
@@ -17,7 +17,8 @@
 
 # Number of the next digests to the same receiver that repeat the usage of one digest.
 REPEATS = 2
-# Items of repeated usage in one digest, so that it fits a datagram.
+# Items of repeated usage in one digest, so that it fits a datagram. The oldest usage is
+# repeated first; what exceeds this is not repeated.
 MAX_REPEATED_ITEMS = 20
 # Senders and starts of them whose numbers are stored.
 MAX_SENDERS = 1_000
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -1,9 +1,9 @@
 """Chooses the target of each attempt by its expected duration and risk of failure.
 
-It is designed for a few dozen VMs that share a few slots per target. Each VM sees few
-requests, so it combines its own requests in flight, the load that targets report and
-the outcomes that all VMs report. No target is excluded because of its outcomes alone,
-so that every healthy target stays in use when many fail.
+It is designed for dozens to hundreds of VMs that share a few slots per target. Each VM
+sees few requests, so it combines its own requests in flight, the load that targets
+report and the outcomes that all VMs report. No target is excluded because of its
+outcomes alone, so that every healthy target stays in use when many fail.
 
 Used by `primroseturn entry`.
 """
