--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 from time import monotonic
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from review.common.case import Case, main, write_requests
-from review.common.entries import configuration, Entry, Reply
-from review.common.target import Arrival, Target
+from standins.case import Case, main, write_requests
+from standins.entries import configuration, Entry, Reply
+from standins.target import Arrival, Target
 
 ZONES = {"zone-a": 3, "zone-b": 3, "zone-c": 3, "zone-d": 3}
 ROUNDS = 5
--- a/review/common/case.py
+++ b/review/1/standins/case.py
@@ -9,9 +9,9 @@
 from tempfile import TemporaryDirectory
 from time import monotonic
 
-from review.common.entries import Entry, free_ports, Reply
-from review.common.store import Store
-from review.common.target import Arrival
+from standins.entries import Entry, free_ports, Reply
+from standins.store import Store
+from standins.target import Arrival
 
 LIMIT_S = 115.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
--- a/review/common/entries.py
+++ b/review/1/standins/entries.py
@@ -10,9 +10,9 @@
 from time import monotonic
 from typing import Any, NamedTuple
 
-from review.common.wire import close_quietly, encode_message, read_message
+from standins.wire import close_quietly, encode_message, read_message
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 HOST = "shop.example"
 KEY = "key-of-shop"
 NUMBERS = count(1)
--- a/review/common/store.py
+++ b/review/1/standins/store.py
@@ -6,7 +6,7 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-from review.common.wire import close_quietly, encode_message, Message, read_message
+from standins.wire import close_quietly, encode_message, Message, read_message
 
 PATH = "/primroseturn/objects/"
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone"}
--- a/review/common/target.py
+++ b/review/1/standins/target.py
@@ -4,8 +4,8 @@
 from time import monotonic, time
 from typing import Any, NamedTuple
 
-from review.common.store import Store
-from review.common.wire import close_quietly, encode_message, Message, read_message
+from standins.store import Store
+from standins.wire import close_quietly, encode_message, Message, read_message
 
 
 class Arrival(NamedTuple):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,11 +9,11 @@
 from time import monotonic
 from typing import Any, NamedTuple
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "1"))
 
-from review.common.case import Case, main, write_requests
-from review.common.entries import configuration, Entry, Reply
-from review.common.target import Arrival, Target
+from standins.case import Case, main, write_requests
+from standins.entries import configuration, Entry, Reply
+from standins.target import Arrival, Target
 
 ENTRIES = 12
 SERVICES = ("core", "other")
