Bound the time for which an entry that is missing after an outage is kept

Cause: a missing entry was kept for 2.2 s after a VM's own first response, which comes up to 2.6 s after the store's return, and was dropped only at the end of a watch. The drop has no revision, so other VMs never learned of it. Any failed call had the same effect: a cut watch, a lost response, the first call of a VM that takes over polling.

Ruled out: late notices between VMs. VMs that followed another poller dropped the target in time.

Change: an entry is kept only after the store responded to no VM for a heartbeat interval, and no longer than `stable_s` after the start of the last failed call, before which no rule binds the VM (docs/platform.md derives it). Every VM drops by itself; lists carry the remaining time and are ordered by revision and number of kept targets. A VM does not take back what it has dropped. The list is read at once after a cut watch.

--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -69,3 +69,8 @@
 STATEMENT_INVALID = define_event(
     1126, "target-statement-invalid", "A header of a target's response is not valid."
 )
+TARGET_KEPT = define_event(
+    1127,
+    "target-kept",
+    "A target is kept for a time since its entry may have lapsed in an outage.",
+)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -1,18 +1,18 @@
 """Follows the configuration and the list of targets in the store."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection, Iterable
 from math import inf
 from random import uniform
 
 from anyio import current_time, Event, move_on_after, sleep
 
 from primroseturn.clock import time_since_boot
+from primroseturn.entry.contact import LeaseTerms, StoreContact
 from primroseturn.entry.events import (
     CONFIGURATION_APPLIED,
     CONFIGURATION_UNREADABLE,
     ENTRY_SKIPPED,
-    STORE_LOST,
-    STORE_REGAINED,
+    TARGET_KEPT,
     TARGET_LISTED,
     TARGET_UNLISTED,
 )
@@ -55,9 +55,9 @@
 STORE_RETURN_TIMEOUT_S = 3.0
 # Seconds in which a starting VM looks for a VM that already polls the store.
 START_PAUSE_S = 1.5
-# Seconds from the time at which the store responds again, in which entries that expired
-# while it did not respond reappear if their targets are alive, as the platform states.
-EXPIRY_RECOVERY_S = 2.2
+# Seconds between two checks whether a lapsed entry is to be dropped while the view is
+# not confirmed.
+LAPSE_CHECK_INTERVAL_S = 0.1
 # Seconds after the response to a watch for which the list of targets is treated as up
 # to date: the longest duration of a watch, the timeout of a call and a pause.
 TARGETS_CURRENT_S = 3.0
@@ -65,52 +65,6 @@
 MAX_REMEMBERED_SKIPS = 1_000
 
 
-class StoreContact:
-    """Whether the store responds to this VM, and since when.
-
-    Attributes
-    ----------
-    lost_at
-        Monotonic time in seconds of the first failed call since the store stopped
-        responding, None while it responds.
-    regained_at
-        Monotonic time in seconds of the first response after the last failed calls.
-    regained
-        Set when the store responds again.
-    loss_listeners
-        Called when the store stops responding.
-    """
-
-    def __init__(self, events: EventLog) -> None:
-        self.events = events
-        self.loss_listeners: list[Callable[[], None]] = []
-        self.lost_at: float | None = None
-        self.regained_at = -EXPIRY_RECOVERY_S
-        self.regained = Event()
-
-    def record_failure(self, failure: StoreUnavailable) -> None:
-        """Record a failed call; the first one after a response is logged."""
-        if self.lost_at is None:
-            self.lost_at = current_time()
-            self.regained = Event()
-            self.events.emit(STORE_LOST, reason=str(failure))
-            for listener in self.loss_listeners:
-                listener()
-
-    def record_response(self) -> None:
-        """Record a call to which the store responded."""
-        if self.lost_at is not None:
-            now = current_time()
-            self.events.emit(STORE_REGAINED, lost_s=now - self.lost_at)
-            self.lost_at = None
-            self.regained_at = now
-            self.regained.set()
-
-    def may_have_expired(self, now: float) -> bool:
-        """Return whether a missing entry may have expired during a store outage."""
-        return self.lost_at is not None or now - self.regained_at < EXPIRY_RECOVERY_S
-
-
 class PollingPause:
     """Pause of this VM's polling of the store while another VM's replies are recent.
 
@@ -147,6 +101,8 @@
 
     Parameters
     ----------
+    terms
+        Times that decide whether a missing entry may have lapsed.
     data_centers
         The data centres of the settings. Entries of targets in others are invalid; with
         none, entries of all data centres are used.
@@ -157,9 +113,11 @@
         Revision at which the next watch starts; 0 requires a new list first.
     updated
         Set when the configuration or the list of targets has changed.
-    retained_by_id
-        Targets that are kept although their entries are missing, since those may have
-        expired while the store did not respond.
+    lapses_end_by_id
+        Monotonic times in seconds until which targets are kept although their entries
+        are missing, since those may have lapsed in an outage of the store.
+    lapse_added
+        Set when a target was added to `lapses_end_by_id`.
     polling_since
         Monotonic time in seconds since which this VM reads the targets from the store
         itself; infinity while polling is paused.
@@ -174,6 +132,7 @@
         store: ObjectClient,
         view: VmView,
         events: EventLog,
+        terms: LeaseTerms,
         data_centers: Collection[str] = (),
     ) -> None:
         self.store = store
@@ -182,13 +141,14 @@
         self.events = events
         self.polling_pause = PollingPause()
         self.polling_pause.extend(START_PAUSE_S)
-        self.contact = StoreContact(events)
+        self.contact = StoreContact(events, terms)
         store.failure_listeners.append(self.contact.record_failure)
         store.response_listeners.append(self.contact.record_response)
         self.read_timeout_s = MIN_READ_TIMEOUT_S
         self.revision = 0
         self.updated = Event()
-        self.retained_by_id: dict[str, Target] = {}
+        self.lapses_end_by_id: dict[str, float] = {}
+        self.lapse_added = Event()
         self.polling_since = inf
         self.targets_applied_at = -inf
         self.skipped_revisions_by_name: dict[str, int] = {}
@@ -299,9 +259,11 @@
                 # changes.
                 self.revision = 0
                 await sleep(uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S))
-                # The requests for the configuration show when the store responds again.
-                with move_on_after(STORE_RETURN_TIMEOUT_S):
-                    await self.contact.regained.wait()
+                if self.contact.lost_at is not None:
+                    # The requests for the configuration show when the store responds
+                    # again. A watch that was cut proves no outage.
+                    with move_on_after(STORE_RETURN_TIMEOUT_S):
+                        await self.contact.regained.wait()
 
     async def list_targets(self) -> None:
         """Read the whole list of targets and put it in force."""
@@ -312,7 +274,7 @@
         now = current_time()
         for target_id, target in self.view.targets_by_id.items():
             if target_id not in listed:
-                self.retain_if_expired(listed, target, now)
+                self.keep_if_lapsed(listed, target, now)
         self.apply_targets(listed, revision)
         self.revision = revision
 
@@ -325,7 +287,6 @@
         listed = dict(self.view.targets_by_id)
         for change in changes:
             self.apply_change(listed, change, now)
-        self.drop_expired(listed, now)
         if changes:
             self.revision = revision
         # An empty response may come from a watch that missed a change. The next watch
@@ -343,11 +304,11 @@
         if not change.deleted:
             self.add_target(listed, change.stored)
         elif name in listed:
-            self.retain_if_expired(listed, listed.pop(name), now)
+            self.keep_if_lapsed(listed, listed.pop(name), now)
 
     def add_target(self, listed: dict[str, Target], stored: StoredValue) -> None:
         """Add an entry to a list of targets; an invalid entry removes its target."""
-        self.retained_by_id.pop(stored.name, None)
+        self.lapses_end_by_id.pop(stored.name, None)
         decoded = decode_target(stored.name, stored.value, self.data_centers)
         if decoded.is_ok():
             listed[stored.name] = decoded.ok
@@ -368,20 +329,88 @@
         known[stored.name] = stored.revision
         self.events.emit(ENTRY_SKIPPED, kind=failure.reason, reason=str(failure))
 
-    def retain_if_expired(
+    def keep_if_lapsed(
         self, listed: dict[str, Target], target: Target, now: float
     ) -> None:
-        """Keep a missing target whose entry may have expired during a store outage."""
-        if self.contact.may_have_expired(now) and not target.leaving:
-            self.retained_by_id[target.id] = target
-            listed[target.id] = target
-
-    def drop_expired(self, listed: dict[str, Target], now: float) -> None:
-        """Drop the retained targets whose entries have not reappeared in time."""
-        if self.retained_by_id and not self.contact.may_have_expired(now):
-            for target_id in self.retained_by_id:
+        """Keep a missing target whose entry may have lapsed in an outage.
+
+        An entry that was missing before keeps its time.
+        """
+        if target.leaving:
+            return
+        if target.id not in self.lapses_end_by_id:
+            if not self.contact.lapses.is_open(now):
+                return
+            self.keep_lapsed(target.id, self.contact.lapses.ends_at)
+        listed[target.id] = target
+
+    def keep_lapsed(self, target_id: str, ends_at: float) -> None:
+        """Keep a target whose entry is missing until a monotonic time in seconds."""
+        self.lapses_end_by_id[target_id] = ends_at
+        self.events.emit(
+            TARGET_KEPT, target=target_id, seconds=ends_at - current_time()
+        )
+        self.lapse_added.set()
+        self.lapse_added = Event()
+
+    def apply_peer_targets(
+        self,
+        targets: Iterable[Target],
+        revision: int,
+        lapses_end_by_id: dict[str, float],
+    ) -> None:
+        """Put a newer list of targets in force that another VM has read.
+
+        A target whose entry is missing is not listed again if this VM has dropped it:
+        the other VM may have been cut off while the target left.
+
+        Parameters
+        ----------
+        lapses_end_by_id
+            Monotonic times in seconds until which the other VM keeps targets whose
+            entries are missing.
+        """
+        known = self.view.targets_by_id
+        listed = {
+            target.id: target
+            for target in targets
+            if not known or target.id in known or target.id not in lapses_end_by_id
+        }
+        own_count = len(self.lapses_end_by_id)
+        kept_count = len(lapses_end_by_id.keys() & listed.keys())
+        if (revision, -kept_count) <= (self.view.revision, -own_count):
+            return
+        previous = self.lapses_end_by_id
+        self.lapses_end_by_id = {}
+        for target_id in lapses_end_by_id.keys() & listed.keys():
+            ends_at = lapses_end_by_id[target_id]
+            self.keep_lapsed(target_id, min(ends_at, previous.get(target_id, inf)))
+        self.apply_targets(listed, revision)
+
+    async def drop_lapsed_forever(self) -> None:
+        """Drop the targets whose entries have not reappeared in time.
+
+        Every VM does so by itself, since the drop has no revision that a VM could learn
+        of. While the store responds to no VM, no entry can reappear.
+        """
+        while True:
+            wait_s = min(self.lapses_end_by_id.values(), default=inf) - current_time()
+            if wait_s > 0:
+                with move_on_after(wait_s):
+                    await self.lapse_added.wait()
+            elif self.view.age_s(time_since_boot()) >= self.contact.terms.heartbeat_s:
+                await sleep(LAPSE_CHECK_INTERVAL_S)
+            else:
+                self.drop_lapsed(current_time())
+
+    def drop_lapsed(self, now: float) -> None:
+        """Drop the targets whose time as lapsed has ended."""
+        listed = dict(self.view.targets_by_id)
+        for target_id, ends_at in list(self.lapses_end_by_id.items()):
+            if ends_at <= now:
+                del self.lapses_end_by_id[target_id]
                 listed.pop(target_id, None)
-            self.retained_by_id.clear()
+        self.apply_targets(listed, self.view.revision)
 
     def apply_targets(self, listed: dict[str, Target], revision: int) -> None:
         """Put a list of targets in force and log the differences."""
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from anyio import current_time, Event, move_on_after, sleep
+from msgspec import field
 
 from primroseturn.clock import time_since_boot
 from primroseturn.control.bus import Bus, Sender
@@ -69,12 +70,16 @@
     reaches_store
         Whether the store responds to the sender and, if the sender polls the store, its
         list of targets is up to date.
+    lapsed_count
+        Number of targets in its list that are only kept since their entries may have
+        lapsed. Of two lists at the same revision, the one with fewer is the newer one.
     """
 
     version: int
     age_s: float
     revision: int
     reaches_store: bool
+    lapsed_count: int = 0
 
 
 @message("content-question")
@@ -83,6 +88,7 @@
 
     version: int
     revision: int
+    lapsed_count: int = 0
 
 
 @message("content-answer")
@@ -96,12 +102,16 @@
     revision
         Store revision of the sender's list of targets.
     targets
-        The targets listed at `revision`, or None if `revision` is not newer.
+        The targets listed at `revision`, or None if the list is not newer.
+    lapsed_s_by_id
+        Seconds for which targets of the list are kept although their entries are
+        missing.
     """
 
     configuration: Any
     revision: int
     targets: tuple[Target, ...] | None
+    lapsed_s_by_id: dict[str, float] = field(default_factory=dict)
 
 
 class ViewSharing:
@@ -223,8 +233,10 @@
         if status.version != self.view.version or status.revision == 0:
             return status
         self.view.confirm(status.version, requested_at - status.age_s)
+        age_s = time_since_boot() - requested_at + status.age_s
+        self.follower.contact.record_relayed_response(age_s)
         is_useful = status.age_s <= MAX_USEFUL_AGE_S and status.reaches_store
-        if is_useful and self.view.revision >= status.revision:
+        if is_useful and not self.has_newer_list(status):
             self.follower.polling_pause.extend(POLLING_PAUSE_S)
         return status
 
@@ -237,7 +249,10 @@
         view = self.view
         age_s = min(1e6, view.age_s(time_since_boot()))
         reaches_store = self.reaches_store()
-        return ViewStatus(view.version, age_s, view.revision, reaches_store)
+        lapsed_count = len(self.follower.lapses_end_by_id)
+        return ViewStatus(
+            view.version, age_s, view.revision, reaches_store, lapsed_count
+        )
 
     async def receive_status(self, sender: Sender, body: Message) -> None:
         """Process a status that another VM has sent without being queried."""
@@ -269,36 +284,55 @@
     async def fetch_newer(self, peer: str, status: ViewStatus) -> None:
         """Fetch and apply the versions of a peer that are newer than this VM's."""
         view = self.view
-        if status.version <= view.version and status.revision <= view.revision:
+        if status.version <= view.version and not self.has_newer_list(status):
             return
-        request = ContentRequest(view.version, view.revision)
+        lapsed_count = len(self.follower.lapses_end_by_id)
+        request = ContentRequest(view.version, view.revision, lapsed_count)
+        requested_at = current_time()
         reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
         if reply.is_ok() and isinstance(reply.ok, ContentReply):
-            self.apply_content(reply.ok)
+            self.apply_content(reply.ok, requested_at)
+
+    def has_newer_list(self, status: ViewStatus) -> bool:
+        """Return whether the sender of a status has a newer list of targets."""
+        own = (self.view.revision, -len(self.follower.lapses_end_by_id))
+        return (status.revision, -status.lapsed_count) > own
 
     async def reply_with_content(self, sender: Sender, body: Message) -> ContentReply:
         """Reply with what is newer than the versions in the request."""
         assert isinstance(body, ContentRequest)
-        view = self.view
-        has_new_configuration, has_new_list = (
-            view.version > body.version,
-            view.revision > body.revision,
-        )
+        view, lapses = self.view, self.follower.lapses_end_by_id
+        has_new_configuration = view.version > body.version
+        known = (body.revision, -body.lapsed_count)
+        has_new_list = (view.revision, -len(lapses)) > known
+        now = current_time()
         return ContentReply(
             view.stored_configuration if has_new_configuration else None,
             view.revision,
             tuple(view.targets_by_id.values()) if has_new_list else None,
+            {target_id: ends_at - now for target_id, ends_at in lapses.items()},
         )
 
-    def apply_content(self, body: ContentReply) -> None:
-        """Put a newer configuration and a newer list of targets in force."""
+    def apply_content(self, body: ContentReply, requested_at: float) -> None:
+        """Put a newer configuration and a newer list of targets in force.
+
+        Parameters
+        ----------
+        requested_at
+            Monotonic time in seconds at which the content was requested.
+        """
         stored = body.configuration
         if stored is not None and self.follower.apply_peer_configuration(stored):
             version = self.view.version
             self.events.emit(CONFIGURATION_APPLIED, version=version, source="vm")
-        if body.targets is not None and body.revision > self.view.revision:
-            listed = {target.id: target for target in body.targets}
-            self.follower.apply_targets(listed, body.revision)
+        if body.targets is not None:
+            lapses_end_by_id = {
+                target_id: requested_at + seconds
+                for target_id, seconds in body.lapsed_s_by_id.items()
+            }
+            self.follower.apply_peer_targets(
+                body.targets, body.revision, lapses_end_by_id
+            )
 
     async def push_forever(self) -> None:
         """Send the status when the view has changed, if this VM is the store poller."""
--- a/primroseturn/failures.py
+++ b/primroseturn/failures.py
@@ -61,14 +61,28 @@
     ----------
     maybe_applied
         Whether the failed call is a write that may have taken effect.
+    waited_s
+        Seconds from the start of the call until it had failed.
+    was_watch
+        Whether the failed call is a watch that got no response. The store may cut
+        waiting watches at any time.
     """
 
     code = "store-unavailable"
 
-    def __init__(self, operation: str, detail: str, maybe_applied: bool) -> None:
+    def __init__(
+        self,
+        operation: str,
+        detail: str,
+        maybe_applied: bool,
+        waited_s: float = 0.0,
+        was_watch: bool = False,
+    ) -> None:
         super().__init__(f"{operation}: {detail}")
         self.operation = operation
         self.maybe_applied = maybe_applied
+        self.waited_s = waited_s
+        self.was_watch = was_watch
 
 
 class VersionConflict(Failure):
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -65,6 +65,8 @@
     """Table ``platform``, whose only table is named ``platform`` as well."""
 
     platform: StoreTable
+    # Time between two writes of a target to its entry.
+    heartbeat_s: float = 1.5
 
 
 class BoundsTable(Struct, frozen=True):
@@ -79,6 +81,8 @@
     budget_window_s: float = 10.0
     # Repeats that a service may get in a window independently of its load.
     budget_extra: float = 50.0
+    # Time without a disruption after which a machine counts as in touch.
+    stable_s: float = 3.0
 
 
 class TermsTable(Struct, frozen=True):
@@ -154,7 +158,9 @@
             repeat_ratio=bounds.budget_ratio,
             repeat_window_s=bounds.budget_window_s,
             repeat_extra=bounds.budget_extra,
+            stable_s=bounds.stable_s,
         ),
+        heartbeat_s=platform_settings.platform.heartbeat_s,
     )
 
 
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -134,7 +134,9 @@
         """
         query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
         timeout_s = wait_s + self.call_limit_s
-        response = await self.call("GET", path_of(kind), timeout_s, params=query)
+        response = await self.call(
+            "GET", path_of(kind), timeout_s, is_watch=True, params=query
+        )
         if response.status_code == GONE_STATUS:
             raise HistoryLost(revision)
         page = self.parse_page(response, EVENTS)
@@ -254,7 +256,12 @@
             listener(failure)
 
     async def call(
-        self, method: str, path: str, timeout_s: float | None = None, **options: Any
+        self,
+        method: str,
+        path: str,
+        timeout_s: float | None = None,
+        is_watch: bool = False,
+        **options: Any,
     ) -> Response:
         """Make one call and return the response unless it is a failure of the store.
 
@@ -263,6 +270,8 @@
         timeout_s
             Timeout in seconds in place of `call_limit_s`. Calls with their own timeout
             are left out of the duration metric, since watches wait for changes.
+        is_watch
+            Whether the call is a watch.
         """
         operation = f"{method} {path}"
         is_write = method != "GET"
@@ -281,7 +290,13 @@
                 response = await self.exchange(method, path, timeout_s, options)
         except (HTTPError, TimeoutError) as error:
             STORE_CALLS.labels(method, "lost").inc()
-            failure = StoreUnavailable(operation, type(error).__name__, is_write)
+            failure = StoreUnavailable(
+                operation,
+                type(error).__name__,
+                is_write,
+                waited_s=perf_counter() - started,
+                was_watch=is_watch,
+            )
             self.notify_failure(failure)
             raise failure from error
         if not has_own_timeout:
@@ -294,7 +309,10 @@
             detail = f"status {response.status_code}"
             # The platform guarantees that nothing was written after 429 and 503.
             maybe_applied = is_write and response.status_code not in (429, 503)
-            failure = StoreUnavailable(operation, detail, maybe_applied)
+            waited_s = perf_counter() - started
+            failure = StoreUnavailable(
+                operation, detail, maybe_applied, waited_s=waited_s
+            )
             self.notify_failure(failure)
             raise failure
         for listener in self.response_listeners:
--- a/primroseturn/settings/entry.py
+++ b/primroseturn/settings/entry.py
@@ -18,6 +18,9 @@
     repeat_ratio, repeat_window_s, repeat_extra
         In each window of `repeat_window_s` seconds, a service may receive
         `repeat_ratio` times its requests plus `repeat_extra` as retries and hedges.
+    stable_s
+        Time in seconds without a disruption after which a VM is bound by the limits on
+        configurations and leaving targets again.
     """
 
     revoked_key_limit_s: float
@@ -25,6 +28,7 @@
     repeat_ratio: float
     repeat_window_s: float
     repeat_extra: float
+    stable_s: float = 3.0
 
 
 class EntrySettings(Struct, frozen=True):
@@ -54,6 +58,8 @@
         Calls per second that all VMs together may make to the store.
     bounds
         Bounds that hold for all VMs together.
+    heartbeat_s
+        Seconds between two writes of a target to its entry in the store.
     """
 
     identity: Identity
@@ -68,3 +74,4 @@
     reads_per_s: float
     writes_per_s: float
     bounds: FleetBounds
+    heartbeat_s: float = 1.5
--- a/primroseturn/standins/store.py
+++ b/primroseturn/standins/store.py
@@ -44,6 +44,8 @@
         maximum. A waiting watch is one call.
     seed
         Seed of the shares.
+    lost_reads
+        Number of reads and lists to come that get no response.
     """
 
     outage: bool = False
@@ -55,6 +57,7 @@
     silent_watches: bool = False
     calls_per_s: float = 0.0
     seed: int = 1
+    lost_reads: int = 0
 
 
 class Entry(Struct):
@@ -104,6 +107,8 @@
         Set when an object or the faults change.
     calls_by_kind
         Number of calls so far by operation: read, list, watch, write, or refused.
+    cut_count
+        How often the waiting watches were cut.
     """
 
     def __init__(self) -> None:
@@ -118,6 +123,7 @@
         self.filled_at: float | None = None
         self.change_event = Event()
         self.calls_by_kind: dict[str, int] = {}
+        self.cut_count = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one call."""
@@ -132,6 +138,9 @@
         if self.faults.outage:
             await send_response(send, 503)
             return
+        if self.faults.lost_reads and is_read(scope):
+            self.faults.lost_reads -= 1
+            await sleep_forever()
         if not self.try_consume_token():
             self.count("refused")
             await send_response(send, 429)
@@ -299,6 +308,11 @@
         self.change_event.set()
         self.change_event = Event()
 
+    def cut_watches(self) -> None:
+        """Break the connections of the waiting watches."""
+        self.cut_count += 1
+        self.wake_watches()
+
     async def send_list(self, kind: str, scope: Any, send: Any) -> None:
         """Send one page of the objects of a kind."""
         query = query_of(scope)
@@ -331,6 +345,7 @@
         query = query_of(scope)
         revision = int(query["watch"])
         changes: list[Change] = []
+        cut_count = self.cut_count
         with move_on_after(int(query.get("wait_ms", "30000")) / 1000):
             while not changes and not self.faults.outage:
                 if revision < self.dropped_revision:
@@ -348,6 +363,8 @@
                 )
                 if not changes:
                     await self.change_event.wait()
+                if self.cut_count != cut_count:
+                    raise ConnectionError("watch cut")
         if self.faults.outage:
             await send_response(send, 503)
             return
@@ -362,6 +379,11 @@
         await send_json(send, 200, page)
 
 
+def is_read(scope: Any) -> bool:
+    """Return whether a call reads an object or a list, without a watch."""
+    return scope["method"] == "GET" and "watch" not in query_of(scope)
+
+
 def name_of(key: str) -> str:
     """Return the name of the object with a key."""
     return key.partition("/")[2]
