Relay configurations and lists of targets of any size between VMs

Cause: configuration and targets were one message, which may have 262,144 bytes. A VM that got no reply did not read the store: its polling stayed paused, and VMs with the old version extended the pause.

Ruled out: the store and its reading by the poller, which were in time.

Change: two documents, sent in parts named by the digest of their document, and as a difference to a VM that has the previous version.

--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -74,3 +74,8 @@
     "target-kept",
     "A target is kept for a time since its entry may have lapsed in an outage.",
 )
+DOCUMENT_REFUSED = define_event(
+    1128,
+    "entry-document-refused",
+    "A configuration or list of targets from another VM was not usable.",
+)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Iterable
 from math import inf
 from random import uniform
+from typing import NamedTuple
 
 from anyio import current_time, Event, move_on_after, sleep
 
@@ -96,6 +97,13 @@
                 await self.ended.wait()
 
 
+class ReadVersion(NamedTuple):
+    """Store revision and version of a configuration that was read."""
+
+    revision: int
+    version: int
+
+
 class StoreFollower:
     """Keeps the view up to date from the store.
 
@@ -111,6 +119,11 @@
     ----------
     revision
         Revision at which the next watch starts; 0 requires a new list first.
+    last_read
+        The last configuration that this VM has read from the store.
+    listed_at
+        Time since boot in seconds of the last request for the list or its changes to
+        which the store responded.
     updated
         Set when the configuration or the list of targets has changed.
     lapses_end_by_id
@@ -146,6 +159,8 @@
         store.response_listeners.append(self.contact.record_response)
         self.read_timeout_s = MIN_READ_TIMEOUT_S
         self.revision = 0
+        self.last_read = ReadVersion(0, 0)
+        self.listed_at = 0.0
         self.updated = Event()
         self.lapses_end_by_id: dict[str, float] = {}
         self.lapse_added = Event()
@@ -191,9 +206,19 @@
         self.read_timeout_s = max(MIN_READ_TIMEOUT_S, READ_TIMEOUT_FACTOR * duration_s)
         if stored is None:
             return False
-        return self.apply_configuration(stored.value, requested_at)
-
-    def apply_configuration(self, spec: object, requested_at: float) -> bool:
+        if (
+            stored.revision
+            and stored.revision == self.last_read.revision
+            and not self.view.must_repeat_configuration
+        ):
+            # Decoding a large value again takes time.
+            self.view.confirm(self.last_read.version, requested_at)
+            return True
+        return self.apply_configuration(stored.value, requested_at, stored.revision)
+
+    def apply_configuration(
+        self, spec: object, requested_at: float, revision: int = 0
+    ) -> bool:
         """Put a configuration from the store in force and confirm its version.
 
         Parameters
@@ -202,6 +227,8 @@
             The configuration as stored.
         requested_at
             Time since boot in seconds at which it was requested.
+        revision
+            Revision of its last change in the store; 0 if it is not known.
 
         Returns
         -------
@@ -215,6 +242,7 @@
         version = decoded.ok.version
         if self.view.apply_configuration(decoded.ok, spec):
             self.events.emit(CONFIGURATION_APPLIED, version=version, source="store")
+        self.last_read = ReadVersion(revision, version)
         self.view.confirm(version, requested_at)
         return True
 
@@ -267,6 +295,7 @@
 
     async def list_targets(self) -> None:
         """Read the whole list of targets and put it in force."""
+        requested_at = time_since_boot()
         revision, values = await self.store.list_values(TARGETS_KIND)
         listed: dict[str, Target] = {}
         for value in values:
@@ -277,6 +306,7 @@
                 self.keep_if_lapsed(listed, target, now)
         self.apply_targets(listed, revision)
         self.revision = revision
+        self.listed_at = requested_at
 
     async def watch_targets(self) -> None:
         """Wait for changes of the list and apply them."""
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -10,17 +10,28 @@
 """
 
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
-from anyio import current_time, Event, move_on_after, sleep
-from msgspec import field
+from anyio import current_time, Event, Lock, move_on_after, sleep
+from expression import Error, Ok, Result
 
 from primroseturn.clock import time_since_boot
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
-from primroseturn.entry.events import CONFIGURATION_APPLIED
+from primroseturn.entry.documents import (
+    decode_patched,
+    decode_targets,
+    decode_whole,
+    DocumentHead,
+    DocumentMismatch,
+    DocumentPart,
+    DocumentPartRequest,
+    DocumentStore,
+    encode_document,
+    MAX_DOCUMENT_BYTES,
+)
+from primroseturn.entry.events import CONFIGURATION_APPLIED, DOCUMENT_REFUSED
 from primroseturn.entry.following import START_PAUSE_S, StoreFollower
-from primroseturn.entry.models import Target
 from primroseturn.entry.view import VmView
 from primroseturn.membership.fleet import Fleet
 from primroseturn.observation.events import EventLog
@@ -29,8 +40,8 @@
 QUERY_INTERVAL_S = 0.7
 # Longest wait in seconds for the store poller's reply; it is a millisecond away.
 QUERY_TIMEOUT_S = 0.25
-# Longest wait in seconds for a configuration or a list of targets, for which a
-# connection may have to be opened.
+# Longest wait in seconds for a part of a configuration or of a list of targets, for
+# which a connection may have to be opened.
 CONTENT_TIMEOUT_S = 0.5
 # Age in seconds up to which a confirmed view is recent enough to spare the receiver its
 # own calls: the interval of the store poller's requests plus a slow response.
@@ -82,36 +93,46 @@
     lapsed_count: int = 0
 
 
-@message("content-question")
-class ContentRequest(Message, frozen=True, array_like=True):
-    """Requests the configuration and targets that are newer than the stated ones."""
+@message("configuration-request")
+class ConfigurationRequest(Message, frozen=True, array_like=True):
+    """Requests a configuration that is newer than `version`, which the sender has.
+
+    The reply is a `DocumentHead`.
+    """
 
     version: int
-    revision: int
-    lapsed_count: int = 0
 
 
-@message("content-answer")
-class ContentReply(Message, frozen=True, array_like=True):
-    """The configuration and targets that are newer than those of a request.
+@message("targets-request")
+class TargetsRequest(Message, frozen=True, array_like=True):
+    """Requests the list of targets. The reply is a `TargetsReply`."""
+
+
+@message("targets-reply")
+class TargetsReply(Message, frozen=True, array_like=True):
+    """Describes a list of targets.
 
     Attributes
     ----------
-    configuration
-        The configuration as stored, or None if it is not newer.
     revision
-        Store revision of the sender's list of targets.
-    targets
-        The targets listed at `revision`, or None if the list is not newer.
+        Store revision of the list.
     lapsed_s_by_id
         Seconds for which targets of the list are kept although their entries are
         missing.
+    head
+        Describes the document that holds the targets.
     """
 
-    configuration: Any
     revision: int
-    targets: tuple[Target, ...] | None
-    lapsed_s_by_id: dict[str, float] = field(default_factory=dict)
+    lapsed_s_by_id: dict[str, float]
+    head: DocumentHead
+
+
+class SeenNumber(NamedTuple):
+    """The highest number that was seen, and when it was seen first."""
+
+    number: int
+    seen_at: float
 
 
 class ViewSharing:
@@ -128,6 +149,13 @@
     ----------
     is_store_poller
         Whether this VM polls the store for its data centre.
+    documents
+        The documents whose parts other VMs may still request.
+    fetching
+        Held while documents are fetched, so that none is fetched twice.
+    newest_version, newest_revision
+        The newest version of the configuration and revision of the list of targets that
+        another VM has stated, with the time since boot in seconds.
     store_lost
         Set when the store stops responding to this VM.
     query_requested
@@ -154,6 +182,10 @@
         self.follower = follower
         self.events = events
         self.is_store_poller = False
+        self.documents = DocumentStore()
+        self.fetching = Lock()
+        self.newest_version = SeenNumber(0, 0.0)
+        self.newest_revision = SeenNumber(0, 0.0)
         self.random = Random()
         self.store_lost = Event()
         self.query_requested = Event()
@@ -162,7 +194,9 @@
         follower.contact.loss_listeners.append(lambda: self.store_lost.set())
         datagrams.register_handler(ViewRequest, self.reply_to_request)
         datagrams.register_handler(ViewStatus, self.receive_status)
-        bus.register_handler(ContentRequest, self.reply_with_content)
+        bus.register_handler(ConfigurationRequest, self.reply_with_configuration)
+        bus.register_handler(TargetsRequest, self.reply_with_targets)
+        bus.register_handler(DocumentPartRequest, self.reply_with_part)
         view.configuration_listeners.append(lambda _: self.follower.updated.set())
         view.target_listeners.append(lambda _: self.follower.updated.set())
 
@@ -235,8 +269,9 @@
         self.view.confirm(status.version, requested_at - status.age_s)
         age_s = time_since_boot() - requested_at + status.age_s
         self.follower.contact.record_relayed_response(age_s)
-        is_useful = status.age_s <= MAX_USEFUL_AGE_S and status.reaches_store
-        if is_useful and not self.has_newer_list(status):
+        is_recent = status.age_s <= MAX_USEFUL_AGE_S and status.reaches_store
+        # A VM that is behind as well does not spare this one its own calls.
+        if is_recent and not self.is_behind() and not self.has_newer_list(status):
             self.follower.polling_pause.extend(POLLING_PAUSE_S)
         return status
 
@@ -281,58 +316,143 @@
                 # VM's clock; a query bounds both.
                 self.query_now()
 
-    async def fetch_newer(self, peer: str, status: ViewStatus) -> None:
-        """Fetch and apply the versions of a peer that are newer than this VM's."""
-        view = self.view
-        if status.version <= view.version and not self.has_newer_list(status):
-            return
-        lapsed_count = len(self.follower.lapses_end_by_id)
-        request = ContentRequest(view.version, view.revision, lapsed_count)
-        requested_at = current_time()
-        reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
-        if reply.is_ok() and isinstance(reply.ok, ContentReply):
-            self.apply_content(reply.ok, requested_at)
+    def is_behind(self) -> bool:
+        """Return whether a newer version or list exists than this VM has.
+
+        What the store has responded since it was seen is believed instead.
+        """
+        view, version, revision = self.view, self.newest_version, self.newest_revision
+        confirmed_at = 0.0 if view.confirmed_at is None else view.confirmed_at
+        listed_at = self.follower.listed_at
+        return (version.number > view.version and confirmed_at < version.seen_at) or (
+            revision.number > view.revision and listed_at < revision.seen_at
+        )
 
     def has_newer_list(self, status: ViewStatus) -> bool:
         """Return whether the sender of a status has a newer list of targets."""
         own = (self.view.revision, -len(self.follower.lapses_end_by_id))
         return (status.revision, -status.lapsed_count) > own
 
-    async def reply_with_content(self, sender: Sender, body: Message) -> ContentReply:
-        """Reply with what is newer than the versions in the request."""
-        assert isinstance(body, ContentRequest)
-        view, lapses = self.view, self.follower.lapses_end_by_id
-        has_new_configuration = view.version > body.version
-        known = (body.revision, -body.lapsed_count)
-        has_new_list = (view.revision, -len(lapses)) > known
-        now = current_time()
-        return ContentReply(
-            view.stored_configuration if has_new_configuration else None,
-            view.revision,
-            tuple(view.targets_by_id.values()) if has_new_list else None,
-            {target_id: ends_at - now for target_id, ends_at in lapses.items()},
+    def record_versions(self, status: ViewStatus) -> None:
+        """Record the newest version and revision that another VM has stated."""
+        now = time_since_boot()
+        if status.version > self.newest_version.number:
+            self.newest_version = SeenNumber(status.version, now)
+        if status.revision > self.newest_revision.number:
+            self.newest_revision = SeenNumber(status.revision, now)
+
+    async def fetch_newer(self, peer: str, status: ViewStatus) -> None:
+        """Fetch and apply what is newer at a peer than at this VM.
+
+        What can't be fetched is read from the store at once.
+        """
+        self.record_versions(status)
+        async with self.fetching:
+            if status.version > self.view.version:
+                await self.fetch_configuration(peer)
+            if self.has_newer_list(status):
+                await self.fetch_targets(peer)
+        if self.is_behind():
+            self.follower.polling_pause.end()
+
+    async def fetch_configuration(self, peer: str) -> None:
+        """Fetch and apply a peer's configuration.
+
+        If the patch of this VM's version does not fit, the whole is fetched.
+        """
+        for version in dict.fromkeys((self.view.version, 0)):
+            old = self.view.stored_configuration
+            request = ConfigurationRequest(version)
+            reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
+            if reply.is_error() or not isinstance(reply.ok, DocumentHead):
+                return
+            fetched = await self.fetch_document(peer, reply.ok, old)
+            if fetched.is_ok():
+                if self.follower.apply_peer_configuration(fetched.ok):
+                    version = self.view.version
+                    self.events.emit(
+                        CONFIGURATION_APPLIED, version=version, source="vm"
+                    )
+                return
+
+    async def fetch_targets(self, peer: str) -> None:
+        """Fetch and apply a peer's list of targets."""
+        requested_at = current_time()
+        reply = await self.bus.request(peer, TargetsRequest(), CONTENT_TIMEOUT_S)
+        if reply.is_error() or not isinstance(reply.ok, TargetsReply):
+            return
+        fetched = await self.fetch_document(peer, reply.ok.head)
+        targets = fetched.bind(decode_targets)
+        if targets.is_error():
+            return
+        lapses_end_by_id = {
+            target_id: requested_at + seconds
+            for target_id, seconds in reply.ok.lapsed_s_by_id.items()
+        }
+        self.follower.apply_peer_targets(
+            targets.ok, reply.ok.revision, lapses_end_by_id
         )
 
-    def apply_content(self, body: ContentReply, requested_at: float) -> None:
-        """Put a newer configuration and a newer list of targets in force.
+    async def fetch_document(
+        self, peer: str, head: DocumentHead, old: Any = None
+    ) -> Result[Any, DocumentMismatch]:
+        """Fetch the other parts of a document and return its value.
 
         Parameters
         ----------
-        requested_at
-            Monotonic time in seconds at which the content was requested.
+        old
+            The value that a patch is applied to.
         """
-        stored = body.configuration
-        if stored is not None and self.follower.apply_peer_configuration(stored):
-            version = self.view.version
-            self.events.emit(CONFIGURATION_APPLIED, version=version, source="vm")
-        if body.targets is not None:
-            lapses_end_by_id = {
-                target_id: requested_at + seconds
-                for target_id, seconds in body.lapsed_s_by_id.items()
-            }
-            self.follower.apply_peer_targets(
-                body.targets, body.revision, lapses_end_by_id
-            )
+        fetched = await self.fetch_parts(peer, head)
+        if head.is_patch:
+            value = fetched.bind(lambda data: decode_patched(data, head.digest, old))
+        else:
+            value = fetched.bind(lambda data: decode_whole(data, head.digest))
+        if value.is_error():
+            self.events.emit(DOCUMENT_REFUSED, peer=peer, reason=str(value.error))
+        return value
+
+    async def fetch_parts(
+        self, peer: str, head: DocumentHead
+    ) -> Result[bytes, DocumentMismatch]:
+        """Return the data of a document, unless a part does not arrive in time."""
+        if head.size > MAX_DOCUMENT_BYTES:
+            return Error(DocumentMismatch(f"the document has {head.size} bytes"))
+        data = bytearray(head.first_part)
+        while len(data) < head.size:
+            request = DocumentPartRequest(head.digest, head.is_patch, len(data))
+            reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
+            if reply.is_error() or not isinstance(reply.ok, DocumentPart):
+                return Error(DocumentMismatch(f"no reply for the part at {len(data)}"))
+            if not reply.ok.data:
+                return Error(DocumentMismatch("the peer no longer has the document"))
+            data += reply.ok.data
+        return Ok(bytes(data))
+
+    async def reply_with_configuration(
+        self, sender: Sender, body: Message
+    ) -> DocumentHead | None:
+        """Describe the configuration to a VM that has an older version."""
+        assert isinstance(body, ConfigurationRequest)
+        if self.view.configuration is None:
+            return None
+        return self.documents.keep(self.view.document_for(body.version))
+
+    async def reply_with_targets(self, sender: Sender, body: Message) -> TargetsReply:
+        """Describe the list of targets."""
+        now = current_time()
+        lapsed_s_by_id = {
+            target_id: ends_at - now
+            for target_id, ends_at in self.follower.lapses_end_by_id.items()
+        }
+        document = encode_document(list(self.view.targets_by_id.values()))
+        head = self.documents.keep(document)
+        return TargetsReply(self.view.revision, lapsed_s_by_id, head)
+
+    async def reply_with_part(self, sender: Sender, body: Message) -> DocumentPart:
+        """Reply with a part of a document."""
+        assert isinstance(body, DocumentPartRequest)
+        return self.documents.find_part(body)
 
     async def push_forever(self) -> None:
         """Send the status when the view has changed, if this VM is the store poller."""
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
 
+from primroseturn.entry.documents import Document, encode_document, encode_patch
 from primroseturn.entry.models import Configuration, Target
 
 # Seconds of the time limit for withdrawn keys that are reserved for the transit of a
@@ -25,6 +26,13 @@
     port: int
 
 
+class StoredVersion(NamedTuple):
+    """A version of the configuration in the form in which the store holds it."""
+
+    version: int
+    value: Any
+
+
 class VmView:
     """The configuration and targets that are in force on this VM, with their age.
 
@@ -34,6 +42,10 @@
         The newest known version, or None before the first.
     stored_configuration
         That version in the form in which the store holds it, for sending to other VMs.
+    previous
+        The version that was in force before.
+    documents_by_version
+        What VMs need that have no version (0) or the previous one.
     targets_by_id
         The listed targets.
     revision
@@ -54,6 +66,8 @@
         self.set_revoked_key_limit(revoked_key_limit_s)
         self.configuration: Configuration | None = None
         self.stored_configuration: Any = None
+        self.previous = StoredVersion(0, None)
+        self.documents_by_version: dict[int, Document] = {}
         self.targets_by_id: dict[str, Target] = {}
         self.leaving_starts: dict[TargetStart, None] = {}
         self.revision = 0
@@ -84,6 +98,8 @@
         )
         if configuration.version <= self.version and not is_repeat:
             return False
+        self.previous = StoredVersion(self.version, self.stored_configuration)
+        self.documents_by_version.clear()
         self.configuration = configuration
         self.stored_configuration = stored
         self.must_repeat_configuration = True
@@ -91,6 +107,22 @@
         self.must_repeat_configuration = False
         return True
 
+    def document_for(self, version: int) -> Document:
+        """Return the document of the configuration for a VM that has a version.
+
+        The documents are kept, since all VMs of a data centre request the same one.
+        """
+        documents = self.documents_by_version
+        if 0 not in documents:
+            documents[0] = encode_document(self.stored_configuration)
+        if version != self.previous.version:
+            return documents[0]
+        if version not in documents:
+            documents[version] = encode_patch(
+                self.previous.value, self.stored_configuration, documents[0]
+            )
+        return documents[version]
+
     def confirm(self, version: int, requested_at: float) -> None:
         """Record that `version` was the newest one when it was requested.
 
