Bound the memory of connections and requests by that of the VM

Cause: each connection was bounded, at up to 1.2 MB, but not their sum; `memory_mb` was read nowhere. A response was handed to the connection as a whole, which copied it. A body was still written after the target had closed, which asyncio only logs.

Responses are buffered whole only up to a fifth of it and else forwarded; requests without progress for 1 s (no byte acknowledged, by the kernel's send queue) are ended for others, the longest stalled first; what does not fit is refused at once with 503 `memory-exhausted`. Reads and buffers have 16 KiB. Events 1129 and 1130 and two metrics name targets, workspaces and bytes.

--- /dev/null
+++ b/features/memory.feature
@@ -0,0 +1,55 @@
+Feature: The memory of requests under way is bounded over all callers and targets
+
+  A VM of 300 MB may use four fifths of them. GET /calm/1 goes to a target that responds
+  as usual. Modes are those of endless_answers.feature; sound: a whole response of
+  20 MB; deaf: a target that reads no body, to which callers send one without end.
+
+  Scenario Outline: <count> callers that read nothing of <mode> do not end a VM
+    Given an entry VM of 300 MB as a process and a target in mode "<mode>" for sheets
+    When <count> callers read nothing while others send GET /calm/1 for <seconds> s
+    Then the VM runs and used at most 240 MB of memory
+    And 95 % of the others were served within 2 s
+    And its metrics state the capacity and what is held
+
+    Examples:
+      | mode            | count | seconds |
+      | unframed fast   | 600   | 8       |
+      | terabytes fast  | 600   | 8       |
+      | chunks fast     | 600   | 8       |
+      | line fast       | 600   | 8       |
+      | sound           | 300   | 8       |
+      | deaf            | 300   | 8       |
+
+  Scenario: 2000 callers that read nothing do not end a VM, and others get true answers
+    Given an entry VM of 300 MB as a process and a target in mode "unframed fast" for sheets
+    When 2000 callers read nothing while others send GET /calm/1 for 12 s
+    Then the VM runs and used at most 240 MB of memory
+    And each of the others got 200, or at once 503 with the time to come back
+    And the shortage is logged with the target and the workspace that hold the most
+    And connections without progress were closed for others
+
+  Scenario: A caller that reads slowly is not cut for others
+    Given a budget of which all but one request is held
+    When a caller reads 1 byte each 0.5 s and another reads nothing for 2 s
+    And a request arrives
+    Then the caller that reads nothing is evicted and the other is not
+
+  Scenario: Requests that wait for their target are not evicted
+    Given a budget of which all but one request is held
+    When the requests wait for their targets for 10 s
+    Then a further request does not fit and none is evicted
+
+  Scenario: Held bytes are released, whatever the order of requests, growth and evictions
+    Then in any sequence of requests the held bytes end at 0 and stay within the capacity
+
+  Scenario: A response is not buffered whole when memory is short, but forwarded
+    Given an entry VM with 1 target
+    And its responses have 500000 bytes and no memory is left to buffer them
+    When a caller sends 3 times GET /lookup/1
+    Then the caller gets 200 and the whole body each time
+
+  Scenario: A request without room is refused, and the VM serves the next one
+    Given an entry VM with 1 target
+    When a request arrives while the requests under way hold all memory
+    Then it gets 503 "memory-exhausted" with the time to come back
+    And the next request gets 200
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -346,7 +346,11 @@
 @when("the start of a response in parts of {size:d} bytes is read")
 def step_read_start(context, size):
     line = RequestLine("GET", b"/")
-    request = SimpleNamespace(line=line, left_s=lambda: CALLER_TIMEOUT_S)
+    request = SimpleNamespace(
+        line=line,
+        left_s=lambda: CALLER_TIMEOUT_S,
+        try_buffer=lambda size: True,
+    )
     head = read_response_head(200, [])
 
     async def run():
--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -47,22 +47,24 @@
     wait_event(context, "entry-started")
 
 
-def start_process(context, output, store=1):
+def start_process(context, output, store=1, tables="", errors=PIPE, **variables):
     """Start an entry VM that writes its log to a file or descriptor.
 
-    Nothing listens on the store's default port here.
+    Nothing listens on the store's default port here. Tables are added to the settings
+    file, and variables to the environment.
     """
     directory = TemporaryDirectory()
     context.cleanups.append(directory.cleanup)
     context.file = Path(directory.name) / "boot.toml"
     context.ports = {name: choose_port() for name in ("peers", "callers", "readiness")}
     context.ports["store"] = store
-    context.file.write_text(BOOT.format(revoke=5, **context.ports))
-    environment = {**os.environ, "PRIMROSETURN_BOOT": str(context.file)}
+    context.file.write_text(BOOT.format(revoke=5, **context.ports) + tables)
+    variables = {"PRIMROSETURN_BOOT": str(context.file), **variables}
+    environment = {**os.environ, **variables}
     context.process = Popen(
         [sys.executable, "-m", "primroseturn.entry"],
         stdout=output,
-        stderr=PIPE,
+        stderr=errors,
         env=environment,
     )
     context.cleanups.append(lambda: stop(context.process))
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -1,7 +1,7 @@
 """The ASGI application that forwards requests of callers to targets."""
 
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from random import Random
 from typing import Any
 
@@ -25,6 +25,7 @@
     REQUEST_SERVED,
 )
 from primroseturn.entry.forwarding import Forwarder
+from primroseturn.entry.memory import Holder, MemoryBudget, Phase, STALL_S
 from primroseturn.entry.metrics import OUTCOMES, RATE_REFUSALS, REQUEST_SECONDS
 from primroseturn.entry.models import (
     CallerLimits,
@@ -49,6 +50,7 @@
     RequestBody,
 )
 from primroseturn.requestpath.checks import check_headers
+from primroseturn.requestpath.connection import READ_BYTES
 from primroseturn.requestpath.headers import (
     CONTENT_LENGTH,
     has_body,
@@ -75,6 +77,8 @@
 # run.
 SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS = 503, 429
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
+# Kind of the refusals of requests for which there is no memory.
+MEMORY_EXHAUSTED = "memory-exhausted"
 # Separators and end of a line in the head of a request.
 HEADER_LINE_BYTES = 4
 
@@ -90,6 +94,8 @@
         Returns whether this VM has begun its stop.
     store_responds
         Returns whether the store responds to this VM.
+    memory
+        The bytes that requests may hold.
     """
 
     def __init__(
@@ -100,7 +106,9 @@
         events: EventLog,
         is_stopping: Callable[[], bool],
         store_responds: Callable[[], bool],
+        memory: MemoryBudget,
     ) -> None:
+        self.memory = memory
         self.view = view
         self.forwarder = forwarder
         self.quota = quota
@@ -124,8 +132,9 @@
             with raise_library_cancellation():
                 await self.wait_first_view()
                 request = self.validate_request(scope, headers, body)
-                await self.check_rate(request)
-                await self.serve(request, sender)
+                with self.hold_memory(request):
+                    await self.check_rate(request)
+                    await self.serve(request, sender)
         except RequestRefused as failure:
             await self.refuse(request, headers, body, sender, failure.refusal)
         except ResponseBroken as failure:
@@ -234,6 +243,38 @@
         weights = [item.weight for item in route.weighted_services]
         return self.random.choices(route.weighted_services, weights)[0].service
 
+    @contextmanager
+    def hold_memory(self, request: EntryRequest) -> Iterator[None]:
+        """Hold the bytes of a request during the context.
+
+        Raises
+        ------
+        RequestRefused
+            If they do not fit.
+        """
+        workspace = request.workspace.name if request.workspace else None
+        lengths = values_of(request.headers.forwarded, CONTENT_LENGTH)
+        body_bytes: int | None = 0
+        if request.body.is_present:
+            body_bytes = int(lengths[0]) if lengths else None
+        with self.memory.hold(
+            Holder(request.id, workspace),
+            body_bytes,
+            lambda: evict(request),
+            request.link.unsent_bytes,
+        ) as holding:
+            if holding is None:
+                raise self.memory_refusal(request)
+            request.holding = holding
+            yield
+
+    def memory_refusal(self, request: EntryRequest) -> RequestRefused:
+        """Return the refusal of a request for which there is no memory."""
+        detail = "the requests under way hold all memory of this VM"
+        return self.retryable_refusal(
+            MEMORY_EXHAUSTED, detail, STALL_S, request.left_s()
+        )
+
     async def check_rate(self, request: EntryRequest) -> None:
         """Admit a request under its workspace's rate, after a short wait if needed.
 
@@ -294,6 +335,7 @@
         """
         result: AttemptResult | None = None
         with CancelScope(deadline=request.deadline_at) as deadline_scope:
+            request.scope = deadline_scope
             request.link.set_close_callback(
                 lambda: handle_caller_left(request, deadline_scope)
             )
@@ -304,6 +346,8 @@
         if request.caller_left:
             raise CallerGone
         if deadline_scope.cancelled_caught and result is None:
+            if request.is_evicted and not request.may_have_run:
+                raise self.memory_refusal(request)
             raise self.timeout_refusal(request)
         if result is None:
             raise self.no_target_refusal(request)
@@ -336,10 +380,14 @@
                 "headers": headers,
             }
         )
+        request.enter_phase(Phase.DELIVERING)
         has_more = result.remainder is not None
-        await send(
-            {"type": "http.response.body", "body": result.body, "more_body": has_more}
-        )
+        for part, is_last in body_parts(result.body):
+            more_body = has_more or not is_last
+            await send(
+                {"type": "http.response.body", "body": part, "more_body": more_body}
+            )
+            request.record_progress()
 
     def record_served(self, request: EntryRequest, result: AttemptResult) -> None:
         """Count and log a response that was delivered whole."""
@@ -368,7 +416,7 @@
             If the caller left.
         """
         assert result.remainder is not None
-        response = LargeResponse(result.remainder)
+        response = LargeResponse(request, result.remainder)
         with CancelScope(deadline=request.deadline_at) as deadline_scope:
             request.link.set_close_callback(deadline_scope.cancel)
             try:
@@ -466,6 +514,8 @@
         with contain_errors(self.events, "EntryApplication.note_refusal"):
             self.note_refusal(request, headers, refusal)
         await body.discard_remainder()
+        if refusal.kind == MEMORY_EXHAUSTED:
+            send = closing_sender(send, lambda: True)
         await send_refusal(send, refusal)
 
     def note_refusal(
@@ -517,7 +567,8 @@
         Time in seconds for which sending waited for the caller.
     """
 
-    def __init__(self, attempt: Attempt) -> None:
+    def __init__(self, request: EntryRequest, attempt: Attempt) -> None:
+        self.request = request
         self.attempt = attempt
         self.started_at = current_time()
         self.sent_bytes = 0
@@ -533,6 +584,7 @@
             finally:
                 self.sending_s += current_time() - send_started_at
             self.sent_bytes += len(part)
+            self.request.record_progress()
 
     def waited_for_target(self) -> bool:
         """Return whether more time was spent on the target than on the caller.
@@ -542,6 +594,31 @@
         return self.sending_s < 0.5 * (current_time() - self.started_at)
 
 
+def body_parts(body: bytes | bytearray) -> Iterator[tuple[bytes, bool]]:
+    """Yield the parts in which a body is sent, and whether each is the last one.
+
+    The connection copies what it can't send at once, so a large body is not passed to
+    it as a whole.
+    """
+    view = memoryview(body)
+    yield bytes(view[:READ_BYTES]), len(view) <= READ_BYTES
+    for start in range(READ_BYTES, len(view), READ_BYTES):
+        end = start + READ_BYTES
+        yield bytes(view[start:end]), end >= len(view)
+
+
+def evict(request: EntryRequest) -> None:
+    """End a request without progress.
+
+    A caller that does not read its response can't be told; any other gets a refusal.
+    """
+    request.is_evicted = True
+    if request.holding is not None and request.holding.phase is Phase.DELIVERING:
+        request.link.abort()
+    if request.scope is not None:
+        request.scope.cancel()
+
+
 def check_sizes(headers: HeaderList, body: RequestBody, limits: CallerLimits) -> None:
     """Check the size of the headers and the stated length of the body.
 
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -7,6 +7,7 @@
 from anyio import fail_after, move_on_after
 from httpx import ConnectError, ConnectTimeout, HTTPError, Request
 
+from primroseturn.entry.memory import Phase
 from primroseturn.entry.models import Target
 from primroseturn.entry.request import EntryRequest
 from primroseturn.kernel.background import contain_errors
@@ -87,7 +88,7 @@
     target: Target
     detail: str
     head: ResponseHead | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
     remainder: "Attempt | None" = None
 
 
@@ -212,7 +213,10 @@
         self.consumed_before = self.connection.consumed_bytes
         self.connection.note_sent = self.note_sent
         timeouts = ExchangeTimeouts(self.request.left_s(), self.request.left_s())
+        if self.request.body.is_present:
+            self.request.enter_phase(Phase.SENDING)
         await self.connection.send_request(self.build_request(), timeouts)
+        self.request.enter_phase(Phase.WAITING)
 
     def note_sent(self) -> None:
         """Record that the target may receive a part of the request from now on."""
@@ -284,8 +288,8 @@
             )
         return head
 
-    async def read_body(self, head: ResponseHead) -> bytes:
-        """Read the body, or only its start if it is large.
+    async def read_body(self, head: ResponseHead) -> bytes | bytearray:
+        """Read the body, or only its start if it is large or memory is short.
 
         Raises
         ------
@@ -304,10 +308,12 @@
         body = bytearray()
         async for part in stream:
             body += part
-            if len(body) >= WHOLE_RESPONSE_LIMIT_BYTES:
+            if len(body) >= WHOLE_RESPONSE_LIMIT_BYTES or not self.request.try_buffer(
+                len(part)
+            ):
                 self.stream = stream
                 break
-        return bytes(body)
+        return body
 
     async def remaining_parts(self) -> AsyncIterator[bytes]:
         """Yield the remainder of a large body, then release or close the connection."""
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -79,3 +79,13 @@
     "entry-document-refused",
     "A configuration or list of targets from another VM was not usable.",
 )
+MEMORY_SHORT = define_event(
+    1129,
+    "memory-short",
+    "The requests that are under way hold all the memory that they may hold.",
+)
+CONNECTION_EVICTED = define_event(
+    1130,
+    "connection-evicted",
+    "A request without progress was ended, since others needed its memory.",
+)
--- a/primroseturn/entry/forwarding.py
+++ b/primroseturn/entry/forwarding.py
@@ -32,6 +32,7 @@
     TARGET_LEAVING,
     TARGET_QUIET,
 )
+from primroseturn.entry.memory import ATTEMPT_BYTES
 from primroseturn.entry.metrics import INVALID_STATEMENTS
 from primroseturn.entry.models import Target
 from primroseturn.entry.request import EntryRequest
@@ -187,6 +188,8 @@
             reason = (
                 f"{request.left_s():.3f} s are left and {needed_s:.3f} s are needed"
             )
+        elif last is None and not request.try_buffer(ATTEMPT_BYTES):
+            reason = "the requests under way hold all memory"
         elif not was_unsent and not self.budget.try_consume(request.service, now):
             reason = self.budget.describe(request.service, now)
         else:
@@ -224,6 +227,8 @@
         """Run an attempt and report its start and its end to the placement."""
         target, traits = choice.target, request.traits
         request.tried_targets.add(target.id)
+        if request.holding is not None:
+            request.holding.target = target.id
         placement = self.placement
         started_at = current_time()
         attempt_number = placement.start_attempt(target.id, traits, started_at)
--- /dev/null
+++ b/primroseturn/entry/memory.py
@@ -0,0 +1,299 @@
+"""Bounds the memory of the requests that are under way, as a sum over all of them.
+
+Each request holds a fixed number of bytes for its buffers, which are bounded by the
+limits of its connections, and further bytes for a response that is buffered whole.
+What does not fit is not read: the response is then forwarded as it arrives. A request
+that does not fit replaces a connection without progress, or is refused.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+from typing import NamedTuple
+
+from anyio import current_time, sleep
+
+from primroseturn.entry.events import CONNECTION_EVICTED, MEMORY_SHORT
+from primroseturn.entry.metrics import EVICTIONS, MEMORY_BYTES
+from primroseturn.observation.events import EventLog
+
+KIB, MB = 1024, 1_000_000
+# Fraction of the VM's memory that this process may use. The rest is for fragmentation
+# of the heap, garbage that is not collected yet and bytes in sockets.
+USABLE_SHARE = 0.8
+# Bytes of a process without requests: the interpreter, the modules, the configuration
+# and the list of targets.
+PROCESS_BYTES = 64 * MB
+# An open connection of a caller: socket, parser and task.
+CONNECTION_BYTES = 40 * KIB
+# A request without its attempt: headers and tasks (40 KiB), a part on its way to the
+# caller, its copies and the buffer of the caller's connection (4 x 16 KiB).
+REQUEST_BYTES = 104 * KIB
+# The connection to the target: the buffer of its reader (32 KiB), and two parts of the
+# body or a head of up to 64 KiB.
+ATTEMPT_BYTES = 96 * KIB
+# A body that is longer than `SHORT_BODY_BYTES`: the buffer of the reader (48 KiB), the
+# queue before the application (160 KiB), the start that is kept for another attempt
+# (64 KiB) and the buffer of the target's connection (32 KiB).
+LONG_BODY_BYTES = 304 * KIB
+SHORT_BODY_BYTES = 64 * KIB
+# Fractions of the capacity up to which bytes are held for responses that are buffered
+# whole, for requests, and for connections. A response that is not buffered is still
+# served, and a request that is refused still needs its connection.
+BUFFERED_SHARE, REQUESTS_SHARE, CONNECTIONS_SHARE = 0.2, 0.9, 1.0
+# Growing buffers reserve an eighth in advance.
+BUFFER_FACTOR = 1.125
+# Seconds without progress after which a connection may be closed for another request.
+STALL_S = 1.0
+SAMPLE_INTERVAL_S = 0.25
+# Fraction of the capacity above which progress is sampled.
+SAMPLE_SHARE = 0.5
+# Seconds between two log entries about missing memory.
+REPORT_INTERVAL_S = 5.0
+
+
+class Phase(Enum):
+    """What a request is doing with the bytes that it holds."""
+
+    # The body is read from the caller and sent to the target.
+    SENDING = "sending"
+    # The target runs the request. It holds no bytes that someone else must read.
+    WAITING = "waiting"
+    # The response is sent to the caller.
+    DELIVERING = "delivering"
+
+
+class Holder(NamedTuple):
+    """For whom bytes are held, for log entries."""
+
+    request: str
+    workspace: str | None
+
+
+class Holding:
+    """The bytes that one request holds.
+
+    Attributes
+    ----------
+    target
+        Id of the target of the last attempt.
+    evict
+        Ends the request and closes its caller's connection.
+    unsent_bytes
+        Returns the bytes that wait for the caller to read.
+    progressed_at
+        Monotonic time in seconds at which the request last made progress.
+    """
+
+    def __init__(
+        self,
+        budget: "MemoryBudget",
+        holder: Holder,
+        size: int,
+        evict: Callable[[], None],
+        unsent_bytes: Callable[[], int],
+    ) -> None:
+        self.budget = budget
+        self.holder = holder
+        self.size = size
+        self.evict = evict
+        self.unsent_bytes = unsent_bytes
+        self.target: str | None = None
+        self.phase = Phase.WAITING
+        self.progressed_at = current_time()
+        self.sampled_bytes = 0
+        self.is_evicted = False
+
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase."""
+        self.phase = phase
+        self.progressed_at = current_time()
+
+    def record_progress(self) -> None:
+        """Record that bytes were read or sent."""
+        self.progressed_at = current_time()
+
+    def is_blocked(self) -> bool:
+        """Return whether the request waits for someone to read what it holds."""
+        if self.phase is Phase.DELIVERING:
+            return self.unsent_bytes() > 0
+        return self.phase is Phase.SENDING
+
+    def sample(self, now: float) -> None:
+        """Record progress if the caller has read bytes since the last sample."""
+        unsent = self.unsent_bytes()
+        if unsent < self.sampled_bytes:
+            self.progressed_at = now
+        self.sampled_bytes = unsent
+
+    def try_grow(self, size: int) -> bool:
+        """Hold further bytes and return True, if they fit without an eviction."""
+        grown = int(size * BUFFER_FACTOR)
+        if self.is_evicted or not self.budget.has_room(grown, BUFFERED_SHARE):
+            return False
+        self.size += grown
+        self.budget.add(grown)
+        return True
+
+
+class MemoryBudget:
+    """The bytes that all requests and connections of this VM may hold.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of the VM, beyond which the platform ends the process.
+
+    Attributes
+    ----------
+    capacity_bytes
+        Bytes that connections and requests may hold together.
+    held_bytes
+        Bytes that they hold.
+    """
+
+    def __init__(self, memory_bytes: int, events: EventLog) -> None:
+        usable = int(USABLE_SHARE * memory_bytes) - PROCESS_BYTES
+        self.capacity_bytes = max(usable, MB)
+        self.events = events
+        self.held_bytes = 0
+        self.holdings: dict[Holding, None] = {}
+        self.reported_at = -REPORT_INTERVAL_S
+        MEMORY_BYTES.labels("capacity").set(self.capacity_bytes)
+
+    def has_room(self, size: int, share: float) -> bool:
+        """Return whether further bytes fit into a fraction of the capacity."""
+        return self.held_bytes + size <= share * self.capacity_bytes
+
+    def add(self, size: int) -> None:
+        """Add to the held bytes; a negative number is subtracted."""
+        self.held_bytes += size
+        MEMORY_BYTES.labels("held").set(self.held_bytes)
+
+    def try_open_connection(self) -> bool:
+        """Hold the bytes of a caller's connection and return True, if they fit."""
+        if not self.make_room(CONNECTION_BYTES, CONNECTIONS_SHARE):
+            return False
+        self.add(CONNECTION_BYTES)
+        return True
+
+    def close_connection(self) -> None:
+        """Release the bytes of a caller's connection."""
+        self.add(-CONNECTION_BYTES)
+
+    @contextmanager
+    def hold(
+        self,
+        holder: Holder,
+        body_bytes: int | None,
+        evict: Callable[[], None],
+        unsent_bytes: Callable[[], int],
+    ) -> Iterator[Holding | None]:
+        """Hold the bytes of a request during the context.
+
+        Parameters
+        ----------
+        body_bytes
+            Length of the request's body in bytes, None if it is not known.
+
+        Yields
+        ------
+        Holding | None
+            None if the bytes do not fit.
+        """
+        size = REQUEST_BYTES + ATTEMPT_BYTES + held_body_bytes(body_bytes)
+        if not self.make_room(size, REQUESTS_SHARE):
+            yield None
+            return
+        holding = Holding(self, holder, size, evict, unsent_bytes)
+        self.holdings[holding] = None
+        self.add(size)
+        try:
+            yield holding
+        finally:
+            self.release(holding)
+
+    def release(self, holding: Holding) -> None:
+        """Release the bytes of a request; a second release changes nothing."""
+        if holding in self.holdings:
+            del self.holdings[holding]
+            self.add(-holding.size)
+
+    def make_room(self, size: int, share: float) -> bool:
+        """Return whether further bytes fit, after evictions if they are needed.
+
+        The connections that have made no progress for the longest time go first. One
+        that made progress within `STALL_S` is not evicted.
+        """
+        if self.has_room(size, share):
+            return True
+        now = current_time()
+        self.report_shortage(now)
+        for holding in self.stalled(now):
+            self.evict(holding, now)
+            if self.has_room(size, share):
+                return True
+        return False
+
+    def stalled(self, now: float) -> list[Holding]:
+        """Return the requests without progress, the longest stalled first."""
+        found = [
+            holding
+            for holding in self.holdings
+            if now - holding.progressed_at >= STALL_S and holding.is_blocked()
+        ]
+        return sorted(found, key=lambda holding: holding.progressed_at)
+
+    def evict(self, holding: Holding, now: float) -> None:
+        """End a request without progress and close its caller's connection."""
+        holding.is_evicted = True
+        self.release(holding)
+        EVICTIONS.labels(holding.phase.value).inc()
+        self.events.emit(
+            CONNECTION_EVICTED,
+            request=holding.holder.request,
+            workspace=holding.holder.workspace,
+            target=holding.target,
+            phase=holding.phase.value,
+            held_bytes=holding.size,
+            stalled_s=round(now - holding.progressed_at, 3),
+        )
+        holding.evict()
+
+    def report_shortage(self, now: float) -> None:
+        """Log who holds the most bytes, at most once per `REPORT_INTERVAL_S`."""
+        if now - self.reported_at < REPORT_INTERVAL_S:
+            return
+        self.reported_at = now
+        by_target: Counter[str] = Counter()
+        by_workspace: Counter[str] = Counter()
+        for holding in self.holdings:
+            by_target[holding.target or "none"] += holding.size
+            by_workspace[holding.holder.workspace or "none"] += holding.size
+        self.events.emit(
+            MEMORY_SHORT,
+            held_bytes=self.held_bytes,
+            capacity_bytes=self.capacity_bytes,
+            requests=len(self.holdings),
+            by_target=dict(by_target.most_common(3)),
+            by_workspace=dict(by_workspace.most_common(3)),
+        )
+
+    async def sample_forever(self) -> None:
+        """Sample what callers read while much of the capacity is held."""
+        while True:
+            await sleep(SAMPLE_INTERVAL_S)
+            if self.held_bytes < SAMPLE_SHARE * self.capacity_bytes:
+                continue
+            now = current_time()
+            for holding in self.holdings:
+                if holding.phase is Phase.DELIVERING:
+                    holding.sample(now)
+
+
+def held_body_bytes(body_bytes: int | None) -> int:
+    """Return the bytes that are held for a request's body of a length."""
+    if body_bytes is None or body_bytes > SHORT_BODY_BYTES:
+        return LONG_BODY_BYTES
+    return 4 * body_bytes
--- a/primroseturn/entry/metrics.py
+++ b/primroseturn/entry/metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms of an entry VM."""
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 from primroseturn.limits.quota import RateRefusal
 
@@ -33,3 +33,13 @@
     ("service",),
     buckets=(0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0),
 )
+MEMORY_BYTES = Gauge(
+    "primroseturn_entry_memory_bytes",
+    "Bytes that connections and requests under way may hold, and that they hold.",
+    ("kind",),
+)
+EVICTIONS = Counter(
+    "primroseturn_entry_evictions_total",
+    "Requests without progress that were ended for want of memory, by phase.",
+    ("phase",),
+)
--- a/primroseturn/entry/request.py
+++ b/primroseturn/entry/request.py
@@ -2,8 +2,9 @@
 
 from typing import Any, NamedTuple
 
-from anyio import current_time
+from anyio import CancelScope, current_time
 
+from primroseturn.entry.memory import Holding, Phase
 from primroseturn.entry.models import Route, Workspace
 from primroseturn.platform.headers import CallerHeaders
 from primroseturn.requestpath.body import RequestBody
@@ -42,6 +43,12 @@
         Whether the caller has closed its connection.
     tried_targets
         Ids of the targets to which the request was sent.
+    holding
+        The bytes that the request holds, None before it is admitted.
+    scope
+        The scope that is cancelled at the deadline.
+    is_evicted
+        Whether the request was ended since others needed its memory.
     """
 
     def __init__(
@@ -69,6 +76,23 @@
         self.sent_attempts: set[object] = set()
         self.caller_left = False
         self.tried_targets: set[str] = set()
+        self.holding: Holding | None = None
+        self.scope: CancelScope | None = None
+        self.is_evicted = False
+
+    def enter_phase(self, phase: Phase) -> None:
+        """Record what the request does from now on with the bytes that it holds."""
+        if self.holding is not None:
+            self.holding.enter(phase)
+
+    def record_progress(self) -> None:
+        """Record that bytes of the request or the response went on."""
+        if self.holding is not None:
+            self.holding.record_progress()
+
+    def try_buffer(self, size: int) -> bool:
+        """Return whether further bytes of a response may be buffered."""
+        return self.holding is None or self.holding.try_grow(size)
 
     @property
     def id(self) -> str:
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -23,6 +23,7 @@
 )
 from primroseturn.entry.following import StoreFollower
 from primroseturn.entry.forwarding import Forwarder
+from primroseturn.entry.memory import MemoryBudget
 from primroseturn.entry.models import Configuration
 from primroseturn.entry.readiness import EntryReadiness
 from primroseturn.entry.registry import VmRegistry
@@ -114,6 +115,17 @@
     yield RepeatBudget(bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_extra)
 
 
+@service("memory", needs=("settings", "events"))
+@asynccontextmanager
+async def provide_memory(kernel: Kernel) -> AsyncIterator[MemoryBudget]:
+    """Provide the bound of the memory of requests, and sample their progress."""
+    events = kernel.find("events")
+    budget = MemoryBudget(kernel.find("settings").memory_bytes, events)
+    async with run_background(events) as background:
+        background.keep_running(budget.sample_forever)
+        yield budget
+
+
 @service("quota", needs=("view",))
 @asynccontextmanager
 async def provide_quota(kernel: Kernel) -> AsyncIterator[FleetQuota]:
@@ -295,6 +307,7 @@
         "digest-exchange",
         "sharing",
         "vm-registry",
+        "memory",
         "entry-readiness",
         "entry-metrics",
     ),
@@ -331,6 +344,7 @@
             events,
             is_stopping=lambda: readiness.is_stopping,
             store_responds=lambda: contact.lost_at is None,
+            memory=kernel.find("memory"),
         )
         async with serve_application(
             application,
@@ -339,6 +353,7 @@
             finish_timeout_s=FINISH_SHARE * stop_limit_s,
             header_limit_bytes=HEADER_LIMIT_BYTES,
             events=events,
+            connection_meter=kernel.find("memory"),
         ) as port:
             events.emit(ENTRY_STARTED, port=port)
             try:
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -19,6 +19,13 @@
 MAX_PORT_DIGITS = 5
 
 
+class LimitsTable(Struct, frozen=True):
+    """Table ``self.limits``, which describes the machine."""
+
+    # Memory in millions of bytes.
+    memory_mb: float = 300.0
+
+
 class SelfTable(Struct, frozen=True):
     """Table ``self``, which describes this VM."""
 
@@ -28,6 +35,7 @@
     # Name of the data centre, which the platform calls a zone.
     zone: str
     region: str
+    limits: LimitsTable = LimitsTable()
 
 
 class ListenTable(Struct, frozen=True):
@@ -161,6 +169,7 @@
             stable_s=bounds.stable_s,
         ),
         heartbeat_s=platform_settings.platform.heartbeat_s,
+        memory_bytes=int(own.limits.memory_mb * 1_000_000),
     )
 
 
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -28,7 +28,9 @@
     WriteTimeout,
 )
 
-READ_BYTES = 65_536
+# Size of one read, and of the buffers of a connection: what a caller does not read
+# stays in them, for each of its requests.
+READ_BYTES = 16_384
 MAX_RESPONSE_HEADER_BYTES = 65_536
 BODILESS_STATUSES = (204, 304)
 # Informational responses before a response. HTTP has three kinds, of which only 102 may
@@ -60,7 +62,8 @@
     """Counts received bytes, so that unsolicited ones are detected."""
 
     def __init__(self) -> None:
-        super().__init__(limit=READ_BYTES, loop=asyncio.get_running_loop())
+        # The transport is paused while twice the limit is buffered.
+        super().__init__(limit=READ_BYTES // 2, loop=asyncio.get_running_loop())
         self.received_bytes = 0
 
     def feed_data(self, data: bytes) -> None:
@@ -218,6 +221,9 @@
                 raise RemoteProtocolError("bytes arrived before the request was sent")
             self.sent = True
             self.note_sent()
+        if self.writer.is_closing():
+            # asyncio only logs what is written after the target has closed.
+            raise WriteError("the target has closed the connection")
         try:
             self.writer.write(data)
             if self.writer.transport.get_write_buffer_size():
@@ -331,4 +337,12 @@
         raise ConnectTimeout("no connection within the limit") from error
     except OSError as error:
         raise ConnectError(type(error).__name__) from error
+    bound_buffers(transport)
     return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+
+
+def bound_buffers(transport: asyncio.Transport) -> None:
+    """Bound the buffers of a connection: one read, and what is to be written."""
+    transport.set_write_buffer_limits(high=READ_BYTES)
+    # asyncio's selector transports read up to this many bytes at once.
+    transport.max_size = READ_BYTES  # type: ignore[attr-defined]
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -16,7 +16,7 @@
 from primroseturn.kernel.background import run_background
 from primroseturn.observation.events import EventLog
 from primroseturn.serving.idle import IdleConnections
-from primroseturn.serving.protocol import install_protocol
+from primroseturn.serving.protocol import ConnectionMeter, install_protocol
 from primroseturn.settings.models import TlsSettings
 
 # Time in seconds to close the connections after the timeout of running requests.
@@ -121,6 +121,7 @@
     header_limit_bytes: int = 16_384,
     tls: TlsSettings | None = None,
     events: EventLog | None = None,
+    connection_meter: ConnectionMeter | None = None,
 ) -> AsyncIterator[int]:
     """Serve an ASGI application during the context.
 
@@ -132,6 +133,8 @@
         Time in seconds that running requests have to finish when the context ends.
     events
         The event log of the process, for errors of the listener's tasks.
+    connection_meter
+        Decides whether a further connection may be kept open.
 
     Yields
     ------
@@ -142,6 +145,7 @@
     bound_port = listener.getsockname()[1]
     # From here on, hypercorn owns the descriptor and closes it.
     config = create_config(listener.detach(), header_limit_bytes, finish_timeout_s, tls)
+    config.connection_meter = connection_meter  # type: ignore[attr-defined]
     install_protocol()
     running = RunningRequests(application)
     idle = config.idle_connections  # type: ignore[attr-defined]
--- a/primroseturn/serving/idle.py
+++ b/primroseturn/serving/idle.py
@@ -43,6 +43,12 @@
                 if since <= time:
                     tasks.start_soon(self.close_idle, connection, since)
 
+    async def close_oldest(self) -> None:
+        """Close the connection that has been idle for the longest time, if any."""
+        for connection, since in self.idle_since_by_connection.items():
+            await self.close_idle(connection, since)
+            return
+
     async def close_idle(self, connection: Closable, since: float) -> None:
         """Close a connection unless a request has arrived in the meantime."""
         if self.idle_since_by_connection.get(connection) != since:
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -1,7 +1,12 @@
 """HTTP/1.1 connections of callers, for which hypercorn's own classes are replaced."""
 
+from array import array
+from asyncio import WriteTransport
 from collections.abc import Callable
-from typing import Any
+from contextvars import ContextVar
+from fcntl import ioctl
+from termios import TIOCOUTQ
+from typing import Any, Protocol
 
 import hypercorn.asyncio.run
 import hypercorn.protocol
@@ -30,6 +35,24 @@
 CALLER_LINK = "primroseturn.caller"
 
 
+# Buffers of a caller's connection: bytes of one receive call and of what is to be sent.
+CALLER_BUFFER_BYTES = 16_384
+# Bytes of one part of a request that is passed to the parser.
+CALLER_READ_BYTES = 16_384
+# The transport of the connection whose task is running.
+current_transport: ContextVar[WriteTransport] = ContextVar("current_transport")
+
+
+class ConnectionMeter(Protocol):
+    """Decides whether a listener may keep a further connection open."""
+
+    def try_open_connection(self) -> bool:
+        """Count a connection and return True, unless it must be closed."""
+
+    def close_connection(self) -> None:
+        """Stop counting a connection."""
+
+
 class CallerLink:
     """Reports that a caller has closed its connection, and sets how heads are sent.
 
@@ -40,11 +63,23 @@
         saves a system call. Only for bodies that follow immediately.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, transport: WriteTransport | None = None) -> None:
+        self.transport = transport
         self.hold_head = False
         self.has_closed = False
         self.callback: Callable[[], None] | None = None
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the caller's side has not acknowledged."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size() + queued_bytes(self.transport)
+
+    def abort(self) -> None:
+        """Close the connection at once, without sending what is still buffered."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
         """Set the callback, and call it immediately if the caller has left already."""
         self.callback = callback
@@ -58,6 +93,19 @@
             self.callback()
 
 
+def queued_bytes(transport: WriteTransport) -> int:
+    """Return the bytes of a connection that are in the kernel's send queue.
+
+    Where the system does not tell, the result is 0.
+    """
+    buffer = array("i", [0])
+    try:
+        ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, buffer)
+    except OSError:
+        return 0
+    return buffer[0]
+
+
 class Http11Protocol(H11Protocol):
     """Tracks idle connections, combines writes and reports callers that leave.
 
@@ -69,7 +117,8 @@
         super().__init__(*arguments)
         self.send_unfiltered = self.send
         self.send = self.filter_event
-        self.link = CallerLink()
+        self.transport = current_transport.get(None)
+        self.link = CallerLink(self.transport)
         self.held_head = b""
         self.closing = False
 
@@ -128,7 +177,7 @@
     async def _create_stream(self, request: Request) -> None:
         """Give the application the link that reports when its caller leaves."""
         self.idle_connections.mark_busy(self)
-        self.link = CallerLink()
+        self.link = CallerLink(self.transport)
         await super()._create_stream(request)
         if isinstance(self.stream, HTTPStream):
             # The application's task starts only once this one waits.
@@ -158,12 +207,44 @@
 
 
 class CallerConnection(TCPServer):
-    """Leaves the closing of idle connections to `IdleConnections`.
+    """Bounds buffers, and leaves the closing of idle connections to `IdleConnections`.
 
     hypercorn 0.18 closes a connection without a request in a task that its reader
     cancels when a request arrives. At a stop, the two can deadlock.
     """
 
+    async def run(self) -> None:
+        """Serve the connection, unless the meter of the listener has no room for it."""
+        meter: ConnectionMeter | None = self.config.connection_meter  # type: ignore
+        transport = self.writer.transport
+        if meter is not None and not meter.try_open_connection():
+            # The oldest idle connection makes room, unless there is none.
+            await self.config.idle_connections.close_oldest()  # type: ignore
+            if not meter.try_open_connection():
+                transport.abort()
+                return
+        try:
+            transport.set_write_buffer_limits(high=CALLER_BUFFER_BYTES)
+            # asyncio's selector transports read up to this many bytes at once.
+            transport.max_size = CALLER_BUFFER_BYTES  # type: ignore[attr-defined]
+            # hypercorn opens its readers with asyncio's default of 64 KiB.
+            self.reader._limit = CALLER_BUFFER_BYTES
+            current_transport.set(transport)
+            await super().run()
+        finally:
+            if meter is not None:
+                meter.close_connection()
+
+    async def _read_data(self) -> None:
+        """Read in small parts, since some of them are queued for the application."""
+        while not self.reader.at_eof():
+            try:
+                data = await self.reader.read(CALLER_READ_BYTES)
+            except OSError:
+                break
+            await self.protocol.handle(RawData(data))
+        await self.protocol.handle(Closed())
+
     async def _idle_timeout(self) -> None:
         """Do not close the connection."""
 
--- a/primroseturn/settings/entry.py
+++ b/primroseturn/settings/entry.py
@@ -60,6 +60,8 @@
         Bounds that hold for all VMs together.
     heartbeat_s
         Seconds between two writes of a target to its entry in the store.
+    memory_bytes
+        Memory of the VM, beyond which the platform ends the process.
     """
 
     identity: Identity
@@ -75,3 +77,4 @@
     writes_per_s: float
     bounds: FleetBounds
     heartbeat_s: float = 1.5
+    memory_bytes: int = 300_000_000
