Refuse requests that may not end before a planned stop does

Cause: everything that arrived before the listener closed was passed on, whatever it needed.

Ruled out: short requests.

Change: during the stop a request is passed on if its deadline ends before requests are cut off, or if 3 times its typical duration is left and new connections are still accepted. Any other gets 503 `stopping` at once.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -23,3 +23,29 @@
     When the VM starts to stop and their requests come in the event loop's turns around the close
     Then none of their requests ran without a response
     And the VM was gone within 1.7 s after it was asked to stop
+
+  Scenario: Requests that come late in the grace are answered, or refused at once
+    Given an entry VM with 2 targets
+    And its targets take 1.2 s for a request
+    And 10 requests POST /order/ were served
+    And 60 callers that keep their connections open
+    When the VM starts to stop and each caller sends POST /order/ at any time of the stop
+    Then no request ran without a response
+    And requests that could not end in time were refused at once
+    And the VM was gone within 2 s after it was asked to stop
+
+  Scenario Outline: A stop <decision> a request that <request>
+    Then a stop with 6 s <decision> a request with <left> s left that takes <typical> s after <after> s
+
+    Examples:
+      | request                    | after | left | typical | decision |
+      | fits its own time          | 1.0   | 4.0  | 3.0     | accepts  |
+      | probably ends              | 1.0   | 10.0 | 1.0     | accepts  |
+      | may take too long          | 1.0   | 10.0 | 2.0     | refuses  |
+      | arrives as listening ends  | 3.05  | 5.0  | 0.5     | accepts  |
+      | comes late and may be slow | 3.2   | 5.0  | 0.1     | refuses  |
+      | comes late but is short    | 4.0   | 1.4  | 1.0     | accepts  |
+      | comes too late             | 5.4   | 0.3  | 0.1     | refuses  |
+
+  Scenario: No accepted request outlives the process unless it is slower than usual
+    Then any request that a stop accepts ends in time, or takes over 3 times its typical duration
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -17,9 +17,10 @@
 from anyio.lowlevel import checkpoint
 from behave import given, then, when
 from hypercorn.asyncio.tcp_server import TCPServer
+from hypothesis import given as for_all, strategies
 
 from features.entry_fleet import HOST, KEY, LOOPBACK
-from primroseturn.entry.service import LISTEN_SHARE
+from primroseturn.entry.stopping import DURATION_FACTOR, LISTEN_SHARE, StopSchedule
 from primroseturn.serving.idle import IdleConnections
 
 STOP_LIMIT_S = 2.0
@@ -214,3 +215,93 @@
                 served.add(f"order-{index}")
     assert served, "no request came before the close"
     assert runs <= served, runs - served
+
+
+@given("{count:d} requests POST {path:S} were served")
+def step_served_before(context, count, path):
+    async def run():
+        async with create_task_group() as tasks:
+            for number in range(count):
+                tasks.start_soon(send, number)
+
+    async def send(number):
+        fleet = context.entry_fleet
+        response = await fleet.send_request(f"{path}{number}", method="POST")
+        assert response.status_code == 200, response.text
+
+    context.portal.call(run)
+    for target in context.entry_fleet.entry_targets_by_id.values():
+        target.runs.clear()
+
+
+@when(
+    "the VM starts to stop and each caller sends POST {path:S} at any time of the stop"
+)
+def step_send_any_time(context, path):
+    random = Random(5)
+    context.responses_by_attempt = {}
+    context.took_s_by_attempt = {}
+
+    async def run():
+        began_at = current_time()
+        async with create_task_group() as tasks:
+            tasks.start_soon(stop, context)
+            for index, stream in enumerate(context.streams):
+                at = began_at + random.uniform(0.05, STOP_LIMIT_S)
+                tasks.start_soon(send, index, stream, at)
+
+    async def send(index, stream, at):
+        await sleep(at - current_time())
+        attempt = f"order-{index}"
+        try:
+            await stream.send(request_bytes("POST", f"{path}{index}", attempt))
+            with fail_after(2 * STOP_LIMIT_S):
+                response = await stream.receive(READ_BYTES)
+        except (EndOfStream, OSError):
+            return
+        context.responses_by_attempt[attempt] = response
+        context.took_s_by_attempt[attempt] = current_time() - at
+
+    context.portal.call(run)
+
+
+@then("requests that could not end in time were refused at once")
+def step_refused_at_once(context):
+    refused = [
+        attempt
+        for attempt, response in context.responses_by_attempt.items()
+        if response.startswith(b"HTTP/1.1 503")
+    ]
+    assert refused
+    assert all(context.took_s_by_attempt[attempt] < 0.5 for attempt in refused)
+
+
+@then(
+    "a stop with {limit:g} s {decision} a request with {left:g} s left that takes "
+    "{typical:g} s after {after:g} s"
+)
+def step_decision(context, limit, decision, left, typical, after):
+    schedule = StopSchedule(limit)
+    expected_s = DURATION_FACTOR * typical
+    assert schedule.accepts(left, expected_s, 100.0)
+    schedule.begin(100.0)
+    found = schedule.accepts(left, expected_s, 100.0 + after)
+    assert found == (decision == "accepts")
+
+
+@then(
+    "any request that a stop accepts ends in time, or takes over 3 times its typical "
+    "duration"
+)
+def step_any_request(context):
+    seconds = strategies.floats(0.01, 12.0)
+
+    @for_all(seconds, seconds, seconds, seconds)
+    def check(limit_s, left_s, typical_s, after_s):
+        schedule = StopSchedule(limit_s)
+        schedule.begin(100.0)
+        if schedule.accepts(left_s, DURATION_FACTOR * typical_s, 100.0 + after_s):
+            ends_after_s = after_s + min(left_s, DURATION_FACTOR * typical_s)
+            assert ends_after_s <= 0.92 * limit_s + 1e-6
+
+    check()
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -34,6 +34,7 @@
     Workspace,
 )
 from primroseturn.entry.request import EntryRequest, RequestLine
+from primroseturn.entry.stopping import DURATION_FACTOR, StopSchedule
 from primroseturn.entry.view import VmView
 from primroseturn.failures import Refusal
 from primroseturn.kernel.background import contain_errors, raise_library_cancellation
@@ -90,8 +91,8 @@
 
     Parameters
     ----------
-    is_stopping
-        Returns whether this VM has begun its stop.
+    stop
+        The time that requests have during the stop of this VM.
     store_responds
         Returns whether the store responds to this VM.
     memory
@@ -104,7 +105,7 @@
         forwarder: Forwarder,
         quota: FleetQuota,
         events: EventLog,
-        is_stopping: Callable[[], bool],
+        stop: StopSchedule,
         store_responds: Callable[[], bool],
         memory: MemoryBudget,
     ) -> None:
@@ -113,7 +114,7 @@
         self.forwarder = forwarder
         self.quota = quota
         self.events = events
-        self.is_stopping = is_stopping
+        self.stop = stop
         self.store_responds = store_responds
         self.random = Random()
 
@@ -126,12 +127,13 @@
             return
         headers: HeaderList = scope["headers"]
         body = RequestBody(receive, has_body(headers))
-        sender = closing_sender(send, self.is_stopping)
+        sender = closing_sender(send, lambda: self.stop.has_begun)
         request: EntryRequest | None = None
         try:
             with raise_library_cancellation():
                 await self.wait_first_view()
                 request = self.validate_request(scope, headers, body)
+                self.check_stop(request)
                 with self.hold_memory(request):
                     await self.check_rate(request)
                     await self.serve(request, sender)
@@ -243,6 +245,24 @@
         weights = [item.weight for item in route.weighted_services]
         return self.random.choices(route.weighted_services, weights)[0].service
 
+    def check_stop(self, request: EntryRequest) -> None:
+        """Refuse a request that may not end before this VM has stopped.
+
+        Raises
+        ------
+        RequestRefused
+            If it would be cut off. Other VMs can take it at once.
+        """
+        if not self.stop.has_begun:
+            return
+        typical_s = self.forwarder.placement.known_duration_s(request.traits)
+        expected_s = request.route.objective_s
+        if typical_s is not None:
+            expected_s = DURATION_FACTOR * typical_s
+        if not self.stop.accepts(request.left_s(), expected_s, current_time()):
+            detail = "this VM stops before the request would have ended"
+            raise self.retryable_refusal("stopping", detail, 0.0, request.left_s())
+
     @contextmanager
     def hold_memory(self, request: EntryRequest) -> Iterator[None]:
         """Hold the bytes of a request during the context.
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -28,6 +28,7 @@
 from primroseturn.entry.readiness import EntryReadiness
 from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.sharing import ViewSharing
+from primroseturn.entry.stopping import FINISH_SHARE, LISTEN_SHARE, StopSchedule
 from primroseturn.entry.view import VmView
 from primroseturn.kernel.background import contain_errors, run_background
 from primroseturn.kernel.kernel import Kernel
@@ -42,12 +43,6 @@
 
 STORE_CALL_LIMIT_S = 0.8
 HEADER_LIMIT_BYTES = 65_536
-# Fractions of the time between the signal to stop and SIGKILL. First, new connections
-# are accepted while the load balancer still sends them. Then requests in flight may
-# finish, for which 2.5 of 6 s are left. The VM's store object is removed while they
-# finish, and the process ends in the remaining time.
-LISTEN_SHARE = 0.5
-FINISH_SHARE = 0.42
 
 
 async def serve_metrics(scope: dict, receive: object, send: object) -> None:
@@ -323,6 +318,7 @@
     settings, events = kernel.find("settings"), kernel.find("events")
     view, readiness = kernel.find("view"), kernel.find("entry-readiness")
     stop_limit_s = settings.bounds.stop_limit_s
+    stop = StopSchedule(stop_limit_s)
     registry = kernel.find("vm-registry")
     async with (
         run_background(events) as background,
@@ -342,7 +338,7 @@
             forwarder,
             kernel.find("quota"),
             events,
-            is_stopping=lambda: readiness.is_stopping,
+            stop,
             store_responds=lambda: contact.lost_at is None,
             memory=kernel.find("memory"),
         )
@@ -360,6 +356,7 @@
                 yield port
             finally:
                 # Also runs when another kernel service has failed and the process ends.
+                stop.begin(current_time())
                 readiness.is_stopping = True
                 with contain_errors(events, "DigestExchange.announce"):
                     kernel.find("digest-exchange").announce(
--- a/primroseturn/routing/placement.py
+++ b/primroseturn/routing/placement.py
@@ -134,6 +134,10 @@
         """Return the typical duration in seconds of such a request."""
         return self.typical_s_by_kind.get(traits.kind, traits.default_duration_s)
 
+    def known_duration_s(self, traits: RequestTraits) -> float | None:
+        """Return the typical duration in seconds, None before the first response."""
+        return self.typical_s_by_kind.get(traits.kind)
+
     def choose(
         self,
         traits: RequestTraits,
