Split the exchange of documents and the delivery of bodies from larger modules

Fetching and keeping documents is a class of its own (entry/document_exchange.py), and the parts of a body that is sent to a caller are in entry/delivery.py. What a request does when it is evicted is a method of the request. No behaviour changes.

--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -16,7 +16,8 @@
 from hypercorn.utils import UnexpectedMessageError
 
 from primroseturn.clock import time_since_boot
-from primroseturn.entry.attempt import Attempt, AttemptOutcome, AttemptResult
+from primroseturn.entry.attempt import AttemptOutcome, AttemptResult
+from primroseturn.entry.delivery import body_parts, LargeResponse
 from primroseturn.entry.events import (
     CALLER_LEFT,
     INTERNAL_ERROR,
@@ -51,7 +52,6 @@
     RequestBody,
 )
 from primroseturn.requestpath.checks import check_headers
-from primroseturn.requestpath.connection import READ_BYTES
 from primroseturn.requestpath.headers import (
     CONTENT_LENGTH,
     has_body,
@@ -280,7 +280,7 @@
         with self.memory.hold(
             Holder(request.id, workspace),
             body_bytes,
-            lambda: evict(request),
+            request.evict,
             request.link.unsent_bytes,
         ) as holding:
             if holding is None:
@@ -576,69 +576,6 @@
         self.events.emit(CALLER_LEFT, **fields)
 
 
-class LargeResponse:
-    """Forwards the remainder of a large response and times the waits for the caller.
-
-    Attributes
-    ----------
-    sent_bytes
-        Bytes of the remainder that were sent to the caller.
-    sending_s
-        Time in seconds for which sending waited for the caller.
-    """
-
-    def __init__(self, request: EntryRequest, attempt: Attempt) -> None:
-        self.request = request
-        self.attempt = attempt
-        self.started_at = current_time()
-        self.sent_bytes = 0
-        self.sending_s = 0.0
-
-    async def forward(self, send: Any) -> None:
-        """Send the remainder to the caller part by part."""
-        message = {"type": "http.response.body", "more_body": True}
-        async for part in self.attempt.remaining_parts():
-            send_started_at = current_time()
-            try:
-                await send({**message, "body": part})
-            finally:
-                self.sending_s += current_time() - send_started_at
-            self.sent_bytes += len(part)
-            self.request.record_progress()
-
-    def waited_for_target(self) -> bool:
-        """Return whether more time was spent on the target than on the caller.
-
-        A slow caller must not count as a failure of the target.
-        """
-        return self.sending_s < 0.5 * (current_time() - self.started_at)
-
-
-def body_parts(body: bytes | bytearray) -> Iterator[tuple[bytes, bool]]:
-    """Yield the parts in which a body is sent, and whether each is the last one.
-
-    The connection copies what it can't send at once, so a large body is not passed to
-    it as a whole.
-    """
-    view = memoryview(body)
-    yield bytes(view[:READ_BYTES]), len(view) <= READ_BYTES
-    for start in range(READ_BYTES, len(view), READ_BYTES):
-        end = start + READ_BYTES
-        yield bytes(view[start:end]), end >= len(view)
-
-
-def evict(request: EntryRequest) -> None:
-    """End a request without progress.
-
-    A caller that does not read its response can't be told; any other gets a refusal.
-    """
-    request.is_evicted = True
-    if request.holding is not None and request.holding.phase is Phase.DELIVERING:
-        request.link.abort()
-    if request.scope is not None:
-        request.scope.cancel()
-
-
 def check_sizes(headers: HeaderList, body: RequestBody, limits: CallerLimits) -> None:
     """Check the size of the headers and the stated length of the body.
 
--- a/primroseturn/entry/documents.py
+++ b/primroseturn/entry/documents.py
@@ -19,11 +19,6 @@
 
 # Bytes of a document in one message, which also has a header.
 PART_BYTES = MESSAGE_LIMIT_BYTES - 4_096
-# Largest document that is fetched: a list of all targets at the size of the target, or
-# the largest value of the store with room for its encoding.
-MAX_DOCUMENT_BYTES = 33_554_432
-# Documents of which parts are kept, of the newest and the previous version.
-MAX_KEPT_DOCUMENTS = 4
 DIGEST_BYTES = 16
 
 # The order of an object's fields is not part of its value.
@@ -90,29 +85,6 @@
     data: bytes
 
 
-class DocumentStore:
-    """The documents of this VM that other VMs may fetch."""
-
-    def __init__(self) -> None:
-        self.data_by_name: dict[tuple[bytes, bool], bytes] = {}
-
-    def keep(self, document: Document) -> DocumentHead:
-        """Keep a document for the requests of its parts, and describe it."""
-        name = document.digest, document.is_patch
-        self.data_by_name.pop(name, None)
-        self.data_by_name[name] = document.data
-        while len(self.data_by_name) > MAX_KEPT_DOCUMENTS:
-            del self.data_by_name[next(iter(self.data_by_name))]
-        size = len(document.data)
-        return DocumentHead(*name, size, document.data[:PART_BYTES])
-
-    def find_part(self, request: DocumentPartRequest) -> DocumentPart:
-        """Return the requested part."""
-        data = self.data_by_name.get((request.digest, request.is_patch), b"")
-        start = max(0, request.offset)
-        return DocumentPart(data[start : start + PART_BYTES])
-
-
 def digest_of(data: bytes) -> bytes:
     """Return the digest of an encoded value."""
     return blake2b(data, digest_size=DIGEST_BYTES).digest()
--- a/primroseturn/entry/request.py
+++ b/primroseturn/entry/request.py
@@ -94,6 +94,18 @@
         """Return whether further bytes of a response may be buffered."""
         return self.holding is None or self.holding.try_grow(size)
 
+    def evict(self) -> None:
+        """End the request, since it makes no progress and others need its memory.
+
+        A caller that does not read its response can't be told; any other gets a
+        refusal.
+        """
+        self.is_evicted = True
+        if self.holding is not None and self.holding.phase is Phase.DELIVERING:
+            self.link.abort()
+        if self.scope is not None:
+            self.scope.cancel()
+
     @property
     def id(self) -> str:
         """Return the id that the caller has given to its attempt.
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -10,27 +10,20 @@
 """
 
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from anyio import current_time, Event, Lock, move_on_after, sleep
-from expression import Error, Ok, Result
 
 from primroseturn.clock import time_since_boot
 from primroseturn.control.bus import Bus, Sender
 from primroseturn.control.messages import Message, message
+from primroseturn.entry.document_exchange import DocumentExchange, REPLY_TIMEOUT_S
 from primroseturn.entry.documents import (
-    decode_patched,
     decode_targets,
-    decode_whole,
     DocumentHead,
-    DocumentMismatch,
-    DocumentPart,
-    DocumentPartRequest,
-    DocumentStore,
     encode_document,
-    MAX_DOCUMENT_BYTES,
 )
-from primroseturn.entry.events import CONFIGURATION_APPLIED, DOCUMENT_REFUSED
+from primroseturn.entry.events import CONFIGURATION_APPLIED
 from primroseturn.entry.following import START_PAUSE_S, StoreFollower
 from primroseturn.entry.view import VmView
 from primroseturn.membership.fleet import Fleet
@@ -40,9 +33,6 @@
 QUERY_INTERVAL_S = 0.7
 # Longest wait in seconds for the store poller's reply; it is a millisecond away.
 QUERY_TIMEOUT_S = 0.25
-# Longest wait in seconds for a part of a configuration or of a list of targets, for
-# which a connection may have to be opened.
-CONTENT_TIMEOUT_S = 0.5
 # Age in seconds up to which a confirmed view is recent enough to spare the receiver its
 # own calls: the interval of the store poller's requests plus a slow response.
 MAX_USEFUL_AGE_S = 1.3
@@ -150,7 +140,7 @@
     is_store_poller
         Whether this VM polls the store for its data centre.
     documents
-        The documents whose parts other VMs may still request.
+        Sends and fetches configurations and lists of targets.
     fetching
         Held while documents are fetched, so that none is fetched twice.
     newest_version, newest_revision
@@ -182,7 +172,7 @@
         self.follower = follower
         self.events = events
         self.is_store_poller = False
-        self.documents = DocumentStore()
+        self.documents = DocumentExchange(bus, events)
         self.fetching = Lock()
         self.newest_version = SeenNumber(0, 0.0)
         self.newest_revision = SeenNumber(0, 0.0)
@@ -196,7 +186,6 @@
         datagrams.register_handler(ViewStatus, self.receive_status)
         bus.register_handler(ConfigurationRequest, self.reply_with_configuration)
         bus.register_handler(TargetsRequest, self.reply_with_targets)
-        bus.register_handler(DocumentPartRequest, self.reply_with_part)
         view.configuration_listeners.append(lambda _: self.follower.updated.set())
         view.target_listeners.append(lambda _: self.follower.updated.set())
 
@@ -363,10 +352,10 @@
         for version in dict.fromkeys((self.view.version, 0)):
             old = self.view.stored_configuration
             request = ConfigurationRequest(version)
-            reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
+            reply = await self.bus.request(peer, request, REPLY_TIMEOUT_S)
             if reply.is_error() or not isinstance(reply.ok, DocumentHead):
                 return
-            fetched = await self.fetch_document(peer, reply.ok, old)
+            fetched = await self.documents.fetch(peer, reply.ok, old)
             if fetched.is_ok():
                 if self.follower.apply_peer_configuration(fetched.ok):
                     version = self.view.version
@@ -378,10 +367,10 @@
     async def fetch_targets(self, peer: str) -> None:
         """Fetch and apply a peer's list of targets."""
         requested_at = current_time()
-        reply = await self.bus.request(peer, TargetsRequest(), CONTENT_TIMEOUT_S)
+        reply = await self.bus.request(peer, TargetsRequest(), REPLY_TIMEOUT_S)
         if reply.is_error() or not isinstance(reply.ok, TargetsReply):
             return
-        fetched = await self.fetch_document(peer, reply.ok.head)
+        fetched = await self.documents.fetch(peer, reply.ok.head)
         targets = fetched.bind(decode_targets)
         if targets.is_error():
             return
@@ -393,42 +382,6 @@
             targets.ok, reply.ok.revision, lapses_end_by_id
         )
 
-    async def fetch_document(
-        self, peer: str, head: DocumentHead, old: Any = None
-    ) -> Result[Any, DocumentMismatch]:
-        """Fetch the other parts of a document and return its value.
-
-        Parameters
-        ----------
-        old
-            The value that a patch is applied to.
-        """
-        fetched = await self.fetch_parts(peer, head)
-        if head.is_patch:
-            value = fetched.bind(lambda data: decode_patched(data, head.digest, old))
-        else:
-            value = fetched.bind(lambda data: decode_whole(data, head.digest))
-        if value.is_error():
-            self.events.emit(DOCUMENT_REFUSED, peer=peer, reason=str(value.error))
-        return value
-
-    async def fetch_parts(
-        self, peer: str, head: DocumentHead
-    ) -> Result[bytes, DocumentMismatch]:
-        """Return the data of a document, unless a part does not arrive in time."""
-        if head.size > MAX_DOCUMENT_BYTES:
-            return Error(DocumentMismatch(f"the document has {head.size} bytes"))
-        data = bytearray(head.first_part)
-        while len(data) < head.size:
-            request = DocumentPartRequest(head.digest, head.is_patch, len(data))
-            reply = await self.bus.request(peer, request, CONTENT_TIMEOUT_S)
-            if reply.is_error() or not isinstance(reply.ok, DocumentPart):
-                return Error(DocumentMismatch(f"no reply for the part at {len(data)}"))
-            if not reply.ok.data:
-                return Error(DocumentMismatch("the peer no longer has the document"))
-            data += reply.ok.data
-        return Ok(bytes(data))
-
     async def reply_with_configuration(
         self, sender: Sender, body: Message
     ) -> DocumentHead | None:
@@ -449,11 +402,6 @@
         head = self.documents.keep(document)
         return TargetsReply(self.view.revision, lapsed_s_by_id, head)
 
-    async def reply_with_part(self, sender: Sender, body: Message) -> DocumentPart:
-        """Reply with a part of a document."""
-        assert isinstance(body, DocumentPartRequest)
-        return self.documents.find_part(body)
-
     async def push_forever(self) -> None:
         """Send the status when the view has changed, if this VM is the store poller."""
         while True:
