End the delivery of a buffered response when its caller leaves

Callers saw: nothing. Since responses are sent in parts of 16 KiB, a caller that left early made the VM write up to 60 parts to a closed connection, and asyncio logs each on standard error; a standard error that nobody reads blocks the process.

Ruled out: large responses, whose parts end with the caller's leaving already.

The delivery now ends after the part in which the caller left. The new scenario failed before (the warnings of asyncio) and passes. Passed: entry_requests.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -53,3 +53,10 @@
     When a request arrives while the requests under way hold all memory
     Then it gets 503 "memory-exhausted" with the time to come back
     And the next request gets 200
+
+  Scenario: A caller that leaves in the middle of a buffered response ends its delivery
+    Given an entry VM with 1 target
+    And its responses have 900000 bytes
+    When 5 callers send GET /lookup/1 and leave after the first bytes
+    Then nothing is written to their closed connections
+    And a caller that sends GET /lookup/1 gets 200
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -4,7 +4,10 @@
 import re
 import sys
 from contextlib import ExitStack, suppress
+from logging import getLogger, Handler, WARNING
 from pathlib import Path
+from socket import SO_LINGER, SO_RCVBUF, socket, SOL_SOCKET
+from struct import pack
 from subprocess import PIPE, Popen
 from tempfile import TemporaryDirectory
 from unittest.mock import patch
@@ -32,6 +35,7 @@
 KIB = 1024
 REQUEST_INTERVAL_S = 0.05
 MANY_CONNECTIONS = 100_000
+SMALL_BUFFER_BYTES = 4_096
 
 
 @given(
@@ -309,3 +313,49 @@
 @then("the next request gets 200")
 def step_next(context):
     assert context.next_response.status_code == 200
+
+
+class Records(Handler):
+    """Keeps log records."""
+
+    def __init__(self):
+        super().__init__(WARNING)
+        self.records = []
+
+    def emit(self, record):
+        """Keep a record."""
+        self.records.append(record.getMessage())
+
+
+@when("{count:d} callers send GET {path:S} and leave after the first bytes")
+def step_leave(context, count, path):
+    fleet = context.entry_fleet
+    # asyncio logs what is written to a closed connection.
+    context.records = Records()
+    logger = getLogger("asyncio")
+    logger.addHandler(context.records)
+    context.cleanups.append(lambda: logger.removeHandler(context.records))
+
+    for _ in range(count):
+        headers = fleet.caller_headers()
+        lines = [f"GET {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        caller = socket()
+        # The response waits in the VM, as the caller's side takes little of it.
+        caller.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+        caller.connect(("127.0.0.1", fleet.entry_ports_by_vm["vm1"]))
+        caller.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        caller.recv(100)
+        caller.close()
+    context.portal.call(sleep, 0.5)
+
+
+@then("nothing is written to their closed connections")
+def step_nothing_written(context):
+    assert not context.records.records, context.records.records
+
+
+@then("a caller that sends GET {path:S} gets {status:d}")
+def step_gets(context, path, status):
+    response = context.portal.call(context.entry_fleet.send_request, path)
+    assert response.status_code == status
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -384,7 +384,13 @@
     async def deliver(
         self, request: EntryRequest, result: AttemptResult, send: Any
     ) -> None:
-        """Send a target's response, or the start of a large one, to the caller."""
+        """Send a target's response, or the start of a large one, to the caller.
+
+        Raises
+        ------
+        CallerGone
+            If the caller left before the last part.
+        """
         assert result.head is not None
         head = result.head
         headers = forwarded_response_headers(head)
@@ -408,6 +414,8 @@
                 {"type": "http.response.body", "body": part, "more_body": more_body}
             )
             request.record_progress()
+            if more_body and request.link.has_closed:
+                raise CallerGone
 
     def record_served(self, request: EntryRequest, result: AttemptResult) -> None:
         """Count and log a response that was delivered whole."""
@@ -442,6 +450,8 @@
             try:
                 await self.deliver(request, result, send)
                 await response.forward(send)
+            except CallerGone:
+                raise
             except HTTPError as error:
                 detail = f"the response ended early: {error}"
                 self.forwarder.record_broken_response(request, result, detail)
