--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -440,18 +440,23 @@
 
 @then("no VM sends it requests {seconds:g} s later")
 def step_no_requests(context, seconds):
+    assert count_requests(context, context.entry_fleet.kernels_by_vm, seconds) == 0
+
+
+def count_requests(context, vms, after_s):
+    """Return how many of the requests to VMs reach the first target after a pause."""
     fleet = context.entry_fleet
     target = fleet.entry_targets_by_id["t1"]
 
     async def run():
-        await sleep(seconds)
+        await sleep(after_s)
         before = len(target.heads)
         for _ in range(20):
-            for vm in fleet.kernels_by_vm:
+            for vm in vms:
                 await fleet.send_request("/lookup/1", vm)
         return len(target.heads) - before
 
-    assert context.portal.call(run) == 0
+    return context.portal.call(run)
 
 
 @when(
--- a/features/steps/leaving_after_outage.py
+++ b/features/steps/leaving_after_outage.py
@@ -6,6 +6,7 @@
 from behave import then, when
 from hypothesis import find, given as for_all, settings, strategies
 
+from features.steps.entry_view import count_requests
 from primroseturn.entry.contact import LapseWindow, LeaseTerms
 
 HEARTBEAT_S, STABLE_S = 1.5, 3.0
@@ -86,17 +87,7 @@
 
 @then("the first VM sends it no requests {seconds:g} s later")
 def step_first_vm(context, seconds):
-    fleet = context.entry_fleet
-    target = fleet.entry_targets_by_id["t1"]
-
-    async def run():
-        await sleep(seconds)
-        before = len(target.heads)
-        for _ in range(20):
-            await fleet.send_request("/lookup/1", "vm1")
-        return len(target.heads) - before
-
-    assert context.portal.call(run) == 0
+    assert count_requests(context, ["vm1"], seconds) == 0
 
 
 @when("both VMs have dropped it")
