Count the heads of requests and responses in the bound of memory

What callers saw: a VM of 300 MB took 292 MB beside 3,000 callers that send 60,000 bytes of a head and stop (240 MB are the bound). Beside 600 callers with 3,900 header fields of 4 bytes, 68 and 2 of 157 other requests were served within 2 s.

Cause: a connection was counted with 40 KiB whatever its parser kept, and neither the number of header fields nor what they take once parsed was bounded.

Ruled out: that the memory goes to the requests: they did not exist yet, and 600 such callers take 103 MB on both codes.

Change: a head is measured while it arrives, before it is parsed. What it takes beyond a usual head is held by its connection, which is ended like others without progress. Heads have at most 256 lines (431, or the response is rejected). Trailers of bodies without a length are counted.

--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -23,6 +23,7 @@
       | a space before the colon of a header  | 400    | request-invalid      |
       | a NUL in a header                     | 400    | request-invalid      |
       | a header of 200 KB without end        | 431    | headers-too-large    |
+      | 300 header fields                     | 431    | headers-too-large    |
       | a body above the limit                | 413    | body-too-large       |
       | an absolute target                    | 404    | route-missing        |
       | a connection option that hides Host   | 400    | header-invalid       |
--- a/features/memory.feature
+++ b/features/memory.feature
@@ -2,7 +2,10 @@
 
   A VM of 300 MB may use four fifths of them. GET /calm/1 goes to a target that responds
   as usual. Modes are those of endless_answers.feature; sound: a whole response of
-  20 MB; deaf: a target that reads no body, to which callers send one without end.
+  20 MB; deaf: a target that reads no body, to which callers send one without end;
+  stalled-heads: callers that send 60,000 bytes of a head and stop; fields: heads of
+  3,900 fields to a target that does not respond; long-heads: responses with a head of
+  60,000 bytes.
 
   Scenario Outline: <count> callers that read nothing of <mode> do not end a VM
     Given an entry VM of 300 MB as a process and a target in mode "<mode>" for sheets
@@ -19,6 +22,10 @@
       | line fast       | 600   | 8       |
       | sound           | 300   | 8       |
       | deaf            | 300   | 8       |
+      | stalled-heads   | 600   | 8       |
+      | stalled-heads   | 3000  | 12      |
+      | fields          | 600   | 8       |
+      | long-heads      | 600   | 8       |
 
   Scenario: 2000 callers that read nothing do not end a VM, and others get true answers
     Given an entry VM of 300 MB as a process and a target in mode "unframed fast" for sheets
@@ -34,6 +41,15 @@
     And a request arrives
     Then the caller that reads nothing is evicted and the other is not
 
+  Scenario: A caller that stops in a long head is evicted, and one that goes on is not
+    Given a budget of which all but one request is held
+    When one caller sends a part of its head each 0.5 s and another stops for 2 s
+    And a request arrives
+    Then only the connection of the caller that stopped is closed
+
+  Scenario: The size of a head does not depend on the parts in which it arrives
+    Then any parts of a head and a body give the bytes and lines of the head
+
   Scenario: Requests that wait for their target are not evicted
     Given a budget of which all but one request is held
     When the requests wait for their targets for 10 s
--- a/features/steps/entry_input.py
+++ b/features/steps/entry_input.py
@@ -45,6 +45,7 @@
     "a space before the colon of a header": f"{GET}X-A : 1\r\n\r\n",
     "a NUL in a header": f"{GET}X-A: a\x00b\r\n\r\n",
     "a header of 200 KB without end": f"{GET}X-A: {200_000 * 'x'}",
+    "300 header fields": GET + 300 * "a:\r\n" + "\r\n",
     "a body above the limit": f"{POST}Content-Length: 99999999999\r\n\r\nab",
     "an absolute target": f"GET http://{HOST}/lookup/1 HTTP/1.1\r\n{HEAD}\r\n",
     "a connection option that hides Host": f"{GET}Connection: Host\r\n\r\n",
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -31,11 +31,14 @@
     STALL_S,
 )
 from primroseturn.observation.events import EventLog
+from primroseturn.serving.heads import HeadSize
 
 KIB = 1024
 REQUEST_INTERVAL_S = 0.05
 MANY_CONNECTIONS = 100_000
 SMALL_BUFFER_BYTES = 4_096
+# What a head holds that leaves room for one request when it is released.
+LONG_HEAD_BYTES = REQUEST_BYTES + ATTEMPT_BYTES
 
 
 @given(
@@ -221,6 +224,78 @@
     assert not any(caller.is_evicted for caller, _ in others)
 
 
+class CallerTransport:
+    """The connection of a caller that may be closed."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def abort(self):
+        """Record the end of the connection."""
+        self.is_aborted = True
+
+
+@when("one caller sends a part of its head each 0.5 s and another stops for 2 s")
+def step_partial_heads(context):
+    budget = context.budget
+    for _ in range(2):
+        # Makes room for two heads.
+        context.requests.pop()[1].budget.release(next(reversed(budget.holdings)))
+    context.going_on, context.stopped = CallerTransport(), CallerTransport()
+    assert budget.try_hold_head(context.stopped, LONG_HEAD_BYTES)
+    assert budget.try_hold_head(context.going_on, LONG_HEAD_BYTES - 4)
+    for missing in (3, 2, 1, 0):
+        context.clock += 0.5
+        assert budget.try_hold_head(context.going_on, LONG_HEAD_BYTES - missing)
+    while budget.has_room(REQUEST_BYTES + ATTEMPT_BYTES, 0.9):
+        context.requests.append(start_request(context, budget))
+
+
+@then("only the connection of the caller that stopped is closed")
+def step_stopped_closed(context):
+    assert context.arrived[1] is not None
+    assert context.stopped.is_aborted and not context.going_on.is_aborted
+    assert not any(caller.is_evicted for caller, _ in context.requests)
+    held = context.budget.held_bytes
+    context.budget.release_head(context.stopped)
+    assert context.budget.held_bytes == held
+    context.budget.release_head(context.going_on)
+    assert context.budget.held_bytes == held - LONG_HEAD_BYTES
+
+
+HEAD_LINES = strategies.lists(
+    strategies.text("ab:\r ", min_size=1, max_size=5).map(
+        lambda text: text.strip("\r") + "x"
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+@then("any parts of a head and a body give the bytes and lines of the head")
+def step_head_size(context):
+    @settings(max_examples=300, deadline=None)
+    @for_all(
+        HEAD_LINES,
+        strategies.sampled_from([b"\n", b"\r\n"]),
+        strategies.binary(max_size=20),
+        strategies.lists(strategies.integers(0, 200), max_size=10),
+    )
+    def check(lines, line_end, body, cuts):
+        head = b"".join(line.encode() + line_end for line in lines) + line_end
+        data = head + body
+        bounds = sorted(min(cut, len(data)) for cut in cuts)
+        size = HeadSize()
+        for start, end in zip([0, *bounds], [*bounds, len(data)], strict=True):
+            # What follows a head is the parser's, which ends the measurement.
+            if start < len(head):
+                size.add(data[start:end])
+        assert size.received_bytes == len(head)
+        assert size.lines == len(lines) + 1
+
+    check()
+
+
 @when("the requests wait for their targets for 10 s")
 def step_waiting(context):
     for _, holding in context.requests:
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -64,6 +64,7 @@
     ResponseBroken,
     send_refusal,
 )
+from primroseturn.serving.heads import MAX_HEADER_LINES
 from primroseturn.serving.http import closing_sender
 from primroseturn.serving.protocol import CALLER_LINK
 
@@ -596,6 +597,9 @@
     RequestRefused
         If one of them exceeds its limit.
     """
+    if len(headers) > MAX_HEADER_LINES:
+        detail = f"the request has more than {MAX_HEADER_LINES} header fields"
+        raise RequestRefused(Refusal("headers-too-large", 431, detail))
     size_bytes = sum(
         len(name) + len(value) + HEADER_LINE_BYTES for name, value in headers
     )
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -256,6 +256,8 @@
         assert self.connection is not None
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             event = await self.connection.read_head(self.request.left_s())
+            if not self.request.try_hold_head(self.connection.head_size):
+                raise ResponseRejected("no memory is left for the response's long head")
             head = read_response_head(event.status_code, event.headers.raw_items())
             if head.attempt_id is None:
                 raise ResponseRejected(
--- a/primroseturn/entry/memory.py
+++ b/primroseturn/entry/memory.py
@@ -6,6 +6,7 @@
 that does not fit replaces a connection without progress, or is refused.
 """
 
+from asyncio import WriteTransport
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -27,16 +28,19 @@
 PROCESS_BYTES = 64 * MB
 # An open connection of a caller: socket, parser and task.
 CONNECTION_BYTES = 40 * KIB
-# A request without its attempt: headers and tasks (40 KiB), a part on its way to the
-# caller, its copies and the buffer of the caller's connection (4 x 16 KiB).
+# A request without its attempt: a usual head and tasks (40 KiB), a part on its way to
+# the caller, its copies and the buffer of the caller's connection (4 x 16 KiB). What an
+# unusual head takes beyond that is held by the connection (`HeadSize`).
 REQUEST_BYTES = 104 * KIB
-# The connection to the target: the buffer of its reader (32 KiB), and two parts of the
-# body or a head of up to 64 KiB.
+# The connection to the target: the buffer of its reader (32 KiB), and a usual head and
+# two parts of the body (56 KiB), or up to 64 KiB of a head that has not ended.
 ATTEMPT_BYTES = 96 * KIB
 # A body that is longer than `SHORT_BODY_BYTES`: the buffer of the reader (48 KiB), the
 # queue before the application (160 KiB), the start that is kept for another attempt
 # (64 KiB) and the buffer of the target's connection (32 KiB).
 LONG_BODY_BYTES = 304 * KIB
+# The trailers of a body without a length, which the parser keeps until they have ended.
+TRAILER_BYTES = 64 * KIB
 SHORT_BODY_BYTES = 64 * KIB
 # Fractions of the capacity up to which bytes are held for responses that are buffered
 # whole, for requests, and for connections. A response that is not buffered is still
@@ -56,6 +60,8 @@
 class Phase(Enum):
     """What a request is doing with the bytes that it holds."""
 
+    # Its head is read from the caller.
+    RECEIVING = "receiving"
     # The body is read from the caller and sent to the target.
     SENDING = "sending"
     # The target runs the request. It holds no bytes that someone else must read.
@@ -118,7 +124,7 @@
         """Return whether the request waits for someone to read what it holds."""
         if self.phase is Phase.DELIVERING:
             return self.unsent_bytes() > 0
-        return self.phase is Phase.SENDING
+        return self.phase in (Phase.RECEIVING, Phase.SENDING)
 
     def sample(self, now: float) -> None:
         """Record progress if the caller has read bytes since the last sample."""
@@ -136,6 +142,14 @@
         self.budget.add(grown)
         return True
 
+    def try_hold_head(self, size: int) -> bool:
+        """Hold the bytes of a response's long head and return True, if they fit."""
+        if self.is_evicted or not self.budget.make_room(size, REQUESTS_SHARE):
+            return False
+        self.size += size
+        self.budget.add(size)
+        return True
+
 
 class MemoryBudget:
     """The bytes that all requests and connections of this VM may hold.
@@ -151,6 +165,8 @@
         Bytes that connections and requests may hold together.
     held_bytes
         Bytes that they hold.
+    heads_by_transport
+        What unusual heads hold, by the connections of their callers.
     """
 
     def __init__(self, memory_bytes: int, events: EventLog) -> None:
@@ -159,6 +175,7 @@
         self.events = events
         self.held_bytes = 0
         self.holdings: dict[Holding, None] = {}
+        self.heads_by_transport: dict[WriteTransport, Holding] = {}
         self.reported_at = -REPORT_INTERVAL_S
         MEMORY_BYTES.labels("capacity").set(self.capacity_bytes)
 
@@ -178,9 +195,41 @@
         self.add(CONNECTION_BYTES)
         return True
 
-    def close_connection(self) -> None:
-        """Release the bytes of a caller's connection."""
+    def close_connection(self, transport: WriteTransport) -> None:
+        """Release the bytes of a caller's connection and of its head."""
         self.add(-CONNECTION_BYTES)
+        self.release_head(transport)
+
+    def try_hold_head(self, transport: WriteTransport, size: int) -> bool:
+        """Set the bytes of a connection's head and return True, if they fit."""
+        holding = self.heads_by_transport.get(transport)
+        grown = size - (holding.size if holding else 0)
+        if not self.make_room(grown, REQUESTS_SHARE):
+            return False
+        if holding is None:
+            # The request's id and workspace are not known before its head is.
+            holding = Holding(
+                self, Holder("", None), 0, transport.abort, no_unsent_bytes
+            )
+            self.heads_by_transport[transport] = holding
+            self.holdings[holding] = None
+        elif holding.is_evicted:
+            return False
+        holding.size += grown
+        self.add(grown)
+        holding.enter(Phase.RECEIVING)
+        return True
+
+    def end_head(self, transport: WriteTransport) -> None:
+        """Record that a head has arrived whole: its bytes wait for nobody."""
+        if transport in self.heads_by_transport:
+            self.heads_by_transport[transport].enter(Phase.WAITING)
+
+    def release_head(self, transport: WriteTransport) -> None:
+        """Release the bytes of a head whose request has ended."""
+        holding = self.heads_by_transport.pop(transport, None)
+        if holding is not None:
+            self.release(holding)
 
     @contextmanager
     def hold(
@@ -292,8 +341,15 @@
                     holding.sample(now)
 
 
+def no_unsent_bytes() -> int:
+    """Return the bytes that wait for a caller who has got no response yet."""
+    return 0
+
+
 def held_body_bytes(body_bytes: int | None) -> int:
     """Return the bytes that are held for a request's body of a length."""
-    if body_bytes is None or body_bytes > SHORT_BODY_BYTES:
+    if body_bytes is None:
+        return LONG_BODY_BYTES + TRAILER_BYTES
+    if body_bytes > SHORT_BODY_BYTES:
         return LONG_BODY_BYTES
     return 4 * body_bytes
--- a/primroseturn/entry/request.py
+++ b/primroseturn/entry/request.py
@@ -9,6 +9,7 @@
 from primroseturn.platform.headers import CallerHeaders
 from primroseturn.requestpath.body import RequestBody
 from primroseturn.routing.placement import RequestTraits
+from primroseturn.serving.heads import HeadSize
 from primroseturn.serving.protocol import CallerLink
 
 # Seconds that are reserved for the transit of the response to the caller, out of the
@@ -94,6 +95,11 @@
         """Return whether further bytes of a response may be buffered."""
         return self.holding is None or self.holding.try_grow(size)
 
+    def try_hold_head(self, head: HeadSize) -> bool:
+        """Return whether the head of a response may be kept."""
+        size = head.unusual_bytes()
+        return not size or self.holding is None or self.holding.try_hold_head(size)
+
     def evict(self) -> None:
         """End the request, since it makes no progress and others need its memory.
 
--- a/primroseturn/requestpath/connection.py
+++ b/primroseturn/requestpath/connection.py
@@ -28,6 +28,8 @@
     WriteTimeout,
 )
 
+from primroseturn.serving.heads import HeadSize, MAX_HEADER_LINES
+
 # Size of one read, and of the buffers of a connection: what a caller does not read
 # stays in them, for each of its requests.
 READ_BYTES = 16_384
@@ -103,6 +105,8 @@
         Whether any byte of the current request may have left this process.
     consumed_bytes
         Number of received bytes that were passed to the parser.
+    head_size
+        Size of the head that was read last.
     resumed_at
         Monotonic time in seconds when the reading task began to read the head or last
         continued after a wait. Other tasks may not have run since then.
@@ -116,6 +120,7 @@
         )
         self.opened_at = self.last_clean_at = current_time()
         self.consumed_bytes = 0
+        self.head_size = HeadSize()
         self.sent = False
         self.note_sent: Callable[[], None] = lambda: None
         self.first_byte_at: float | None = None
@@ -162,6 +167,7 @@
         self.resumed_at = self.clock()
         deadline_at = self.resumed_at + timeout_s
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            self.head_size = HeadSize()
             event = await self.next_event(timeout_s, deadline_at)
             if isinstance(event, h11.Response):
                 return event
@@ -255,6 +261,7 @@
                     # The read waited, so other tasks ran in the meantime.
                     self.resumed_at = self.clock()
                 self.consumed_bytes += len(data)
+                self.measure_head(data)
                 if self.first_byte_at is None and data:
                     self.first_byte_at = current_time()
                 self.protocol_state.receive_data(data)
@@ -266,6 +273,21 @@
             raise RemoteProtocolError(str(error)) from error
         return event
 
+    def measure_head(self, data: bytes) -> None:
+        """Measure the next part of a response's head before it is parsed.
+
+        Raises
+        ------
+        RemoteProtocolError
+            If the head has too many fields.
+        """
+        if self.protocol_state.their_state is h11.SEND_RESPONSE:
+            self.head_size.add(data)
+            if self.head_size.has_too_many_lines():
+                raise RemoteProtocolError(
+                    f"the response has more than {MAX_HEADER_LINES} header fields"
+                )
+
     async def yield_to_loop(self) -> None:
         """Let other tasks run if this one has read for long without waiting.
 
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -14,6 +14,7 @@
     Data,
     EndOfMessage,
     ERROR,
+    IDLE,
     LocalProtocolError,
     Request,
     Response,
@@ -24,13 +25,19 @@
 from hypercorn.protocol.http_stream import HTTPStream
 from msgspec.json import encode
 
+from primroseturn.serving.heads import HeadSize
 from primroseturn.serving.idle import IdleConnections
 
+HEADERS_TOO_LARGE, SERVICE_UNAVAILABLE = 431, 503
 KINDS_BY_STATUS = {
     400: "request-invalid",
-    431: "headers-too-large",
+    HEADERS_TOO_LARGE: "headers-too-large",
     501: "encoding-unsupported",
+    SERVICE_UNAVAILABLE: "memory-exhausted",
 }
+# Seconds after which a caller may try again whose head did not fit into the memory:
+# connections without progress are closed after that time.
+RETRY_AFTER_S = 1
 # Key of the ASGI extension that gives an application access to its caller's connection.
 CALLER_LINK = "primroseturn.caller"
 
@@ -44,13 +51,22 @@
 
 
 class ConnectionMeter(Protocol):
-    """Decides whether a listener may keep a further connection open."""
+    """Decides which connections a listener keeps open, and which heads it reads."""
 
     def try_open_connection(self) -> bool:
         """Count a connection and return True, unless it must be closed."""
 
-    def close_connection(self) -> None:
-        """Stop counting a connection."""
+    def close_connection(self, transport: WriteTransport) -> None:
+        """Stop counting a connection and its head."""
+
+    def try_hold_head(self, transport: WriteTransport, size: int) -> bool:
+        """Set the bytes of a connection's head and return True, if they fit."""
+
+    def end_head(self, transport: WriteTransport) -> None:
+        """Record that the head has arrived whole."""
+
+    def release_head(self, transport: WriteTransport) -> None:
+        """Release the bytes of a head whose request has ended."""
 
 
 class CallerLink:
@@ -121,6 +137,12 @@
         self.link = CallerLink(self.transport)
         self.held_head = b""
         self.closing = False
+        self.head_size = HeadSize()
+
+    @property
+    def meter(self) -> ConnectionMeter | None:
+        """Return the meter of this listener."""
+        return self.config.connection_meter  # type: ignore[attr-defined]
 
     @property
     def idle_connections(self) -> IdleConnections:
@@ -144,10 +166,33 @@
         elif self.closing:
             # A request that arrives during the close must not run: it gets no response.
             return
+        elif isinstance(event, RawData) and self.connection.their_state is IDLE:
+            status = self.measure_head(event.data)
+            if status is not None:
+                await self._send_error_response(status)
+                await self.close()
+                return
         await super().handle(event)
         if isinstance(event, Closed):
             await self.close()
 
+    def measure_head(self, data: bytes) -> int | None:
+        """Measure a part of a head before it is parsed.
+
+        Returns
+        -------
+        int | None
+            The status with which the request is refused, None if it is not.
+        """
+        self.head_size.add(data)
+        if self.head_size.has_too_many_lines():
+            return HEADERS_TOO_LARGE
+        size = self.head_size.unusual_bytes()
+        if not size or self.meter is None or self.transport is None:
+            return None
+        fits = self.meter.try_hold_head(self.transport, size)
+        return None if fits else SERVICE_UNAVAILABLE
+
     async def close(self) -> None:
         """Close the connection."""
         self.closing = True
@@ -157,6 +202,8 @@
         """Forward an event, but only record idling, and drop empty data."""
         if isinstance(event, Updated) and event.idle:
             self.idle_connections.mark_idle(self)
+            if self.meter is not None and self.transport is not None:
+                self.meter.release_head(self.transport)
         elif not isinstance(event, RawData) or event.data:
             await self.send_unfiltered(event)
 
@@ -177,6 +224,9 @@
     async def _create_stream(self, request: Request) -> None:
         """Give the application the link that reports when its caller leaves."""
         self.idle_connections.mark_busy(self)
+        self.head_size = HeadSize()
+        if self.meter is not None and self.transport is not None:
+            self.meter.end_head(self.transport)
         self.link = CallerLink(self.transport)
         await super()._create_stream(request)
         if isinstance(self.stream, HTTPStream):
@@ -201,6 +251,8 @@
             (b"content-length", str(len(body)).encode()),
             (b"connection", b"close"),
         ]
+        if status_code == SERVICE_UNAVAILABLE:
+            headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
         await self._send_h11_event(Response(status_code=status_code, headers=headers))
         await self._send_h11_event(Data(data=body))
         await self._send_h11_event(EndOfMessage())
@@ -233,7 +285,7 @@
             await super().run()
         finally:
             if meter is not None:
-                meter.close_connection()
+                meter.close_connection(transport)
 
     async def _read_data(self) -> None:
         """Read in small parts, since some of them are queued for the application."""
