Count the configuration and the list of targets in the bound of memory

What was seen: a VM of 200 MB with 33,000 keys and 12,000 targets took 189 MB beside 3,000 callers that stop in a head; 160 is the bound, and the platform ends a VM at 200.

Cause: the bound left 64 MB to the process, of which 55 are used without either. That configuration and list take 30 MB more, and documents for other VMs come on top.

Ruled out: the requests themselves; with a VM of 300 MB the same callers stayed within the bound (221 MB), as its capacity leaves more slack.

Change: both are held in the budget by their size, beyond what the process has anyway.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -35,6 +35,14 @@
     And the shortage is logged with the target and the workspace that hold the most
     And connections without progress were closed for others
 
+  Scenario: A large configuration and list of targets leave less memory to requests
+    Given an entry VM of 200 MB as a process and a target in mode "stalled-heads" for sheets
+    And 33000 keys and 12000 targets of another service are in force
+    When 3000 callers read nothing while others send GET /calm/1 for 12 s
+    Then the VM runs and used at most 160 MB of memory
+    And each of the others got 200, or at once 503 with the time to come back
+    And its metrics state the capacity and what is held
+
   Scenario: A caller that reads slowly is not cut for others
     Given a budget of which all but one request is held
     When a caller reads 1 byte each 0.5 s and another reads nothing for 2 s
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -12,7 +12,7 @@
 from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
-from anyio import create_task_group, current_time, sleep
+from anyio import create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
 from httpx import get, HTTPError
 from hypothesis import given as for_all, settings, strategies
@@ -35,6 +35,7 @@
 
 KIB = 1024
 REQUEST_INTERVAL_S = 0.05
+DOCUMENTS_TIMEOUT_S = 15.0
 MANY_CONNECTIONS = 100_000
 SMALL_BUFFER_BYTES = 4_096
 # What a head holds that leaves room for one request when it is released.
@@ -80,6 +81,29 @@
     context.portal.call(wait_served, fleet)
 
 
+@given("{keys:d} keys and {count:d} targets of another service are in force")
+def step_large_documents(context, keys, count):
+    fleet = context.entry_fleet
+    names = [f"key-{number:020d}" for number in range(keys)]
+
+    async def run():
+        for number in range(count):
+            port = 1 + number % 60_000
+            fleet.list_target(f"other-{number:016d}", service="other", port=port)
+        fleet.configuration["tenants"].append(
+            {"name": "federation", "api_keys": names, "rate_per_s": 0, "burst": 0}
+        )
+        fleet.publish()
+        with fail_after(DOCUMENTS_TIMEOUT_S):
+            while True:
+                response = await fleet.send_request("/calm/1", key=names[-1])
+                if response.status_code == 200:
+                    return
+                await sleep(0.1)
+
+    context.portal.call(run)
+
+
 @when(
     "{count:d} callers read nothing while others send GET {other:S} for {seconds:d} s"
 )
--- a/primroseturn/entry/memory.py
+++ b/primroseturn/entry/memory.py
@@ -26,6 +26,15 @@
 # Bytes of a process without requests: the interpreter, the modules, the configuration
 # and the list of targets.
 PROCESS_BYTES = 64 * MB
+# What the configuration takes, as a multiple of its encoded size: two versions, decoded
+# and translated (8), the documents that other VMs may fetch (4), and the next version
+# while it is read (4).
+CONFIGURATION_FACTOR = 16
+# What a listed target takes: its state, its part of the documents, and of the next list
+# while that is read.
+TARGET_BYTES = 3 * KIB
+# Bytes of both in `PROCESS_BYTES`.
+USUAL_DOCUMENT_BYTES = 6 * MB
 # An open connection of a caller: socket, parser and task.
 CONNECTION_BYTES = 40 * KIB
 # A request without its attempt: a usual head and tasks (40 KiB), a part on its way to
@@ -164,7 +173,9 @@
     capacity_bytes
         Bytes that connections and requests may hold together.
     held_bytes
-        Bytes that they hold.
+        Bytes that they hold, and `document_bytes`.
+    document_bytes
+        Bytes of the configuration and the list of targets beyond a usual size.
     heads_by_transport
         What unusual heads hold, by the connections of their callers.
     """
@@ -174,6 +185,7 @@
         self.capacity_bytes = max(usable, MB)
         self.events = events
         self.held_bytes = 0
+        self.document_bytes = 0
         self.holdings: dict[Holding, None] = {}
         self.heads_by_transport: dict[WriteTransport, Holding] = {}
         self.reported_at = -REPORT_INTERVAL_S
@@ -188,6 +200,19 @@
         self.held_bytes += size
         MEMORY_BYTES.labels("held").set(self.held_bytes)
 
+    def hold_documents(self, configuration_bytes: int, target_count: int) -> None:
+        """Set the bytes of the configuration and the list of targets.
+
+        Parameters
+        ----------
+        configuration_bytes
+            Encoded size of the configuration.
+        """
+        size = CONFIGURATION_FACTOR * configuration_bytes + TARGET_BYTES * target_count
+        size = max(0, size - USUAL_DOCUMENT_BYTES)
+        self.add(size - self.document_bytes)
+        self.document_bytes = size
+
     def try_open_connection(self) -> bool:
         """Hold the bytes of a caller's connection and return True, if they fit."""
         if not self.make_room(CONNECTION_BYTES, CONNECTIONS_SHARE):
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -110,12 +110,19 @@
     yield RepeatBudget(bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_extra)
 
 
-@service("memory", needs=("settings", "events"))
+@service("memory", needs=("settings", "events", "view"))
 @asynccontextmanager
 async def provide_memory(kernel: Kernel) -> AsyncIterator[MemoryBudget]:
     """Provide the bound of the memory of requests, and sample their progress."""
-    events = kernel.find("events")
+    events, view = kernel.find("events"), kernel.find("view")
     budget = MemoryBudget(kernel.find("settings").memory_bytes, events)
+
+    def hold_documents(_: object) -> None:
+        size = len(view.document_for(0).data) if view.version else 0
+        budget.hold_documents(size, len(view.targets_by_id))
+
+    view.configuration_listeners.append(hold_documents)
+    view.target_listeners.append(hold_documents)
     async with run_background(events) as background:
         background.keep_running(budget.sample_forever)
         yield budget
