Answer requests that outlast a planned stop before the process ends

What callers saw: requests that had not ended at the end of a planned stop got a 500 with an empty body, which does not say whether they ran: 5 of 5 POST and 5 of 5 GET with work of 10 s and a stop of 2 s.

Cause: the listener cancelled what was left, and hypercorn answered in place of the application.

Ruled out: the check on arrival. It keeps out requests that come during the stop; these had come before it, or take longer than requests of their kind usually do.

Change: the scope of each forwarded request also ends 0.02 of the grace before the listener cancels, at the start of a stop also for requests under way. The caller gets 504 "stopping" with ran "unknown", or 503 if no target got the request.

features/entry_stop.feature, "requests that outlast a stop", failed before (2 of 2) and passes (2 of 2); 12 scenarios of the feature passed.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -34,6 +34,20 @@
     And requests that could not end in time were refused at once
     And the VM was gone within 2 s after it was asked to stop
 
+  Scenario Outline: <method> requests that outlast a stop get a truthful answer before it ends
+    Given an entry VM with 2 targets
+    And its routes give requests 20 s
+    And its targets take 10 s for a request
+    And 5 callers have sent <method> <path>
+    When the VM is asked to stop
+    Then each caller got <status> with the type "stopping" and ran "<ran>"
+    And the VM was gone within 2 s after it was asked to stop
+
+    Examples:
+      | method | path      | status | ran     |
+      | POST   | /order/1  | 504    | unknown |
+      | GET    | /lookup/1 | 504    | unknown |
+
   Scenario Outline: A stop <decision> a request that <request>
     Then a stop with 6 s <decision> a request with <left> s left that takes <typical> s after <after> s
 
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -16,6 +16,7 @@
 )
 from anyio.lowlevel import checkpoint
 from behave import given, then, when
+from httpx import HTTPError
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypothesis import given as for_all, strategies
 
@@ -30,6 +31,8 @@
 TURNS = 20
 READ_BYTES = 65_536
 SMALL_BUFFER_BYTES = 4_096
+SETTLE_TIMEOUT_S = 5.0
+LONG_DEADLINE_MS = 20_000
 
 
 def request_bytes(method, path, attempt):
@@ -276,6 +279,61 @@
     assert all(context.took_s_by_attempt[attempt] < 0.5 for attempt in refused)
 
 
+@given("its routes give requests {seconds:g} s")
+def step_long_routes(context, seconds):
+    fleet = context.entry_fleet
+    view = fleet.kernels_by_vm["vm1"].find("view")
+
+    async def run():
+        for item in fleet.configuration["virtual_hosts"][0]["paths"]:
+            item["timeout_s"] = item["slo_latency_s"] = seconds
+        fleet.publish()
+        with fail_after(SETTLE_TIMEOUT_S):
+            while f"r{view.version}" != fleet.configuration["version"]:
+                await sleep(0.02)
+
+    context.portal.call(run)
+
+
+@given("{count:d} callers have sent {method:w} {path:S}")
+def step_have_sent(context, count, method, path):
+    fleet = context.entry_fleet
+    targets = fleet.entry_targets_by_id.values()
+    context.responses = []
+
+    async def send():
+        try:
+            response = await fleet.send_request(
+                path, method=method, wait_ms=LONG_DEADLINE_MS, timeout=None
+            )
+        except HTTPError as error:
+            response = error
+        context.responses.append(response)
+
+    async def start():
+        with fail_after(SETTLE_TIMEOUT_S):
+            while sum(len(target.arrived_at) for target in targets) < count:
+                await sleep(0.01)
+
+    for _ in range(count):
+        context.portal.start_task_soon(send)
+    context.portal.call(start)
+
+
+@when("the VM is asked to stop")
+def step_asked_to_stop(context):
+    context.portal.call(stop, context)
+
+
+@then('each caller got {status:d} with the type "{kind}" and ran "{ran}"')
+def step_truthful(context, status, kind, ran):
+    assert len(context.responses) == 5, context.responses
+    for response in context.responses:
+        assert response.status_code == status, response.text
+        body = response.json()
+        assert (body["type"], body["ran"]) == (kind, ran), body
+
+
 @then(
     "a stop with {limit:g} s {decision} a request with {left:g} s left that takes "
     "{typical:g} s after {after:g} s"
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -355,7 +355,7 @@
             If the caller left.
         """
         result: AttemptResult | None = None
-        with CancelScope(deadline=request.deadline_at) as deadline_scope:
+        with self.stop.limit(request.deadline_at) as deadline_scope:
             request.scope = deadline_scope
             request.link.set_close_callback(
                 lambda: handle_caller_left(request, deadline_scope)
@@ -493,12 +493,13 @@
         return RequestRefused(Refusal(kind, SERVICE_UNAVAILABLE, detail, "no", delay_s))
 
     def timeout_refusal(self, request: EntryRequest) -> RequestRefused:
-        """Return the refusal of a request whose deadline has passed."""
-        detail = "the request's time has passed"
+        """Return the refusal of a request whose time has passed, or that of this VM."""
+        kind, detail = "deadline-exceeded", "the request's time has passed"
+        if request.left_s() > 0 and self.stop.has_begun:
+            kind, detail = "stopping", "this VM stops before the request has ended"
         if request.may_have_run:
-            refusal = Refusal("deadline-exceeded", GATEWAY_TIMEOUT, detail, "unknown")
-            return RequestRefused(refusal)
-        return self.retryable_refusal("deadline-exceeded", detail, left_s=0.0)
+            return RequestRefused(Refusal(kind, GATEWAY_TIMEOUT, detail, "unknown"))
+        return self.retryable_refusal(kind, detail, left_s=max(0.0, request.left_s()))
 
     def no_target_refusal(self, request: EntryRequest) -> RequestRefused:
         """Return the refusal of a request that was sent to no target."""
--- a/primroseturn/entry/stopping.py
+++ b/primroseturn/entry/stopping.py
@@ -5,14 +5,21 @@
 they have.
 """
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from math import inf
 
+from anyio import CancelScope
+
 # Fractions of the time between the signal to stop and SIGKILL. First, new connections
 # are accepted while the load balancer still sends them. Then requests in flight may
 # finish, for which 2.5 of 6 s are left. The VM's store object is removed while they
 # finish, and the process ends in the remaining time.
 LISTEN_SHARE = 0.5
 FINISH_SHARE = 0.42
+# Fraction of that time, at the end of the share to finish, in which requests that have
+# not ended get their refusal.
+ANSWER_SHARE = 0.02
 # Seconds after the end of listening in which requests still arrive that were sent
 # before it.
 TRANSIT_S = 0.1
@@ -32,11 +39,14 @@
     ----------
     began_at
         Monotonic time in seconds at which the stop began, infinity before.
+    scopes
+        The scopes of the requests that are forwarded.
     """
 
     def __init__(self, limit_s: float) -> None:
         self.limit_s = limit_s
         self.began_at = inf
+        self.scopes: set[CancelScope] = set()
 
     @property
     def has_begun(self) -> bool:
@@ -46,10 +56,34 @@
     def begin(self, now: float) -> None:
         """Begin the stop, unless it has begun."""
         self.began_at = min(self.began_at, now)
+        for scope in self.scopes:
+            scope.deadline = min(scope.deadline, self.ends_at)
+
+    @property
+    def ends_at(self) -> float:
+        """Return the monotonic time in seconds at which requests get no more time."""
+        share = LISTEN_SHARE + FINISH_SHARE - ANSWER_SHARE
+        return self.began_at + share * self.limit_s
 
     def left_s(self, now: float) -> float:
-        """Return the time in seconds until requests are cut off."""
-        return self.began_at + (LISTEN_SHARE + FINISH_SHARE) * self.limit_s - now
+        """Return the time in seconds that requests have left."""
+        return self.ends_at - now
+
+    @contextmanager
+    def limit(self, deadline_at: float) -> Iterator[CancelScope]:
+        """Cancel what runs in the context at a deadline, or before the process ends.
+
+        Parameters
+        ----------
+        deadline_at
+            Monotonic time in seconds.
+        """
+        with CancelScope(deadline=min(deadline_at, self.ends_at)) as scope:
+            self.scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self.scopes.discard(scope)
 
     def accepts(self, request_left_s: float, expected_s: float, now: float) -> bool:
         """Return whether a request that arrives now may be passed on.
