Count the arrival of a head as progress before its memory is looked for

Found by reading: a head that goes on after a pause of over 1 s could be ended for the memory of its own next part, as its progress was recorded after the room had been made.

--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -66,6 +66,13 @@
       | early, then reads on late | 3000000  |
       | early, then reads on late | 30000000 |
 
+  Scenario: A head with too many fields is refused on a connection that was used before
+    Given an entry VM with 1 target
+    When a caller sends a request, and 300 header fields on the same connection
+    Then the first response is the refusal "headers-too-large" with status 431 that did not run
+    And the connection ends after the first response
+    And only the first request ran
+
   Scenario: An offer to change to WebSocket gets a typed refusal
     Given an entry VM with 1 target
     When a caller sends the bytes of a WebSocket upgrade request
--- a/features/steps/entry_input.py
+++ b/features/steps/entry_input.py
@@ -120,6 +120,33 @@
     context.cleanups.append(lambda: context.portal.call(context.stream.aclose))
 
 
+@when("a caller sends a request, and 300 header fields on the same connection")
+def step_used_connection(context):
+    first = GET.replace("bad-input", "good-input") + "\r\n"
+
+    async def run():
+        port = context.entry_fleet.entry_ports_by_vm["vm1"]
+        context.stream = stream = await connect_tcp(LOOPBACK, port)
+        received_by_request = []
+        with fail_after(RESPONSE_TIMEOUT_S):
+            for data in (first, inputs_by_name["300 header fields"]):
+                await stream.send(data.encode())
+                received = b""
+                while not is_whole(received):
+                    received += await stream.receive(READ_BYTES)
+                received_by_request.append(received)
+        context.received = received_by_request[-1]
+
+    context.portal.call(run)
+    context.cleanups.append(lambda: context.portal.call(context.stream.aclose))
+
+
+@then("only the first request ran")
+def step_only_first(context):
+    targets = context.entry_fleet.entry_targets_by_id.values()
+    assert [run for target in targets for run in target.runs] == ["good-input"]
+
+
 @then(
     'the first response is the refusal "{kind}" with status {status:d} that did not run'
 )
--- a/primroseturn/entry/memory.py
+++ b/primroseturn/entry/memory.py
@@ -255,6 +255,8 @@
     def try_hold_head(self, transport: WriteTransport, size: int) -> bool:
         """Set the bytes of a connection's head and return True, if they fit."""
         holding = self.heads_by_transport.get(transport)
+        if holding is not None:
+            holding.record_progress()
         grown = size - (holding.size if holding else 0)
         if not self.make_room(grown, REQUESTS_SHARE):
             return False
--- a/primroseturn/serving/idle.py
+++ b/primroseturn/serving/idle.py
@@ -14,7 +14,6 @@
 # Longest time in seconds that a close waits for a caller that doesn't read, so that it
 # does not delay the close of other connections.
 FLUSH_TIMEOUT_S = 0.1
-
 # Seconds for which an idle connection is kept although others need its memory.
 MIN_IDLE_S = 1.0
 
