--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -38,7 +38,7 @@
   Scenario: A request that is aborted by a stop is logged
     Given an entry VM with 1 target in mode "hang"
     When the VM is stopped during a request that would last longer
-    Then its log states that the VM stopped before the response
+    Then the caller gets 504, and the log states that the VM stopped before the response
 
   Scenario: An error that ends the process is logged with its location
     Given an entry VM with 1 target
