--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -21,6 +21,7 @@
 from hypothesis import given as for_all, strategies
 
 from features.entry_fleet import HOST, KEY, LOOPBACK
+from features.steps.relayed_documents import wait_version
 from primroseturn.entry.stopping import DURATION_FACTOR, LISTEN_SHARE, StopSchedule
 from primroseturn.serving.idle import IdleConnections
 
@@ -286,15 +287,12 @@
 @given("its routes give requests {seconds:g} s")
 def step_long_routes(context, seconds):
     fleet = context.entry_fleet
-    view = fleet.kernels_by_vm["vm1"].find("view")
 
     async def run():
         for item in fleet.configuration["virtual_hosts"][0]["paths"]:
             item["timeout_s"] = item["slo_latency_s"] = seconds
         fleet.publish()
-        with fail_after(SETTLE_TIMEOUT_S):
-            while f"r{view.version}" != fleet.configuration["version"]:
-                await sleep(0.02)
+        await wait_version(fleet, SETTLE_TIMEOUT_S)
 
     context.portal.call(run)
 
