Measure the time of a split in more rounds, until noise no longer decides

Cause: the best of 3 rounds of each length was compared. Beside 12 busy processes the ratio of the best of 3 is 14 to 25 by the clock and 13 to 28 by processor time (12 tries each), so that processor time does not help.

Change: up to 10 rounds, until the shortest times are within the bound, which is unchanged.

--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -1,6 +1,8 @@
 """Steps for odd values that another writer left in the store."""
 
 import json
+from contextlib import suppress
+from math import inf
 from time import perf_counter
 from unittest.mock import patch
 
@@ -15,6 +17,8 @@
 from primroseturn.platform.pages import PAGE, read_page, UnreadableValue
 
 VIEW_TIMEOUT_S = 5.0
+# Rounds in which the time of a split is measured.
+MAX_ROUNDS = 10
 # Repeats of the pause of a follower after a lost history.
 HISTORY_PAUSE_S = 0.4
 NESTED_ARRAYS = b"[" * 100_000 + b"]" * 100_000
@@ -231,19 +235,27 @@
 @then("the longer one takes at most {factor:g} times as long to split")
 def step_linear(context, factor):
     for unit in (rb"\"", b'"', b"[", b"[]", b'"\\', b",", b"]"):
-        times = []
-        for length in context.lengths:
-            data = b'["' + unit * (length // len(unit))
-            best = float("inf")
-            for _ in range(3):
-                started = perf_counter()
-                try:
-                    split_items(data)
-                except DocumentInvalid:
-                    pass
-                best = min(best, perf_counter() - started)
-            times.append(best)
-        assert times[1] <= factor * max(times[0], 0.001), (unit, times)
+        documents = [b'["' + unit * (length // len(unit)) for length in context.lengths]
+        best = [inf for _ in documents]
+        # The processor's other work only ever adds to a time, so that more rounds bring
+        # the shortest ones closer to what the split takes.
+        for _ in range(MAX_ROUNDS):
+            best = [
+                min(known, measure_split(data))
+                for known, data in zip(best, documents, strict=True)
+            ]
+            limit_s = factor * max(best[0], 0.001)
+            if best[1] <= limit_s:
+                break
+        assert best[1] <= limit_s, (unit, best)
+
+
+def measure_split(data):
+    """Return the time in seconds that it takes to split a document."""
+    started = perf_counter()
+    with suppress(DocumentInvalid):
+        split_items(data)
+    return perf_counter() - started
 
 
 @when("the configuration gets {oddity}")
