--- a/features/memory.feature
+++ b/features/memory.feature
@@ -61,6 +61,11 @@
     And a request arrives
     Then only the connection of the caller that stopped is closed
 
+  Scenario: A caller that goes on with its head after a pause is not closed for its own bytes
+    Given a budget of which all but one request is held
+    When a caller pauses for 2 s in a long head and sends a part that does not fit
+    Then the part is refused and its connection is not closed
+
   Scenario: The size of a head does not depend on the parts in which it arrives
     Then any parts of a head and a body give the bytes and lines of the head
 
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -275,6 +275,21 @@
         context.requests.append(start_request(context, budget))
 
 
+@when("a caller pauses for 2 s in a long head and sends a part that does not fit")
+def step_paused_head(context):
+    budget, context.paused = context.budget, CallerTransport()
+    context.requests.pop()
+    budget.release(next(reversed(budget.holdings)))
+    assert budget.try_hold_head(context.paused, LONG_HEAD_BYTES)
+    context.clock += 2.0
+    context.has_fitted = budget.try_hold_head(context.paused, 3 * LONG_HEAD_BYTES)
+
+
+@then("the part is refused and its connection is not closed")
+def step_paused_kept(context):
+    assert not context.has_fitted and not context.paused.is_aborted
+
+
 @then("only the connection of the caller that stopped is closed")
 def step_stopped_closed(context):
     assert context.arrived[1] is not None
