Log by which version a request was handled, and from whom the VM had it

Callers saw requests handled by an old version. The logs could not tell the hypotheses of the incident apart (docs/incidents/config-late-version.md): served requests stated no version, the event of a new version did not name the VM that it came from, and no event told when a VM relied on another poller or how old its view had become.

Change: version and version_age_s in all events of a request, peer and previous in event 1100, events 1131 and 1132, a histogram of the ages, and primroseturn explain shows when the version that handled a request was put in force. No decision depends on it. At most one event 1131 and 1132 per confirmation, so about two a second.

--- a/features/entry_logs.feature
+++ b/features/entry_logs.feature
@@ -107,3 +107,9 @@
     Given an entry VM with 1 target
     When a caller sends GET /lookup/1
     Then its metrics count a served request and a store call
+
+  Scenario: A request that an old version handled is traced to the VM that sent the version
+    Given 3 entry VMs with 1 target
+    When the configuration withdraws the key of a caller
+    Then the log of each VM states by which version it refuses the key, and from whom it came
+    And the metric of the ages of confirmations counts the store and other VMs
--- a/features/steps/entry_logs.py
+++ b/features/steps/entry_logs.py
@@ -23,6 +23,7 @@
 from features.steps.entry_requests import start_fleet
 from primroseturn.cli.main import main
 from primroseturn.entry.events import (
+    CONFIGURATION_APPLIED,
     REQUEST_FAILED,
     REQUEST_REFUSED,
     REQUEST_SERVED,
@@ -401,3 +402,56 @@
         r'primroseturn_entry_request_seconds_bucket\{le="0.05",service="core"\}',
     ):
         assert re.search(pattern, text), (pattern, text)
+
+
+@then(
+    "the log of each VM states by which version it refuses the key, and from whom it "
+    "came"
+)
+def step_version_logged(context):
+    fleet = context.entry_fleet
+    newest = int(fleet.configuration["version"][1:])
+
+    async def run():
+        requests = {}
+        with fail_after(WAIT_S):
+            for vm in fleet.kernels_by_vm:
+                response = await fleet.send_request("/lookup/1", vm)
+                while response.status_code != 401:
+                    await sleep(0.02)
+                    response = await fleet.send_request("/lookup/1", vm)
+                requests[vm] = response.request.headers["attempt-id"]
+        await sleep(0.2)
+        return requests
+
+    requests = context.portal.call(run)
+    sources = []
+    for vm, request in requests.items():
+        lines = fleet.log_files_by_vm[vm].read_text().splitlines()
+        records = [item for item in map(json.loads, lines) if item["vm"] == vm]
+        (refused,) = [
+            item
+            for item in records
+            if item.get("request") == request
+            and item["event"] == REQUEST_REFUSED.number
+        ]
+        assert refused["version"] == newest and refused["view_age_s"] < 2, refused
+        (applied,) = [
+            item
+            for item in records
+            if item["event"] == CONFIGURATION_APPLIED.number
+            and item["version"] == newest
+        ]
+        assert applied["previous"] == newest - 1, applied
+        sources.append(applied.get("peer", applied["source"]))
+        assert f"version={newest}" in explain(context, request)[1]
+    assert sorted(sources) == ["store", "vm1", "vm1"], sources
+
+
+@then("the metric of the ages of confirmations counts the store and other VMs")
+def step_ages_counted(context):
+    for source in ("store", "vm"):
+        count = REGISTRY.get_sample_value(
+            "primroseturn_entry_view_age_seconds_count", {"source": source}
+        )
+        assert count and count > 0, source
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -210,6 +210,7 @@
             route,
             self.choose_service(route),
             workspace,
+            self.view.basis(time_since_boot()),
             scope["extensions"][CALLER_LINK],
         )
 
@@ -555,6 +556,8 @@
         fields = request.log_fields() if request else unrouted_log_fields(headers)
         if refusal.reason:
             fields["reason"] = refusal.reason
+        basis = self.view.basis(time_since_boot())
+        fields.setdefault("version", basis.version)
         event = REQUEST_REFUSED if refusal.ran == "no" else REQUEST_FAILED
         self.events.emit(
             event,
@@ -563,8 +566,7 @@
             detail=refusal.detail,
             ran=refusal.ran,
             retry_after_s=refusal.retry_after_s,
-            version=self.view.version,
-            view_age_s=round(min(1e6, self.view.age_s(time_since_boot())), 3),
+            view_age_s=basis.age_s,
             **fields,
         )
 
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -89,3 +89,13 @@
     "connection-evicted",
     "A request without progress was ended, since others needed its memory.",
 )
+VIEW_SOURCE_CHANGED = define_event(
+    1131,
+    "view-source-changed",
+    "This VM learns what the store holds from another VM, or from the store again.",
+)
+VIEW_WAS_STALE = define_event(
+    1132,
+    "view-was-stale",
+    "The configuration was confirmed later than a new version must be in force.",
+)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -8,6 +8,7 @@
 from anyio import current_time, Event, move_on_after, sleep
 
 from primroseturn.clock import time_since_boot
+from primroseturn.entry.confirmations import ConfirmationLog, STORE_SOURCE
 from primroseturn.entry.contact import LeaseTerms, StoreContact
 from primroseturn.entry.events import (
     CONFIGURATION_APPLIED,
@@ -111,6 +112,8 @@
     ----------
     terms
         Times that decide whether a missing entry may have lapsed.
+    confirmations
+        Logs from whom confirmations of the configuration come.
     data_centers
         The data centres of the settings. Entries of targets in others are invalid; with
         none, entries of all data centres are used.
@@ -146,12 +149,14 @@
         view: VmView,
         events: EventLog,
         terms: LeaseTerms,
+        confirmations: ConfirmationLog,
         data_centers: Collection[str] = (),
     ) -> None:
         self.store = store
         self.data_centers = data_centers
         self.view = view
         self.events = events
+        self.confirmations = confirmations
         self.polling_pause = PollingPause()
         self.polling_pause.extend(START_PAUSE_S)
         self.contact = StoreContact(events, terms)
@@ -217,7 +222,7 @@
             and not self.view.must_repeat_configuration
         ):
             # Decoding a large value again takes time.
-            self.view.confirm(self.last_read.version, requested_at)
+            self.confirm(self.last_read.version, requested_at, STORE_SOURCE)
             return True
         return self.apply_configuration(stored.value, requested_at, stored.revision)
 
@@ -245,25 +250,53 @@
             self.events.emit(CONFIGURATION_UNREADABLE, reason=str(decoded.error))
             return False
         version = decoded.ok.version
+        previous = self.view.version
         if self.view.apply_configuration(decoded.ok, spec):
-            self.events.emit(CONFIGURATION_APPLIED, version=version, source="store")
+            self.events.emit(
+                CONFIGURATION_APPLIED,
+                version=version,
+                previous=previous,
+                source=STORE_SOURCE,
+            )
         self.last_read = ReadVersion(revision, version)
-        self.view.confirm(version, requested_at)
+        self.confirm(version, requested_at, STORE_SOURCE)
         return True
 
-    def apply_peer_configuration(self, spec: object) -> bool:
+    def apply_peer_configuration(self, spec: object, peer: str) -> None:
         """Put a configuration in force that another VM has read from the store.
 
-        Returns
-        -------
-        bool
-            Whether it could be decoded and was put in force.
+        Parameters
+        ----------
+        peer
+            Name of that VM.
         """
         decoded = decode_configuration(spec)
         if decoded.is_error():
             self.events.emit(CONFIGURATION_UNREADABLE, reason=str(decoded.error))
-            return False
-        return self.view.apply_configuration(decoded.ok, spec)
+            return
+        previous = self.view.version
+        if self.view.apply_configuration(decoded.ok, spec):
+            self.events.emit(
+                CONFIGURATION_APPLIED,
+                version=decoded.ok.version,
+                previous=previous,
+                source="vm",
+                peer=peer,
+            )
+
+    def confirm(self, version: int, requested_at: float, source: str) -> None:
+        """Record and log that `version` was the newest one when it was requested.
+
+        Parameters
+        ----------
+        requested_at
+            Time since boot in seconds.
+        source
+            Name of the VM that states so, or `STORE_SOURCE`.
+        """
+        age_s = self.view.age_s(time_since_boot())
+        if self.view.confirm(version, requested_at):
+            self.confirmations.record(source, version, age_s)
 
     async def wait_update(self) -> None:
         """Wait until the configuration or the list of targets has changed."""
--- a/primroseturn/entry/metrics.py
+++ b/primroseturn/entry/metrics.py
@@ -33,6 +33,12 @@
     ("service",),
     buckets=(0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0),
 )
+VIEW_AGE_SECONDS = Histogram(
+    "primroseturn_entry_view_age_seconds",
+    "Age that the configuration had reached when it was confirmed again, by source.",
+    ("source",),
+    buckets=(0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 4.4, 10.0),
+)
 MEMORY_BYTES = Gauge(
     "primroseturn_entry_memory_bytes",
     "Bytes that connections and requests under way may hold, and that they hold.",
--- a/primroseturn/entry/request.py
+++ b/primroseturn/entry/request.py
@@ -6,6 +6,7 @@
 
 from primroseturn.entry.memory import Holding, Phase
 from primroseturn.entry.models import Route, Workspace
+from primroseturn.entry.view import ViewBasis
 from primroseturn.platform.headers import CallerHeaders
 from primroseturn.requestpath.body import RequestBody
 from primroseturn.requestpath.headers import CONTENT_LENGTH, values_of
@@ -35,6 +36,8 @@
     ----------
     service
         Service to which the request is forwarded.
+    basis
+        Version of the configuration by which the request is handled.
     link
         Reports when the caller closes the connection.
     deadline_at
@@ -61,6 +64,7 @@
         route: Route,
         service: str,
         workspace: Workspace | None,
+        basis: ViewBasis,
         link: CallerLink,
     ) -> None:
         self.line = line
@@ -69,6 +73,7 @@
         self.route = route
         self.service = service
         self.workspace = workspace
+        self.basis = basis
         self.link = link
         self.started_at = current_time()
         timeout_s = route.timeout_s
@@ -157,4 +162,6 @@
             "service": self.service,
             "workspace": self.workspace.name if self.workspace else None,
             "age_s": round(current_time() - self.started_at, 4),
+            "version": self.basis.version,
+            "version_age_s": self.basis.age_s,
         }
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -13,6 +13,7 @@
 from primroseturn.control.datagrams import DatagramBus, run_datagram_bus
 from primroseturn.control.zeromq import PeerAddress, run_bus, ZeromqBus
 from primroseturn.entry.application import EntryApplication
+from primroseturn.entry.confirmations import ConfirmationLog
 from primroseturn.entry.connections import run_target_pools
 from primroseturn.entry.contact import LeaseTerms
 from primroseturn.entry.digests import DigestExchange
@@ -73,15 +74,16 @@
 @asynccontextmanager
 async def provide_follower(kernel: Kernel) -> AsyncIterator[StoreFollower]:
     """Follow the configuration and targets in the store for the life of the context."""
-    settings = kernel.find("settings")
+    settings, events = kernel.find("settings"), kernel.find("events")
     follower = StoreFollower(
         kernel.find("objects"),
         kernel.find("view"),
-        kernel.find("events"),
+        events,
         LeaseTerms(settings.heartbeat_s, settings.bounds.stable_s),
+        ConfirmationLog(events, settings.bounds.version_limit_s),
         settings.regions_by_data_center,
     )
-    async with run_background(kernel.find("events")) as background:
+    async with run_background(events) as background:
         background.keep_running(follower.follow_configuration)
         background.keep_running(follower.follow_targets)
         background.keep_running(follower.drop_lapsed_forever)
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -23,7 +23,6 @@
     DocumentHead,
     encode_document,
 )
-from primroseturn.entry.events import CONFIGURATION_APPLIED
 from primroseturn.entry.following import START_PAUSE_S, StoreFollower
 from primroseturn.entry.view import VmView
 from primroseturn.membership.fleet import Fleet
@@ -255,7 +254,7 @@
         await self.fetch_newer(peer, status)
         if status.version != self.view.version or status.revision == 0:
             return status
-        self.view.confirm(status.version, requested_at - status.age_s)
+        self.follower.confirm(status.version, requested_at - status.age_s, peer)
         age_s = time_since_boot() - requested_at + status.age_s
         self.follower.contact.record_relayed_response(age_s)
         is_recent = status.age_s <= MAX_USEFUL_AGE_S and status.reaches_store
@@ -357,11 +356,7 @@
                 return
             fetched = await self.documents.fetch(peer, reply.ok, old)
             if fetched.is_ok():
-                if self.follower.apply_peer_configuration(fetched.ok):
-                    version = self.view.version
-                    self.events.emit(
-                        CONFIGURATION_APPLIED, version=version, source="vm"
-                    )
+                self.follower.apply_peer_configuration(fetched.ok, peer)
                 return
 
     async def fetch_targets(self, peer: str) -> None:
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -10,6 +10,8 @@
 # request to its target.
 KEY_MARGIN_S = 0.6
 
+# Age in seconds that is logged for a configuration without any confirmation.
+MAX_LOGGED_AGE_S = 1e6
 # Starts of targets that are remembered as leaving. A release replaces the targets of a
 # service, of which there are some hundreds.
 MAX_LEAVING_STARTS = 10_000
@@ -26,6 +28,19 @@
     port: int
 
 
+class ViewBasis(NamedTuple):
+    """The version of the configuration by which a request is handled.
+
+    Attributes
+    ----------
+    age_s
+        Age in seconds of its last confirmation when the request arrived.
+    """
+
+    version: int
+    age_s: float
+
+
 class StoredVersion(NamedTuple):
     """A version of the configuration in the form in which the store holds it."""
 
@@ -123,18 +138,25 @@
             )
         return documents[version]
 
-    def confirm(self, version: int, requested_at: float) -> None:
+    def confirm(self, version: int, requested_at: float) -> bool:
         """Record that `version` was the newest one when it was requested.
 
         Parameters
         ----------
         requested_at
             Time since boot in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the last confirmation was older.
         """
         if version < self.version:
-            return
-        if self.confirmed_at is None or requested_at > self.confirmed_at:
-            self.confirmed_at = requested_at
+            return False
+        if self.confirmed_at is not None and requested_at <= self.confirmed_at:
+            return False
+        self.confirmed_at = requested_at
+        return True
 
     def is_complete(self) -> bool:
         """Return whether this VM has a confirmed configuration and targets."""
@@ -144,6 +166,10 @@
         """Return the age of the last confirmation in seconds, infinity without one."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
 
+    def basis(self, now: float) -> ViewBasis:
+        """Return the version by which a request that arrives now is handled."""
+        return ViewBasis(self.version, round(min(MAX_LOGGED_AGE_S, self.age_s(now)), 3))
+
     def can_check_keys(self, now: float) -> bool:
         """Return whether the view is recent enough to accept the keys in it."""
         return self.age_s(now) <= self.max_confirmation_age_s
--- a/primroseturn/observation/explanation.py
+++ b/primroseturn/observation/explanation.py
@@ -7,8 +7,9 @@
 from primroseturn.observation.timeline.records import Record
 
 # Events of an entry VM that change its view of the fleet (docs/events.md).
-STATE_EVENTS = frozenset((1100, 1101, 1105, 1106, 1107, 1120, 1121, 1123))
+STATE_EVENTS = frozenset((1100, 1101, 1105, 1106, 1107, 1120, 1121, 1123, 1131, 1132))
 TARGET_EVENTS = frozenset((1103, 1104))
+CONFIGURATION_APPLIED = 1100
 ATTEMPT_ENDED = 1113
 REQUEST_ENDS = frozenset((1110, 1111, 1112, 1115, 1116))
 # Seconds before the end of a request from which state events are shown.
@@ -213,7 +214,8 @@
 def find_state_before(records: list[Record], end: Record) -> list[Record]:
     """Return the last state event of each kind on the VM before a request's end.
 
-    Events earlier than `STATE_WINDOW_S` before the end are left out.
+    Events earlier than `STATE_WINDOW_S` before the end are left out, except that by
+    which the version that handled the request was put in force.
     """
     last_by_number: dict[int, Record] = {}
     for item in records:
@@ -227,9 +229,27 @@
             )
         ):
             last_by_number[item.number] = item
+    applied = find_applied_version(records, end)
+    if applied is not None:
+        last_by_number[applied.number] = applied
     return sorted(last_by_number.values(), key=lambda item: item.at_s)
 
 
+def find_applied_version(records: list[Record], end: Record) -> Record | None:
+    """Return the event by which the version that handled a request was put in force."""
+    return next(
+        (
+            item
+            for item in reversed(records)
+            if item.number == CONFIGURATION_APPLIED
+            and item.process == end.process
+            and item.at_s <= end.at_s
+            and item.fields.get("version") == end.fields.get("version")
+        ),
+        None,
+    )
+
+
 def describe_targets(
     records: list[Record], request_records: list[Record]
 ) -> Iterator[str]:
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -91,6 +91,8 @@
     budget_extra: float = 50.0
     # Time without a disruption after which a machine counts as in touch.
     stable_s: float = 3.0
+    # Time from the acknowledgement of a version until it is in force.
+    config_apply_s: float = 2.0
 
 
 class TermsTable(Struct, frozen=True):
@@ -167,6 +169,7 @@
             repeat_window_s=bounds.budget_window_s,
             repeat_extra=bounds.budget_extra,
             stable_s=bounds.stable_s,
+            version_limit_s=bounds.config_apply_s,
         ),
         heartbeat_s=platform_settings.platform.heartbeat_s,
         memory_bytes=int(own.limits.memory_mb * 1_000_000),
--- a/primroseturn/settings/entry.py
+++ b/primroseturn/settings/entry.py
@@ -21,6 +21,9 @@
     stable_s
         Time in seconds without a disruption after which a VM is bound by the limits on
         configurations and leaving targets again.
+    version_limit_s
+        Longest time in seconds from the acknowledgement of a version of the
+        configuration until all requests that are sent later are handled by it.
     """
 
     revoked_key_limit_s: float
@@ -29,6 +32,7 @@
     repeat_window_s: float
     repeat_extra: float
     stable_s: float = 3.0
+    version_limit_s: float = 2.0
 
 
 class EntrySettings(Struct, frozen=True):
