Rely on other VMs by the age of the reading, not by the time of a reply

Callers saw requests handled by an old version beyond the bound of 2 s, and would see a leaving target used beyond it.

Cause: a VM paused its polling of the store for 1.5 s from each useful reply of another VM, whatever the age of the reading that the reply stated (up to 1.3 s). When the store poller failed just before its next reading, with a second one or a cut behind it, the VM began its own reading up to 2.8 s after the last reading of the old version. Time was counted from the receipt instead of from the origin.

Ruled out: the size of the configuration, a poller that fails alone (held before), a cut in one direction and a VM that returns (held before).

Change: entry/reliance.py. A VM relies on others while its view is younger than the limits of the settings (config_apply_s, drain_s) less 0.85 s for its own reading, counted from the start of the reading that confirmed the view. Queries come when the view is 0.8 to 0.9 s old, after the poller's next reading, so that VMs need no readings of their own in calm. The poller's interval counts from the start of a reading.

The views of 6 VMs in calm stay below 1.1 s with at most 16 calls in 4 s. The property test finds VMs that count from the reply, and from recent replies.

--- a/features/late_versions.feature
+++ b/features/late_versions.feature
@@ -21,3 +21,18 @@
     Given 6 entry VMs with 2 targets
     When the first target reports that it leaves and the first 3 VMs end before they know
     Then no other VM sends the first target requests 2 s later
+
+  Scenario: In calm, VMs that rely on the store poller have a recent view
+    Given 6 entry VMs with 1 target
+    Then no view is older than 1.1 s in 4 s, in which the store gets at most 16 calls
+
+  Scenario: No sequence of replies lets a VM rely on others for too long
+    Then in any sequence of replies a VM reads the store in time for a new version
+
+  Scenario Outline: This test detects VMs that count the time from <start>
+    Then in some sequence a VM that counts from <start> reads the store too late
+
+    Examples:
+      | start                     |
+      | the reply                 |
+      | the reply if it is recent |
--- a/features/steps/late_versions.py
+++ b/features/steps/late_versions.py
@@ -1,12 +1,20 @@
 """Steps for versions that are written while store pollers fail."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 from unittest.mock import patch
 
 from anyio import current_time, fail_after, sleep
 from behave import then, when
-
+from hypothesis import find, given as for_all, settings, strategies
+
+from primroseturn.clock import time_since_boot
+from primroseturn.entry.reliance import (
+    LOST_RESPONSE_S,
+    READING_S,
+    Reliance,
+    RETRY_PAUSE_S,
+)
 from primroseturn.failures import StoreUnavailable
 from primroseturn.kernel.kernel import Kernel
 
@@ -18,6 +26,8 @@
 RETURN_S = 1.05
 SETTLE_TIMEOUT_S = 10.0
 CHECK_INTERVAL_S = 0.005
+VERSION_LIMIT_S = 2.0
+TOLERANCE_S = 1e-6
 
 Inject = Callable[[Any, Kernel], None]
 inject_by_fault: dict[str, Inject] = {}
@@ -190,3 +200,101 @@
 
     found = context.portal.call(run)
     assert found == 0, found
+
+
+@then(
+    "no view is older than {age:g} s in {seconds:g} s, in which the store gets at most "
+    "{limit:d} calls"
+)
+def step_recent(context, age, seconds, limit):
+    fleet = context.entry_fleet
+
+    async def run():
+        before = sum(fleet.store.calls_by_kind.values())
+        ages_by_vm = dict.fromkeys(fleet.kernels_by_vm, 0.0)
+        ends_at = current_time() + seconds
+        while current_time() < ends_at:
+            for vm, kernel in fleet.kernels_by_vm.items():
+                found = kernel.find("view").age_s(time_since_boot())
+                ages_by_vm[vm] = max(ages_by_vm[vm], found)
+            await sleep(CHECK_INTERVAL_S)
+        return ages_by_vm, sum(fleet.store.calls_by_kind.values()) - before
+
+    ages_by_vm, calls = context.portal.call(run)
+    assert max(ages_by_vm.values()) <= age, ages_by_vm
+    assert calls <= limit, (calls, fleet.store.calls_by_kind)
+
+
+class Reply(NamedTuple):
+    """A reply of another VM.
+
+    Attributes
+    ----------
+    pause_s
+        Seconds since the reply before it.
+    age_s
+        Seconds since the reading of the store that it states.
+    """
+
+    pause_s: float
+    age_s: float
+
+
+REPLIES = strategies.lists(
+    strategies.builds(Reply, strategies.floats(0, 2), strategies.floats(0, 3)),
+    min_size=1,
+    max_size=10,
+)
+
+
+def replay_replies(replies, start):
+    """Replay replies, and fail if the VM may learn of a version too late.
+
+    Parameters
+    ----------
+    start
+        From when the VM counts the time in which it relies on others.
+    """
+    reliance = Reliance(VERSION_LIMIT_S, VERSION_LIMIT_S)
+    now, read_at, ends_at = 0.0, 0.0, reliance.max_age_s
+    for reply in replies:
+        now += reply.pause_s
+        if now >= ends_at:
+            break
+        read_at = max(read_at, now - reply.age_s)
+        match start:
+            case "the reading":
+                ends_at = max(ends_at, now + reliance.left_s(now - read_at))
+            case "the reply":
+                ends_at = now + reliance.max_age_s
+            case "the reply if it is recent":
+                if reply.age_s <= reliance.max_age_s:
+                    ends_at = now + reliance.max_age_s
+    # A version that was written just after the last reading that the VM knows of.
+    in_force_at = ends_at + LOST_RESPONSE_S + RETRY_PAUSE_S + READING_S
+    assert in_force_at <= read_at + VERSION_LIMIT_S + TOLERANCE_S, (read_at, ends_at)
+
+
+@then("in any sequence of replies a VM reads the store in time for a new version")
+def step_in_time(context):
+    @settings(max_examples=500, derandomize=True, database=None, deadline=None)
+    @for_all(REPLIES)
+    def check(replies):
+        replay_replies(replies, "the reading")
+
+    check()
+
+
+@then("in some sequence a VM that counts from {start} reads the store too late")
+def step_too_late(context, start):
+    def is_late(replies):
+        try:
+            replay_replies(replies, start)
+        except AssertionError:
+            return True
+        return False
+
+    find_settings = settings(
+        max_examples=2000, derandomize=True, database=None, deadline=None
+    )
+    assert find(REPLIES, is_late, settings=find_settings)
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -20,6 +20,7 @@
 )
 from primroseturn.entry.metrics import SKIPPED_ENTRIES
 from primroseturn.entry.models import Target
+from primroseturn.entry.reliance import Reliance
 from primroseturn.entry.view import VmView
 from primroseturn.failures import StoreUnavailable
 from primroseturn.observation.events import EventLog
@@ -33,9 +34,10 @@
     TARGETS_KIND,
 )
 
-# Seconds between a response with the configuration and the next request for it. A new
-# version must be in force within 2 s.
+# Seconds between the starts of two readings of the configuration, and the shortest
+# pause between them where responses are slow.
 CONFIGURATION_INTERVAL_S = 0.7
+MIN_CONFIGURATION_PAUSE_S = 0.35
 # Bounds in seconds of the timeout of a request for the configuration. The lower one
 # suffices for a store in another region; slow responses and failures raise the timeout.
 MIN_READ_TIMEOUT_S, MAX_READ_TIMEOUT_S = 0.4, 1.6
@@ -82,8 +84,8 @@
         return current_time() < self.ends_at
 
     def extend(self, seconds: float) -> None:
-        """Set the end of the pause to a number of seconds from now."""
-        self.ends_at = current_time() + seconds
+        """Let the pause last for at least a number of seconds from now."""
+        self.ends_at = max(self.ends_at, current_time() + seconds)
 
     def end(self) -> None:
         """End the pause at once."""
@@ -114,6 +116,8 @@
         Times that decide whether a missing entry may have lapsed.
     confirmations
         Logs from whom confirmations of the configuration come.
+    reliance
+        Decides how long this VM relies on other VMs.
     data_centers
         The data centres of the settings. Entries of targets in others are invalid; with
         none, entries of all data centres are used.
@@ -150,6 +154,7 @@
         events: EventLog,
         terms: LeaseTerms,
         confirmations: ConfirmationLog,
+        reliance: Reliance,
         data_centers: Collection[str] = (),
     ) -> None:
         self.store = store
@@ -157,6 +162,7 @@
         self.view = view
         self.events = events
         self.confirmations = confirmations
+        self.reliance = reliance
         self.polling_pause = PollingPause()
         self.polling_pause.extend(START_PAUSE_S)
         self.contact = StoreContact(events, terms)
@@ -190,7 +196,8 @@
             began_at = current_time()
             if await self.poll_configuration():
                 failures = 0
-                await sleep(CONFIGURATION_INTERVAL_S)
+                pause_s = CONFIGURATION_INTERVAL_S - (current_time() - began_at)
+                await sleep(max(MIN_CONFIGURATION_PAUSE_S, pause_s))
             else:
                 pause_s = uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S) * 2**failures
                 failures = min(failures + 1, MAX_RETRY_DOUBLINGS)
@@ -200,6 +207,11 @@
                 pause_s = min(MAX_DOUBLED_PAUSE_S, pause_s) - waited_s
                 await sleep(max(MIN_RETRY_PAUSE_S, pause_s))
 
+    def rely_on_peer(self) -> None:
+        """Pause polling for as long as this VM may rely on another VM's replies."""
+        age_s = self.view.age_s(time_since_boot())
+        self.polling_pause.extend(self.reliance.left_s(age_s))
+
     async def poll_configuration(self) -> bool:
         """Read the configuration once and return whether a valid one was received."""
         # The response holds what was in force at some time after the request.
--- a/primroseturn/entry/process.py
+++ b/primroseturn/entry/process.py
@@ -28,7 +28,8 @@
 class SettingsFile:
     """Applies the settings file again when it changes.
 
-    Only the time limit for withdrawn keys and the bounds of repeats are applied. All
+    Only the time limits for withdrawn keys, new versions and leaving targets and the
+    bounds of repeats are applied. All
     other settings, such as addresses and the time limit of a stop, require a restart.
 
     Attributes
@@ -65,7 +66,7 @@
                 self.apply()
 
     def apply(self) -> None:
-        """Read the file and apply its limit for keys and its bounds of repeats.
+        """Read the file and apply its time limits and its bounds of repeats.
 
         An invalid file changes nothing.
         """
@@ -76,6 +77,9 @@
             return
         bounds = result.ok.bounds
         self.kernel.find("view").set_revoked_key_limit(bounds.revoked_key_limit_s)
+        follower = self.kernel.find("follower")
+        follower.reliance.set_limits(bounds.version_limit_s, bounds.leaving_limit_s)
+        follower.confirmations.version_limit_s = bounds.version_limit_s
         self.kernel.find("arrivals").set_bounds(
             bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_extra
         )
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -28,6 +28,7 @@
 from primroseturn.entry.models import Configuration
 from primroseturn.entry.readiness import EntryReadiness
 from primroseturn.entry.registry import VmRegistry
+from primroseturn.entry.reliance import Reliance
 from primroseturn.entry.sharing import ViewSharing
 from primroseturn.entry.stopping import FINISH_SHARE, LISTEN_SHARE, StopSchedule
 from primroseturn.entry.view import VmView
@@ -75,12 +76,14 @@
 async def provide_follower(kernel: Kernel) -> AsyncIterator[StoreFollower]:
     """Follow the configuration and targets in the store for the life of the context."""
     settings, events = kernel.find("settings"), kernel.find("events")
+    bounds = settings.bounds
     follower = StoreFollower(
         kernel.find("objects"),
         kernel.find("view"),
         events,
-        LeaseTerms(settings.heartbeat_s, settings.bounds.stable_s),
-        ConfirmationLog(events, settings.bounds.version_limit_s),
+        LeaseTerms(settings.heartbeat_s, bounds.stable_s),
+        ConfirmationLog(events, bounds.version_limit_s),
+        Reliance(bounds.version_limit_s, bounds.leaving_limit_s),
         settings.regions_by_data_center,
     )
     async with run_background(events) as background:
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -24,23 +24,17 @@
     encode_document,
 )
 from primroseturn.entry.following import START_PAUSE_S, StoreFollower
+from primroseturn.entry.reliance import query_pause_s
 from primroseturn.entry.view import VmView
 from primroseturn.membership.fleet import Fleet
 from primroseturn.observation.events import EventLog
 
-# Seconds between two queries to the store poller.
-QUERY_INTERVAL_S = 0.7
 # Longest wait in seconds for the store poller's reply; it is a millisecond away.
 QUERY_TIMEOUT_S = 0.25
-# Age in seconds up to which a confirmed view is recent enough to spare the receiver its
-# own calls: the interval of the store poller's requests plus a slow response.
-MAX_USEFUL_AGE_S = 1.3
 # Age in seconds from which a VM's view is stale, so that it also queries random other
 # VMs, and the seconds between its queries while it is.
 STALE_AGE_S = 1.0
 STALE_INTERVAL_S = 0.2
-# Seconds after the last useful reply until a VM polls the store itself.
-POLLING_PAUSE_S = 1.5
 # VMs that are queried in turn, twice each, before a VM polls the store itself.
 MAX_STORE_POLLERS_TRIED = 3
 # Fraction of the queries to random VMs that go to VMs of all data centres, which may
@@ -198,10 +192,13 @@
             await sleep(FLEET_CHECK_INTERVAL_S)
         while True:
             await self.query_store_poller()
-            is_stale = self.view.age_s(time_since_boot()) >= STALE_AGE_S
-            if is_stale:
+            pause_s = STALE_INTERVAL_S
+            if self.view.age_s(time_since_boot()) >= STALE_AGE_S:
                 await self.query_random_vm()
-            with move_on_after(STALE_INTERVAL_S if is_stale else QUERY_INTERVAL_S):
+            else:
+                age_s = self.view.age_s(time_since_boot())
+                pause_s = query_pause_s(age_s, self.random.random())
+            with move_on_after(pause_s):
                 await self.query_requested.wait()
 
     async def query_store_poller(self) -> None:
@@ -257,10 +254,13 @@
         self.follower.confirm(status.version, requested_at - status.age_s, peer)
         age_s = time_since_boot() - requested_at + status.age_s
         self.follower.contact.record_relayed_response(age_s)
-        is_recent = status.age_s <= MAX_USEFUL_AGE_S and status.reaches_store
         # A VM that is behind as well does not spare this one its own calls.
-        if is_recent and not self.is_behind() and not self.has_newer_list(status):
-            self.follower.polling_pause.extend(POLLING_PAUSE_S)
+        if (
+            status.reaches_store
+            and not self.is_behind()
+            and not self.has_newer_list(status)
+        ):
+            self.follower.rely_on_peer()
         return status
 
     async def reply_to_request(self, sender: Sender, body: Message) -> ViewStatus:
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -93,6 +93,8 @@
     stable_s: float = 3.0
     # Time from the acknowledgement of a version until it is in force.
     config_apply_s: float = 2.0
+    # Time from the acknowledgement that a target leaves until no request reaches it.
+    drain_s: float = 2.0
 
 
 class TermsTable(Struct, frozen=True):
@@ -170,6 +172,7 @@
             repeat_extra=bounds.budget_extra,
             stable_s=bounds.stable_s,
             version_limit_s=bounds.config_apply_s,
+            leaving_limit_s=bounds.drain_s,
         ),
         heartbeat_s=platform_settings.platform.heartbeat_s,
         memory_bytes=int(own.limits.memory_mb * 1_000_000),
--- a/primroseturn/settings/entry.py
+++ b/primroseturn/settings/entry.py
@@ -24,6 +24,9 @@
     version_limit_s
         Longest time in seconds from the acknowledgement of a version of the
         configuration until all requests that are sent later are handled by it.
+    leaving_limit_s
+        Longest time in seconds from the acknowledgement that a target is leaving or
+        gone until no request reaches it.
     """
 
     revoked_key_limit_s: float
@@ -33,6 +36,7 @@
     repeat_extra: float
     stable_s: float = 3.0
     version_limit_s: float = 2.0
+    leaving_limit_s: float = 2.0
 
 
 class EntrySettings(Struct, frozen=True):
