Forget the times that an outage taught once a VM has relied on others

Callers may see requests handled by an old version beyond the bound at a VM that the store had turned away or that was cut off before.

Cause: the timeout of a reading (up to 1.6 s) and the pause after failures (up to 1 s) were reset only by a reading of the VM itself. A VM that relies on others makes none, so it kept them for as long as it relied, and its next reading waited for them if a response was lost.

Change: both are reset when a VM begins to read the store after it has relied on others.

--- a/features/late_versions.feature
+++ b/features/late_versions.feature
@@ -22,6 +22,13 @@
     When the first target reports that it leaves and the first 3 VMs end before they know
     Then no other VM sends the first target requests 2 s later
 
+  Scenario: A VM that had lost the store reads a version in time although a response is lost
+    Given 3 entry VMs with 1 target
+    When the last VM is cut off from the store and the other VMs for 4 s, and reaches the other VMs first
+    And its next reading of the store is going to get no response
+    And a version is written and the first 2 VMs end before they have read it
+    Then the version is in force at all other VMs within 2 s of its acknowledgement
+
   Scenario: In calm, VMs that rely on the store poller have a recent view
     Given 6 entry VMs with 1 target
     Then no view is older than 1.1 s in 4 s, in which the store gets at most 16 calls
--- a/features/steps/late_versions.py
+++ b/features/steps/late_versions.py
@@ -9,6 +9,7 @@
 from hypothesis import find, given as for_all, settings, strategies
 
 from primroseturn.clock import time_since_boot
+from primroseturn.entry.following import MAX_READ_TIMEOUT_S
 from primroseturn.entry.reliance import (
     LOST_RESPONSE_S,
     READING_S,
@@ -17,6 +18,7 @@
 )
 from primroseturn.failures import StoreUnavailable
 from primroseturn.kernel.kernel import Kernel
+from primroseturn.platform.wire import CONFIGURATION_NAME
 
 # Seconds after the poller's last reading at which the other VMs query it for the last
 # time, and at which it fails. Its next reading begins after 0.7 s.
@@ -27,6 +29,8 @@
 SETTLE_TIMEOUT_S = 10.0
 CHECK_INTERVAL_S = 0.005
 VERSION_LIMIT_S = 2.0
+# Seconds without a disturbance after which the platform's bounds hold for a VM again.
+STABLE_S = 3.0
 TOLERANCE_S = 1e-6
 
 Inject = Callable[[Any, Kernel], None]
@@ -52,7 +56,7 @@
 
 
 def silence_store(context, kernel):
-    """Let all further calls of a VM to the store get no response."""
+    """Let further calls of a VM to the store get no response, and return the patch."""
     objects = kernel.find("objects")
 
     async def call(method, path, timeout_s=None, **options):
@@ -61,7 +65,7 @@
         objects.notify_failure(failure)
         raise failure
 
-    replace(context, objects, "call", call)
+    return replace(context, objects, "call", call)
 
 
 def silence_peers(context, kernel, directions=("receive", "try_transmit")):
@@ -202,6 +206,48 @@
     assert found == 0, found
 
 
+@when(
+    "the last VM is cut off from the store and the other VMs for {seconds:g} s, and "
+    "reaches the other VMs first"
+)
+def step_cut_off(context, seconds):
+    fleet = context.entry_fleet
+    kernel = list(fleet.kernels_by_vm.values())[-1]
+
+    async def run():
+        store_change = silence_store(context, kernel)
+        peer_changes = silence_peers(context, kernel)
+        await sleep(seconds)
+        for change in peer_changes:
+            change.stop()
+        with fail_after(SETTLE_TIMEOUT_S):
+            while not kernel.find("follower").polling_pause.is_active():
+                await sleep(CHECK_INTERVAL_S)
+            # A reading that began before fails as well.
+            await sleep(MAX_READ_TIMEOUT_S)
+        store_change.stop()
+
+    context.portal.call(run)
+
+
+@when("its next reading of the store is going to get no response")
+def step_lose_reading(context):
+    objects = list(context.entry_fleet.kernels_by_vm.values())[-1].find("objects")
+    call = objects.call
+    silent = iter([True])
+
+    async def lose_first(method, path, timeout_s=None, **options):
+        if path.endswith(CONFIGURATION_NAME) and next(silent, False):
+            await sleep(timeout_s)
+            failure = StoreUnavailable(f"{method} {path}", "no response", False)
+            objects.notify_failure(failure)
+            raise failure
+        return await call(method, path, timeout_s, **options)
+
+    context.portal.call(sleep, STABLE_S)
+    replace(context, objects, "call", lose_first)
+
+
 @then(
     "no view is older than {age:g} s in {seconds:g} s, in which the store gets at most "
     "{limit:d} calls"
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -192,7 +192,10 @@
         """Poll the configuration, except while polling is paused."""
         failures = 0
         while True:
-            await self.polling_pause.wait_end()
+            if self.polling_pause.is_active():
+                await self.polling_pause.wait_end()
+                # The store may have recovered while this VM made no calls.
+                failures, self.read_timeout_s = 0, MIN_READ_TIMEOUT_S
             began_at = current_time()
             if await self.poll_configuration():
                 failures = 0
