Close the rest of a large response when its caller left while its start was read

Targets kept sending to VMs that no longer read, and the VM kept the connection, when a caller of an at-most-once request left before the start of a large response (1 MiB) had been read. The request goes on then, and its response was dropped without closing the connection that the rest comes from.

Looked for elsewhere: unchosen attempts of a race and undeliverable responses are closed already.

--- a/features/endless.py
+++ b/features/endless.py
@@ -125,7 +125,14 @@
         self.open_count = self.sent_bytes = 0
 
     async def send(self, stream: ByteSendStream, mode: str, attempt: str) -> None:
-        """Send a response, fast or slow, until the other side closes."""
+        """Send a response until the other side closes.
+
+        Parameters
+        ----------
+        mode
+            Name of the response and its pace: ``fast``, ``slow`` (part by part) or
+            ``paced`` (block by block).
+        """
         kind, _, pace = mode.partition(" ")
         response = ENDLESS_RESPONSES[kind]
         part = response.part if pace == "slow" else response.block()
@@ -135,7 +142,7 @@
             while True:
                 await stream.send(part)
                 self.sent_bytes += len(part)
-                if pace == "slow":
+                if pace != "fast":
                     await sleep(SLOW_GAP_S)
         finally:
             self.open_count -= 1
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -167,6 +167,11 @@
       | chunks slow    | GET /lookup/1 |
       | terabytes fast | POST /order/1 |
 
+  Scenario: The rest of a large response is not kept open when its caller leaves before
+    Given an entry VM with 1 target in mode "terabytes paced"
+    When a caller sends POST /order/1 and leaves 0.4 s after a target received it
+    Then no target sends an endless response 1 s later
+
   Scenario: A caller that reads nothing causes no evidence against the target
     Given an entry VM with 1 target in mode "chunks fast"
     When a caller sends GET /sheet/1 and reads nothing for 1.75 s
--- a/primroseturn/entry/application.py
+++ b/primroseturn/entry/application.py
@@ -362,6 +362,7 @@
             finally:
                 request.link.set_close_callback(None)
         if request.caller_left:
+            close_remainder(result)
             raise CallerGone
         if deadline_scope.cancelled_caught and result is None:
             if request.is_evicted and not request.may_have_run:
@@ -370,8 +371,7 @@
         if result is None:
             raise self.no_target_refusal(request)
         if result.head is None or not is_deliverable(result):
-            if result.remainder is not None:
-                result.remainder.close()
+            close_remainder(result)
             raise self.no_response_refusal(request, result)
         if result.remainder is None:
             await self.deliver(request, result, send)
@@ -633,6 +633,12 @@
     raise RequestRefused(Refusal("route-missing", 404, "no route has this path"))
 
 
+def close_remainder(result: AttemptResult | None) -> None:
+    """Close the connection from which the remainder of a large response is read."""
+    if result is not None and result.remainder is not None:
+        result.remainder.close()
+
+
 def is_deliverable(result: AttemptResult) -> bool:
     """Return whether the response of an attempt may be sent to the caller.
 
