Bound the send buffers of connections, so that stalled callers take less of a VM

Cause, in part: the kernel's send buffer of a caller grows to 4 MB by default, and a VM reads, parses and forwards a target's response until it is full, although nobody reads it.

The red case itself is not mended and stays listed.

At 256 KiB and 12 ms each way a caller still gets 10 MB/s.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -172,6 +172,11 @@
     When a caller sends POST /order/1 and leaves 0.4 s after a target received it
     Then no target sends an endless response 1 s later
 
+  Scenario: Little of a large response is read for a caller that reads nothing
+    Given an entry VM with 1 target in mode "chunks fast"
+    When a caller sends GET /sheet/1 and reads nothing for 1.25 s
+    Then at most 1 MB were read behind the start that is checked
+
   Scenario: A caller that reads nothing causes no evidence against the target
     Given an entry VM with 1 target in mode "chunks fast"
     When a caller sends GET /sheet/1 and reads nothing for 1.75 s
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -9,6 +9,7 @@
 from tempfile import TemporaryDirectory
 from tracemalloc import get_traced_memory, start, stop
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from anyio import connect_tcp, create_task_group, current_time, fail_after, sleep
 from behave import given, then, when
@@ -22,6 +23,7 @@
 from primroseturn.configuration.models import Target
 from primroseturn.ejection.suspicion import ERROR_RESPONSE_MODEL, MISSING_RESPONSE_MODEL
 from primroseturn.entry.attempt import Attempt
+from primroseturn.entry.delivery import LargeResponse
 from primroseturn.entry.request import RequestLine
 from primroseturn.failures import Failure
 from primroseturn.kernel.background import run_background
@@ -122,6 +124,17 @@
 def step_read_nothing(context, path, seconds):
     fleet = context.entry_fleet
 
+    context.large_response = None
+    forward = LargeResponse.forward
+
+    async def record(response, send):
+        context.large_response = response
+        await forward(response, send)
+
+    change = patch.object(LargeResponse, "forward", record)
+    change.start()
+    context.cleanups.append(change.stop)
+
     async def run():
         headers = fleet.caller_headers(wait_ms=int(1000 * CALLER_TIMEOUT_S))
         lines = [f"GET {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
@@ -135,6 +148,14 @@
     context.cleanups.append(lambda: context.portal.call(stream.aclose))
 
 
+@then("at most {limit:d} MB were read behind the start that is checked")
+def step_little_read(context, limit):
+    # Without a forwarded part, the caller has not even taken the start.
+    response = context.large_response
+    found = 0 if response is None else response.sent_bytes
+    assert found <= limit * 1_000_000, found
+
+
 @then("there is no evidence against the target")
 def step_no_evidence(context):
     entries = context.entry_fleet
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from functools import partial
 from math import inf
-from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, socket, SOL_SOCKET
+from socket import AF_INET, SO_REUSEADDR, SO_SNDBUF, SOCK_STREAM, socket, SOL_SOCKET
 from typing import Any
 
 from anyio import CancelScope, create_task_group, Event, move_on_after, sleep
@@ -22,6 +22,9 @@
 # Time in seconds to close the connections after the timeout of running requests.
 CLOSE_TIMEOUT_S = 0.1
 KEEP_ALIVE_TIMEOUT_S = 60.0
+# Send buffer of a connection, which the kernel doubles. By default it grows to 4 MB, so
+# that filling those of callers that don't read takes processor time from the others.
+SEND_BUFFER_BYTES = 131_072
 CLOSE_IDLE_INTERVAL_S = 0.05
 
 
@@ -38,6 +41,7 @@
     """Return a listening TCP socket. With port 0 the system assigns a free port."""
     listener = socket(AF_INET, SOCK_STREAM)
     listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    listener.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
     listener.bind((host, port))
     listener.listen(1024)
     listener.setblocking(False)
