Choose ports of test processes that the system assigns to nobody else

Tests chose a free port from those that Linux assigns to connections, and one of the many connections of another test took it before the VM bound it.

Ports of processes are now chosen at random below that range.

--- a/features/processes.py
+++ b/features/processes.py
@@ -1,7 +1,9 @@
 """A fleet of separate operating system processes on loopback."""
 
 import sys
+from contextlib import suppress
 from pathlib import Path
+from random import SystemRandom
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from typing import Any
 
@@ -21,12 +23,16 @@
 
 START_TIMEOUT_S = 20.0
 MAX_LINE_BYTES = 4096
+# Ports below those that Linux assigns to connections, which are many in some tests.
+MIN_PORT, MAX_PORT = 10_000, 32_767
 
 
 def choose_port() -> int:
-    """Return a port that is free now."""
-    with bind_listener("127.0.0.1", 0) as listener:
-        return listener.getsockname()[1]
+    """Return a port that is free now and that the system assigns to nobody else."""
+    while True:
+        port = SystemRandom().randint(MIN_PORT, MAX_PORT)
+        with suppress(OSError), bind_listener("127.0.0.1", port):
+            return port
 
 
 class ProcessFleet:
