Notice a caller that leaves while further requests of its connection wait

Cause: hypercorn 0.18 reads nothing from a connection while a request waits for the response to the one before, so the end of the caller's stream reached the VM only after that response.

The end of the stream is reported by asyncio's reader also while nothing reads it; if a request is held back, the connection is closed, which cancels the running one and drops the others.

--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -28,6 +28,7 @@
 from hypercorn.protocol.http_stream import HTTPStream
 from msgspec.json import encode
 
+from primroseturn.serving.gate import NextRequestGate, watch_end
 from primroseturn.serving.heads import HeadSize
 from primroseturn.serving.idle import IdleConnections
 
@@ -140,6 +141,7 @@
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
+        self.can_read = NextRequestGate(self.handle_early_end)
         self.send_unfiltered = self.send
         self.send = self.filter_event
         self.transport = current_transport.get(None)
@@ -186,6 +188,11 @@
         if isinstance(event, Closed):
             await self.close()
 
+    async def handle_early_end(self) -> None:
+        """Close the connection of a caller that left with further requests sent."""
+        await self.handle(Closed())
+        await self.can_read.set()
+
     def measure_head(self, data: bytes) -> int | None:
         """Measure a part of a head before it is parsed.
 
@@ -308,11 +315,22 @@
             # hypercorn opens its readers with asyncio's default of 64 KiB.
             self.reader._limit = CALLER_BUFFER_BYTES
             current_transport.set(transport)
+            watch_end(self.reader, self.report_end)
             await super().run()
         finally:
             if meter is not None:
                 meter.close_connection(transport)
 
+    def report_end(self) -> None:
+        """Handle the end of the caller's stream if a request is held back."""
+        wrapper = getattr(self, "protocol", None)
+        if wrapper is None:
+            return
+        gate = wrapper.protocol.can_read
+        gate.has_ended = True
+        if gate.is_waiting:
+            self._task_group.spawn(gate.leave)
+
     async def _read_data(self) -> None:
         """Read in small parts, since some of them are queued for the application."""
         while not self.reader.at_eof():
