Do not blame a target for a caller that has not taken the start of its response

Other VMs were told of missing responses of a sound target when a caller read nothing of a large response.

Cause: at the request's deadline, the time spent on the caller counted from the first part behind the start that is checked (1 MiB). A caller that had not even taken the start was counted with 0 s, so that the target was blamed.

Bounds are unchanged.

--- a/primroseturn/entry/delivery.py
+++ b/primroseturn/entry/delivery.py
@@ -32,17 +32,21 @@
         Bytes of the remainder that were sent to the caller.
     sending_s
         Time in seconds for which sending waited for the caller.
+    started_at
+        Monotonic time in seconds at which the caller had taken the start of the body,
+        None before.
     """
 
     def __init__(self, request: EntryRequest, attempt: Attempt) -> None:
         self.request = request
         self.attempt = attempt
-        self.started_at = current_time()
+        self.started_at: float | None = None
         self.sent_bytes = 0
         self.sending_s = 0.0
 
     async def forward(self, send: Any) -> None:
         """Send the remainder to the caller part by part."""
+        self.started_at = current_time()
         message = {"type": "http.response.body", "more_body": True}
         async for part in self.attempt.remaining_parts():
             send_started_at = current_time()
@@ -58,4 +62,6 @@
 
         A slow caller must not count as a failure of the target.
         """
+        if self.started_at is None:
+            return False
         return self.sending_s < 0.5 * (current_time() - self.started_at)
