Let the operator of the soak write versions one after the other

Cause: the operator of the soak wrote versions at once while the store was away. A retry of an older version could replace a newer one in the store, and the history recorded the keys at the end of a write instead of those that the version held.

Change: versions are written and recorded one after the other, with what they hold. No check or bound has changed.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -31,6 +31,9 @@
 FAILED_SEEDS = {
     116: "restarted VMs underestimated the demand and admitted 153 requests instead of "
     "152 (features/entry_quota.feature, restarts in series)",
+    31: "the operator of the soak wrote versions at once, and a retry of an older one "
+    "replaced a newer one",
+    243119: "as seed 31, so that a withdrawn key was in the newest version",
 }
 VMS, TARGETS, CALLERS = 6, 8, 24
 READY_TIMEOUT_S = 30.0
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -18,6 +18,7 @@
     create_task_group,
     current_time,
     fail_after,
+    Lock,
     open_process,
     sleep,
 )
@@ -141,6 +142,7 @@
         self.keys_by_workspace["small"] = ["small-1"]
         self.services_by_kind = {"lookup": "core", "order": "core", "sheet": "docs"}
         self.is_ending = False
+        self.publishing = Lock()
 
     def start_disturbance(self, subject: str) -> Disturbance:
         """Record that a subject is disturbed from now on."""
@@ -350,8 +352,16 @@
         self.send_signal(vm, SIGHUP)
 
     async def publish_configuration(self) -> None:
-        """Write the configuration with the next version number."""
-        number = next(self.numbers)
+        """Write the configuration with the next version number.
+
+        Versions are written one after the other: a retry of an older one would replace
+        a newer one in the store.
+        """
+        async with self.publishing:
+            await self.write_version(next(self.numbers))
+
+    async def write_version(self, number: int) -> None:
+        """Write the configuration as a version, and record what it holds."""
         kinds = {"lookup": "idempotent", "order": "non_idempotent", "sheet": "download"}
         document = {
             "version": f"r{number}",
@@ -382,18 +392,19 @@
                 }
             ],
         }
-        written_at = current_time()
-        await self.write_object(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
         workspaces_by_key = {
             key: name for name, keys in self.keys_by_workspace.items() for key in keys
         }
+        services_by_kind = dict(self.services_by_kind)
+        written_at = current_time()
+        await self.write_object(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
         self.history.versions.append(
             Version(
                 number,
                 written_at,
                 current_time(),
                 workspaces_by_key,
-                dict(self.services_by_kind),
+                services_by_kind,
                 {"small": SMALL_RATE},
             )
         )
