--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,14 @@
-"""An entry of another writer, with fields missing, is used as a target."""
+"""After a kill of all processes, one large odd entry keeps all of them from serving."""
 
 import asyncio
+import json
+import os
+import signal
 import sys
 from pathlib import Path
 
-from stands2.caller import Caller
-from stands2.target import HEARTBEAT_S
+from stands2.caller import Caller, is_ready
+from stands2.link import Link
 from stands2.world import (
     BROKEN,
     configuration,
@@ -17,63 +20,81 @@
     TROUBLE,
 )
 
-WORK_MS, DEADLINE_MS = 100, 2500
-CALLERS, SECONDS, ODD_AT_S = 8, 8.0, 2.0
-ROUTES = [
-    route("reserve", "/reserve/", "non_idempotent"),
-    route("sheet", "/sheet/", "download", service="archive"),
-]
+# The bounds of the grown deployment, and the link of most of its machines.
+BOUNDS = SMALL_BOUNDS | {
+    "stable_s": 4,
+    "ack_s": 5,
+    "catch_up_s": 6,
+    "drain_s": 3,
+    "config_apply_s": 3,
+    "budget_extra": 202,
+}
+LINK_MBIT_PER_S = float(os.environ.get("LINK", "10"))
+ODD_BYTES = 1_040_000
+WORK_MS, DEADLINE_MS = 50, 2000
+DOWN_S, CALM_S, SECONDS_AFTER = 1.0, 4.0, 8.0
+ROUTES = [route("lookup", "/lookup/", "idempotent")]
 
 
-async def send_orders(caller: Caller, until: float) -> None:
-    while caller.record.now() < until:
-        await caller.call("POST", f"/reserve/{WORK_MS}", DEADLINE_MS, b"x" * 400)
-        await asyncio.sleep(0.05)
+async def send_for(callers: list[Caller], seconds: float) -> tuple[int, int]:
+    """Send requests at all machines, and return how many were sent and served."""
+    record = callers[0].record
+    sent = served = 0
+    ends_at = record.now() + seconds
+    while record.now() < ends_at:
+        outcomes = await asyncio.gather(
+            *(
+                caller.call("GET", f"/lookup/{WORK_MS}", DEADLINE_MS)
+                for caller in callers
+            )
+        )
+        sent += len(outcomes)
+        served += sum(outcome.status == 200 for outcome in outcomes)
+        await asyncio.sleep(0.2)
+    return sent, served
 
 
 async def run(case: Path) -> int:
     async with run_world(case) as world:
-        config = configuration(3, ROUTES)
-        config["services"].append({**config["services"][0], "name": "archive"})
-        world.store.put("config", "main", config)
+        record, store = world.record, world.store
+        store.put("config", "main", configuration(3, ROUTES))
         for number in range(3):
             await world.add_target(f"i-{number}a")
-        archive = await world.add_target("i-9z", "archive")
-        for number in (1, 2):
-            world.add_entry(f"edge-{number}", SMALL_BOUNDS)
+        for number in range(3):
+            link = Link(store.port, LINK_MBIT_PER_S)
+            await link.start()
+            world.add_entry(f"edge-{number}", BOUNDS, link.port)
         await world.wait_ready()
-        record = world.record
-        started_at = record.now()
-        callers = [
-            Caller(record, world.entries[n % 2].front, f"c{n}") for n in range(CALLERS)
-        ]
-        sending = asyncio.gather(
-            *(send_orders(caller, started_at + SECONDS) for caller in callers)
-        )
-        await asyncio.sleep(ODD_AT_S)
         if TROUBLE:
-            # The target's own next write, at most a heartbeat later, replaces it.
-            odd = {
-                "service": "finder",
-                "address": f"127.0.0.1:{archive.port}",
-                "zone": "almaty-a",
-                "slots": 6,
-                "state": "ready",
-            }
-            world.store.put("servers", archive.name, odd)
-            record.add("other writer", entry=archive.name, value=odd)
-            await asyncio.sleep(HEARTBEAT_S)
-            record.add("entry", value=world.store.objects["servers", "i-9z"]["spec"])
-        await sending
-        orders = {name for target in world.targets for name in target.runs_by_id}
-        if not orders:
-            print("no order ran", file=sys.stderr)
+            odd = {"service": "finder", "note": "x" * ODD_BYTES}
+            store.put("servers", "i-other", odd)
+            record.add("other writer", entry="i-other", bytes=len(json.dumps(odd)))
+        callers = [Caller(record, entry.front, entry.name) for entry in world.entries]
+        sent, served = await send_for(callers, CALM_S)
+        record.add("before the kill", sent=sent, served=served)
+        if served * 4 < sent:
+            print("not served before the kill", file=sys.stderr)
             return NOT_RUN
-        wrong = sorted(archive.runs_by_id)
-        for name in wrong:
-            record.add("run by another service", request=name, target=archive.name)
-        print(f"{len(orders)} orders ran, {len(wrong)} of them by the archive")
-        return BROKEN if wrong else HELD
+        for entry in world.entries:
+            entry.send(signal.SIGKILL)
+        record.add("all processes were killed")
+        await asyncio.sleep(DOWN_S)
+        for entry in world.entries:
+            entry.process.wait()
+            entry.start()
+        back_at = record.now()
+        record.add("all processes were started")
+        await send_for(callers, BOUNDS["recovery_s"])
+        await asyncio.sleep(max(0.0, back_at + BOUNDS["recovery_s"] - record.now()))
+        sent, served = await send_for(callers, SECONDS_AFTER)
+        ready = [await is_ready(entry.ready) for entry in world.entries]
+        record.add("after the recovery", sent=sent, served=served, ready=ready)
+        print(
+            f"{served} of {sent} requests served that were sent later than "
+            f"{BOUNDS['recovery_s']} s after the start, "
+            f"{sum(ready)} of {len(ready)} processes ready"
+        )
+        return BROKEN if served * 4 < sent else HELD
 
 
 if __name__ == "__main__":
--- a/review/stands2/entry.py
+++ b/review/stands2/entry.py
@@ -6,20 +6,33 @@
 import subprocess
 import tomllib
 from pathlib import Path
+from random import choice
 
 ROOT = Path(__file__).resolve().parents[2]
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
+# Below the range from which systems take the ports of outgoing connections.
+PORTS = range(12_000, 30_000)
+
+
+def is_free(port: int) -> bool:
+    """Return whether a port is free for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return free ports that no outgoing connection takes in the meantime."""
+    found: list[int] = []
+    while len(found) < count:
+        port = choice(PORTS)
+        if port not in found and is_free(port):
+            found.append(port)
+    return found
 
 
 class Entry:
