Let a call to the store go on as long as its body arrives fast enough

The lists take 3.3 and 4.2 s, were given up and begun again. The bound by total time was made for endless bodies.

Ruled out: a longer total time, which only moves the size that is never read and lets endless bodies go on (4 s failed endless_answers.feature).

Change: a body ends the call if it stalls for 0.8 s, if it is slower than 125 kB/s on average after 1.9 s, or if it exceeds 16 MB with a stated length and 4 MB without. Slow endless bodies end as before; fast ones end at 4 MB.

--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -49,6 +49,8 @@
         self.entry_targets_by_id: dict[str, EntryTarget] = {}
         self.entry_ports_by_vm: dict[str, int] = {}
         self.settings_by_vm: dict[str, EntrySettings] = {}
+        # Ports through which VMs reach the store, if they differ from the store's own.
+        self.store_ports_by_vm: dict[str, int] = {}
         self.numbers = count(1)
         self.directory = directory
         self.log_files_by_vm: dict[str, Path] = {}
@@ -119,6 +121,7 @@
             "repeat_extra": 58.0,
         }
         self.log_files_by_vm[vm] = self.directory / f"{vm}.jsonl"
+        store_port = self.store_ports_by_vm.get(vm, self.store_port)
         return EntrySettings(
             identity=Identity(vm, center, "r"),
             logs=LogSettings(events_file=str(self.log_files_by_vm[vm])),
@@ -128,7 +131,7 @@
             metrics=Address(LOOPBACK, 0),
             seed_hosts=(),
             regions_by_data_center={"a": "r", "b": "r"},
-            store_url=f"http://{LOOPBACK}:{self.store_port}",
+            store_url=f"http://{LOOPBACK}:{store_port}",
             reads_per_s=2000,
             writes_per_s=400,
             bounds=FleetBounds(**{**default_bounds, **bounds}),
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -7,7 +7,7 @@
 from urllib.parse import quote
 
 from anyio import CancelScope, current_time, fail_after
-from httpx import AsyncClient, HTTPError, ReadError, Response
+from httpx import AsyncClient, HTTPError, ReadError, Response, Timeout
 
 from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
 from primroseturn.platform.documents import decode_document, DocumentInvalid
@@ -31,12 +31,16 @@
 CONFLICT_STATUS = 409
 GONE_STATUS = 410
 UNLIMITED_CALLS_PER_S = 1e9
-# Time in seconds in which a body must go on, and the longest time of a call whose body
-# does, unless its timeout is longer. The largest value takes 1.7 s over a link of 5
-# Mbit/s; an endless body must end.
-PROGRESS_TIMEOUT_S, MAX_TRANSFER_S = 0.4, 1.9
-# Pages of lists are about 1 MB; the response to a watch may contain many changes.
-MAX_RESPONSE_BYTES = 16_777_216
+# Time in seconds in which a body must go on. A packet that is lost twice in a row is
+# sent again after 0.6 s.
+STALL_TIMEOUT_S = 0.8
+# Time in seconds for which a body may arrive at any rate, and the average rate in bytes
+# per second from which it may take longer. The rate is a fifth of the slowest link of a
+# VM, which carries other calls and requests too.
+SLOW_TRANSFER_S, MIN_TRANSFER_RATE = 1.9, 125_000.0
+# Bounds on a body whose length is stated, such as a page with several of the largest
+# values, and on one that could be endless. The platform's pages are about 1 MB.
+MAX_RESPONSE_BYTES, MAX_UNSIZED_BYTES = 16_777_216, 4_194_304
 # Digits of the largest era. A larger one is no count of restarts, and it would make all
 # later answers look old.
 MAX_ERA_DIGITS = 9
@@ -413,26 +417,32 @@
     ) -> Response:
         """Send a request and return the response with its whole body.
 
-        While the body arrives, the call may take longer than its timeout, up to
-        `MAX_TRANSFER_S`.
+        While the body arrives, the call may take longer than its timeout: a large value
+        takes its time over a slow link. An endless body ends the call, since it arrives
+        too slowly or becomes too large.
 
         Raises
         ------
         ReadError
-            If the body exceeds `MAX_RESPONSE_BYTES`.
+            If the body is too large.
         """
         body = bytearray()
-        ends_at = current_time() + MAX_TRANSFER_S
+        timeout = Timeout(timeout_s, read=max(timeout_s, STALL_TIMEOUT_S))
         async with self.http.stream(
-            method, path, timeout=timeout_s, **options
+            method, path, timeout=timeout, **options
         ) as response:
+            limit_bytes = size_limit_of(response)
+            began_at = current_time()
             era = response.headers.get(STORE_ERA)
             async for part in response.aiter_bytes():
                 body += part
-                progress_until = min(ends_at, current_time() + PROGRESS_TIMEOUT_S)
-                scope.deadline = max(scope.deadline, progress_until)
-                if len(body) > MAX_RESPONSE_BYTES:
+                if len(body) > limit_bytes:
                     raise ReadError("response is too large")
+                transfer_s = max(SLOW_TRANSFER_S, len(body) / MIN_TRANSFER_RATE)
+                progress_until = current_time() + STALL_TIMEOUT_S
+                scope.deadline = max(
+                    scope.deadline, min(progress_until, began_at + transfer_s)
+                )
         return Response(
             response.status_code,
             headers={} if era is None else {STORE_ERA: era},
@@ -441,6 +451,22 @@
         )
 
 
+def size_limit_of(response: Response) -> int:
+    """Return how many bytes the body of a response may have.
+
+    Raises
+    ------
+    ReadError
+        If the response states a larger body.
+    """
+    stated = response.headers.get("content-length")
+    if stated is None:
+        return MAX_UNSIZED_BYTES
+    if int(stated) > MAX_RESPONSE_BYTES:
+        raise ReadError(f"response states {stated} bytes")
+    return MAX_RESPONSE_BYTES
+
+
 def path_of(kind: str, name: str | None = None) -> str:
     """Return the path of a kind or of one object."""
     if name is None:
