Read a configuration that is large for the link only when it has changed

The links carried 0.78 and 0.82 of their rate in calm.

Cause: the store poller read the whole value every 0.7 s. A version that follows the begin of a reading waits for it, a pause and the next one, 3.7 s. The timeout of the next call counted the transfer too, so a lost response was noticed after 5 s.

Ruled out: the bound on one call, which holds since.

Change: a configuration of 64 KiB or more that arrives in 0.2 s or more is followed by requests for its changes, which wait for 0.35 s and start 5 to 12 s back, since watches may miss changes while the store drops its history. The timeout counts the time until a response begins.

--- a/features/slow_links.feature
+++ b/features/slow_links.feature
@@ -31,3 +31,31 @@
       | 1     | 10   |
       | 2     | 5    |
       | 5     | 10   |
+
+  # Each reading of the whole value took 1.7 s, and a change just after its begin waited
+  # for the next one: 3.7 s, and longer after a lost response.
+  Scenario Outline: A version is in force within 3 s, <condition>
+    Given 2 VMs behind links of 5 Mbit/s with a configuration of <bytes> bytes
+    When a version is written just after a VM has begun to read, <condition>
+    Then the version is in force at all VMs within 3 s
+
+    Examples:
+      | condition                                     | bytes   |
+      | alone                                         | 1040000 |
+      | and the next response is lost                 | 1040000 |
+      | while watches miss it and the history is lost | 600000  |
+
+  Scenario: A large configuration leaves the links to requests
+    Given 2 VMs behind links of 5 Mbit/s with a configuration of 1040000 bytes
+    Then the links carry at most a tenth of their rate in 8 s
+    And callers with a key were served by all VMs meanwhile
+
+  Scenario: A VM starts in time beside a large configuration that was written long ago
+    Given 2 VMs behind links of 5 Mbit/s with a configuration of 1040000 bytes
+    When the store drops its history and a third VM starts behind such a link
+    Then all VMs are ready within 15 s of their start
+    When a version is written just after a VM has begun to read, alone
+    Then the version is in force at all VMs within 3 s
+
+  Scenario: No change that watches miss for up to 5 s stays unknown
+    Then after any responses a watch starts between 5 s and 12 s before the last one
--- a/primroseturn/entry/polling.py
+++ b/primroseturn/entry/polling.py
@@ -9,21 +9,35 @@
 from primroseturn.entry.confirmations import ConfirmationLog, STORE_SOURCE
 from primroseturn.entry.events import CONFIGURATION_APPLIED, CONFIGURATION_UNREADABLE
 from primroseturn.entry.view import VmView
+from primroseturn.entry.watch_position import WatchPosition
 from primroseturn.failures import StoreUnavailable
 from primroseturn.observation.events import EventLog
 from primroseturn.platform.configuration import decode_configuration
-from primroseturn.platform.objects import ObjectClient
-from primroseturn.platform.pages import NO_REVISION, StoreRevision
+from primroseturn.platform.objects import (
+    CallTiming,
+    HistoryLost,
+    ObjectClient,
+    path_of,
+)
+from primroseturn.platform.pages import NO_REVISION, StoredValue, StoreRevision
 from primroseturn.platform.wire import CONFIGURATION_KIND, CONFIGURATION_NAME
 
 # Seconds between the starts of two readings of the configuration, and the shortest
 # pause between them where responses are slow.
 CONFIGURATION_INTERVAL_S = 0.7
 MIN_CONFIGURATION_PAUSE_S = 0.35
+# Seconds in which the configuration arrives, and its size, from which it is only read
+# when it has changed: reading it all the time would fill the link, and a change just
+# after the begin of a reading would wait for two of them. A VM without processor time
+# also receives small ones late.
+SLOW_TRANSFER_S, LARGE_BYTES = 0.2, 65_536
+# Longest wait in seconds of a request for changes, and the shortest time between the
+# starts of two of them.
+CHANGES_WAIT_S = 0.35
 # Bounds in seconds of the timeout of a request for the configuration. The lower one
 # suffices for a store in another region; slow responses and failures raise the timeout.
 MIN_READ_TIMEOUT_S, MAX_READ_TIMEOUT_S = 0.4, 1.6
-# Timeout of the next read as a multiple of the duration of the last one.
+# Timeout of the next read as a multiple of the time until the last response began.
 READ_TIMEOUT_FACTOR = 3.0
 # Bounds in seconds of the random pause after a failed call. The pause doubles with each
 # further failure, since rejected calls count towards the store's limits too, and is at
@@ -31,6 +45,8 @@
 # again.
 MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S, MAX_DOUBLED_PAUSE_S = 0.15, 0.4, 1.0
 MAX_RETRY_DOUBLINGS = 3
+# Stands for the response to a call that was not made.
+NO_CALL = CallTiming(0.0, 0.0, 0)
 
 
 class PollingPause:
@@ -88,6 +104,13 @@
     believed_until
         Monotonic time in seconds until which other VMs' versions are believed against
         the store.
+    received
+        The response by which the configuration was last received.
+    is_current
+        Whether that configuration could be put in force, so that only a change of it
+        matters.
+    position
+        Where the next request for changes starts.
     """
 
     def __init__(
@@ -107,6 +130,9 @@
         self.newest_version = 0
         self.believed_until = 0.0
         self.last_read = ReadVersion(NO_REVISION, 0)
+        self.received = NO_CALL
+        self.is_current = False
+        self.position = WatchPosition()
 
     async def follow_configuration(self) -> None:
         """Poll the configuration, except while polling is paused."""
@@ -119,8 +145,7 @@
             began_at = current_time()
             if await self.poll_configuration():
                 failures = 0
-                pause_s = CONFIGURATION_INTERVAL_S - (current_time() - began_at)
-                await sleep(max(MIN_CONFIGURATION_PAUSE_S, pause_s))
+                await sleep(self.pause_s(current_time() - began_at))
             else:
                 pause_s = uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S) * 2**failures
                 failures = min(failures + 1, MAX_RETRY_DOUBLINGS)
@@ -130,31 +155,128 @@
                 pause_s = min(MAX_DOUBLED_PAUSE_S, pause_s) - waited_s
                 await sleep(max(MIN_RETRY_PAUSE_S, pause_s))
 
+    def pause_s(self, elapsed_s: float) -> float:
+        """Return the pause in seconds after a poll that took a number of seconds."""
+        if self.reads_changes:
+            return max(0.0, CHANGES_WAIT_S - elapsed_s)
+        return max(MIN_CONFIGURATION_PAUSE_S, CONFIGURATION_INTERVAL_S - elapsed_s)
+
+    @property
+    def reads_changes(self) -> bool:
+        """Return whether the configuration is only read when it has changed."""
+        return (
+            self.is_current
+            and self.received.transfer_s >= SLOW_TRANSFER_S
+            and self.received.size_bytes >= LARGE_BYTES
+            and not self.view.must_repeat_configuration
+        )
+
     async def poll_configuration(self) -> bool:
-        """Read the configuration once and return whether a valid one was received."""
-        # The response holds what was in force at some time after the request.
-        requested_at = time_since_boot()
+        """Poll the configuration once and return whether a valid one is known."""
         try:
-            stored = await self.store.read(
-                CONFIGURATION_KIND, CONFIGURATION_NAME, self.read_timeout_s
-            )
+            if not self.reads_changes:
+                return await self.read_whole()
+            if self.position.revision == NO_REVISION:
+                return await self.read_listed()
+            return await self.read_changes()
         except StoreUnavailable:
             # StoreContact has logged the failure if it is the first one.
             self.read_timeout_s = min(MAX_READ_TIMEOUT_S, 2 * self.read_timeout_s)
             return False
-        duration_s = time_since_boot() - requested_at
-        self.read_timeout_s = max(MIN_READ_TIMEOUT_S, READ_TIMEOUT_FACTOR * duration_s)
+
+    async def read_whole(self) -> bool:
+        """Read the configuration and put it in force."""
+        # The response holds what was in force at some time after the request.
+        requested_at = time_since_boot()
+        stored = await self.store.read(
+            CONFIGURATION_KIND, CONFIGURATION_NAME, self.read_timeout_s
+        )
+        timing = self.timing_of(path_of(CONFIGURATION_KIND, CONFIGURATION_NAME))
+        self.adapt_timeout(timing.response_s)
+        is_valid = self.receive(stored, requested_at, timing)
+        if stored is None or not self.reads_changes:
+            self.position.set(NO_REVISION, current_time())
+        elif self.position.revision < stored.revision:
+            # The store may still have the history since the last change.
+            self.position.set(stored.revision, current_time())
+        return is_valid
+
+    async def read_listed(self) -> bool:
+        """Read the configuration with the revision from which its changes follow."""
+        requested_at = time_since_boot()
+        revision, values = await self.store.list_values(CONFIGURATION_KIND)
+        timing = self.timing_of(path_of(CONFIGURATION_KIND))
+        self.adapt_timeout(timing.response_s)
+        self.position.set(revision, current_time())
+        found = [stored for stored in values if stored.name == CONFIGURATION_NAME]
+        return self.receive(found[0] if found else None, requested_at, timing)
+
+    async def read_changes(self) -> bool:
+        """Wait shortly for a change of the configuration, and put it in force."""
+        requested_at = time_since_boot()
+        try:
+            revision, changes = await self.store.watch(
+                CONFIGURATION_KIND,
+                self.position.revision,
+                CHANGES_WAIT_S,
+                self.read_timeout_s,
+            )
+        except HistoryLost:
+            return await self.read_listed()
+        timing = self.timing_of(path_of(CONFIGURATION_KIND))
+        self.adapt_timeout(timing.response_s - CHANGES_WAIT_S)
+        if changes:
+            self.position.set(revision, current_time())
+        else:
+            self.position.advance(revision, current_time())
+        for change in reversed(changes):
+            if change.stored.name == CONFIGURATION_NAME:
+                stored = None if change.deleted else change.stored
+                return self.receive(stored, requested_at, timing)
+        self.confirm(self.last_read.version, requested_at, STORE_SOURCE)
+        return True
+
+    def timing_of(self, path: str) -> CallTiming:
+        """Return the times of the last response to a read of a path."""
+        return self.store.read_timings_by_path.get(path, NO_CALL)
+
+    def adapt_timeout(self, response_s: float) -> None:
+        """Set the timeout of the next read after a response that began in time."""
+        self.read_timeout_s = max(MIN_READ_TIMEOUT_S, READ_TIMEOUT_FACTOR * response_s)
+
+    def receive(
+        self, stored: StoredValue | None, requested_at: float, timing: CallTiming
+    ) -> bool:
+        """Put a received configuration in force, unless it was decoded before.
+
+        Parameters
+        ----------
+        stored
+            The configuration, or None if the store has none.
+        requested_at
+            Time since boot in seconds at which it was requested.
+
+        Returns
+        -------
+        bool
+            Whether it is valid.
+        """
+        self.received = timing
         if stored is None:
-            return False
-        if (
+            self.is_current = False
+        elif (
             stored.revision.number
             and stored.revision == self.last_read.revision
             and not self.view.must_repeat_configuration
         ):
             # Decoding a large value again takes time.
             self.confirm(self.last_read.version, requested_at, STORE_SOURCE)
-            return True
-        return self.apply_configuration(stored.value, requested_at, stored.revision)
+            self.is_current = True
+        else:
+            self.is_current = self.apply_configuration(
+                stored.value, requested_at, stored.revision
+            )
+        return self.is_current
 
     def apply_configuration(
         self, spec: object, requested_at: float, revision: StoreRevision = NO_REVISION
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from time import perf_counter
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote
 
 from anyio import CancelScope, current_time, fail_after
@@ -56,6 +56,22 @@
         self.revision = revision
 
 
+class CallTiming(NamedTuple):
+    """Times of a call.
+
+    Attributes
+    ----------
+    response_s
+        Seconds until the response began.
+    transfer_s, size_bytes
+        Seconds from then on in which its body arrived, and the size of that.
+    """
+
+    response_s: float
+    transfer_s: float
+    size_bytes: int
+
+
 class ObjectClient:
     """Calls the object API over HTTP.
 
@@ -74,6 +90,8 @@
         The newest era of the store that an answer or another VM has stated.
     era_listeners
         Called with each newer era.
+    read_timings_by_path
+        Times of the last whole response to a GET of each path.
     invalid_era_listeners
         Called with the reason and a detail if an answer states no valid era: it can't
         be read (``unreadable``) or is older than a known one (``decreased``).
@@ -95,6 +113,7 @@
         self.era = 0
         self.era_listeners: list[Callable[[int], None]] = []
         self.invalid_era_listeners: list[Callable[[str, str], None]] = []
+        self.read_timings_by_path: dict[str, CallTiming] = {}
 
     async def read(
         self, kind: str, name: str, timeout_s: float | None = None
@@ -145,10 +164,23 @@
             after = page.values[-1].name
 
     async def watch(
-        self, kind: str, revision: StoreRevision, wait_s: float
+        self,
+        kind: str,
+        revision: StoreRevision,
+        wait_s: float,
+        reply_timeout_s: float | None = None,
     ) -> tuple[StoreRevision, list[ValueChange]]:
         """Wait for changes of a kind after a revision.
 
+        Parameters
+        ----------
+        wait_s
+            Seconds after which the store responds without changes.
+        reply_timeout_s
+            Seconds beyond `wait_s` until the call fails, in place of `call_limit_s`.
+            With it the call replaces a reading, whose failure may be that of the store;
+            without it a failure is that of a watch, which may be cut.
+
         Returns
         -------
         tuple
@@ -163,9 +195,10 @@
         if revision.era != self.era:
             raise HistoryLost(revision)
         query = {"watch": revision.number, "wait_ms": int(wait_s * 1000)}
-        timeout_s = wait_s + self.call_limit_s
+        is_watch = reply_timeout_s is None
+        timeout_s = wait_s + (self.call_limit_s if is_watch else reply_timeout_s)
         response = await self.call(
-            "GET", path_of(kind), timeout_s, is_watch=True, params=query
+            "GET", path_of(kind), timeout_s, is_watch=is_watch, params=query
         )
         if response.status_code == GONE_STATUS or revision.era != self.era:
             raise HistoryLost(revision)
@@ -427,6 +460,7 @@
             If the body is too large.
         """
         body = bytearray()
+        started_at = current_time()
         timeout = Timeout(timeout_s, read=max(timeout_s, STALL_TIMEOUT_S))
         async with self.http.stream(
             method, path, timeout=timeout, **options
@@ -443,6 +477,10 @@
                 scope.deadline = max(
                     scope.deadline, min(progress_until, began_at + transfer_s)
                 )
+        if method == "GET":
+            self.read_timings_by_path[path] = CallTiming(
+                began_at - started_at, current_time() - began_at, len(body)
+            )
         return Response(
             response.status_code,
             headers={} if era is None else {STORE_ERA: era},
