Let a stop last as long as the settings file states when it begins

Cause: the schedule of a stop and the listener's time to finish were computed once at the start; a reload applied other bounds only.

Change: the schedule is a kernel service whose limit a reload sets unless the stop has begun, and the listener asks it for the time when the stop begins.

--- a/features/entry_stop.feature
+++ b/features/entry_stop.feature
@@ -67,3 +67,10 @@
 
   Scenario: No accepted request outlives the process unless it is slower than usual
     Then any request that a stop accepts ends in time, or takes over 3 times its typical duration
+
+  # A stop lasted as long as the settings had allowed at the start of the process.
+  Scenario: A stop ends within the grace of a settings file that has changed
+    Given an entry VM as a process with a settings file
+    When the file states a grace of 2 s and the process gets SIGHUP
+    Then its log states that the settings were applied with 5 s
+    And the process ends within 2 s after SIGTERM
--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -94,6 +94,21 @@
     context.process.send_signal(SIGHUP)
 
 
+@when("the file states a grace of {seconds:d} s and the process gets SIGHUP")
+def step_change_grace(context, seconds):
+    text = BOOT.format(revoke=5, **context.ports)
+    context.file.write_text(f"{text}grace_s = {seconds}\n")
+    context.process.send_signal(SIGHUP)
+
+
+@then("the process ends within {seconds:d} s after SIGTERM")
+def step_ends(context, seconds):
+    began_at = monotonic()
+    stop(context.process)
+    took_s = monotonic() - began_at
+    assert took_s <= seconds, took_s
+
+
 @then("its log states that the settings were applied with {seconds:d} s")
 def step_applied(context, seconds):
     event = wait_event(context, "entry-settings-applied")
--- a/primroseturn/entry/process.py
+++ b/primroseturn/entry/process.py
@@ -29,9 +29,9 @@
 class SettingsFile:
     """Applies the settings file again when it changes.
 
-    Only the time limits for withdrawn keys, new versions and leaving targets and the
-    bounds of repeats are applied. All
-    other settings, such as addresses and the time limit of a stop, require a restart.
+    Only the time limits for withdrawn keys, new versions, leaving targets and a planned
+    stop and the bounds of repeats are applied. All other settings, such as addresses,
+    require a restart.
 
     Attributes
     ----------
@@ -83,6 +83,7 @@
             bounds.version_limit_s, bounds.leaving_limit_s, bounds.evacuation_limit_s
         )
         follower.configuration.confirmations.version_limit_s = bounds.version_limit_s
+        self.kernel.find("stop-schedule").set_limit(bounds.stop_limit_s)
         self.kernel.find("arrivals").set_bounds(
             bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_extra
         )
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -33,7 +33,7 @@
 from primroseturn.entry.registry import VmRegistry
 from primroseturn.entry.reliance import Reliance
 from primroseturn.entry.sharing import ViewSharing
-from primroseturn.entry.stopping import FINISH_SHARE, LISTEN_SHARE, StopSchedule
+from primroseturn.entry.stopping import StopSchedule
 from primroseturn.entry.view import VmView
 from primroseturn.kernel.background import contain_errors, run_background
 from primroseturn.kernel.kernel import Kernel
@@ -351,10 +351,18 @@
         yield registry
 
 
+@service("stop-schedule", needs=("settings",))
+@asynccontextmanager
+async def provide_stop_schedule(kernel: Kernel) -> AsyncIterator[StopSchedule]:
+    """Provide the time that requests have during a planned stop."""
+    yield StopSchedule(kernel.find("settings").bounds.stop_limit_s)
+
+
 @service(
     "entry",
     needs=(
         "settings",
+        "stop-schedule",
         "events",
         "view",
         "follower",
@@ -380,8 +388,7 @@
     """
     settings, events = kernel.find("settings"), kernel.find("events")
     view, readiness = kernel.find("view"), kernel.find("entry-readiness")
-    stop_limit_s = settings.bounds.stop_limit_s
-    stop = StopSchedule(stop_limit_s)
+    stop = kernel.find("stop-schedule")
     registry, memory = kernel.find("vm-registry"), kernel.find("memory")
     async with (
         run_background(events) as background,
@@ -410,7 +417,7 @@
             application,
             settings.callers.host,
             settings.callers.port,
-            finish_timeout_s=FINISH_SHARE * stop_limit_s,
+            finish_timeout_s=lambda: stop.finish_s,
             header_limit_bytes=HEADER_LIMIT_BYTES,
             events=events,
             connection_meter=ConnectionLimit(
@@ -430,7 +437,7 @@
                     )
                 events.emit(ENTRY_STOPPING)
                 with CancelScope(shield=True):
-                    await sleep(LISTEN_SHARE * stop_limit_s)
+                    await sleep(stop.listen_s)
                 # Runs while requests in flight finish, since a call may take long.
                 background.start_soon(registry.unregister)
     events.emit(ENTRY_STOPPED)
--- a/primroseturn/entry/stopping.py
+++ b/primroseturn/entry/stopping.py
@@ -27,7 +27,7 @@
 DURATION_FACTOR = 3.0
 # Seconds after the begin of a stop until which a request is accepted that only probably
 # ends in time. The platform excuses a request that is cut off at the end of the stop
-# only if it was sent within 3 s after the signal, of which this VM learns a little later.
+# only if it was sent within 3 s after the signal, which this VM handles a little later.
 PROBABLE_END_S = 2.95
 
 
@@ -63,6 +63,21 @@
         for scope in self.scopes:
             scope.deadline = min(scope.deadline, self.ends_at)
 
+    def set_limit(self, limit_s: float) -> None:
+        """Set the seconds between SIGTERM and SIGKILL, unless the stop has begun."""
+        if not self.has_begun:
+            self.limit_s = limit_s
+
+    @property
+    def listen_s(self) -> float:
+        """Return for how many seconds of the stop new connections are accepted."""
+        return LISTEN_SHARE * self.limit_s
+
+    @property
+    def finish_s(self) -> float:
+        """Return how many seconds requests have to finish after that."""
+        return FINISH_SHARE * self.limit_s
+
     @property
     def ends_at(self) -> float:
         """Return the monotonic time in seconds at which requests get their refusal."""
@@ -92,9 +107,9 @@
     def accepts(self, request_left_s: float, expected_s: float, now: float) -> bool:
         """Return whether a request that arrives now may be passed on.
 
-        One whose own time ends before requests get their refusal is always answered. Any
-        other must probably end in time, must have been sent before the end of listening
-        and arrive within `PROBABLE_END_S`.
+        One whose own time ends before requests get their refusal is always answered.
+        Any other must probably end in time, must have been sent before the end of
+        listening and arrive within `PROBABLE_END_S`.
 
         Parameters
         ----------
@@ -106,5 +121,5 @@
         left_s = self.left_s(now)
         if request_left_s <= left_s:
             return True
-        accepted_s = min(PROBABLE_END_S, LISTEN_SHARE * self.limit_s + TRANSIT_S)
+        accepted_s = min(PROBABLE_END_S, self.listen_s + TRANSIT_S)
         return now - self.began_at <= accepted_s and expected_s <= left_s
--- a/primroseturn/serving/asgi.py
+++ b/primroseturn/serving/asgi.py
@@ -93,15 +93,11 @@
 def create_config(
     descriptor: int,
     header_limit_bytes: int,
-    finish_timeout_s: float,
     tls: TlsSettings | None,
 ) -> Config:
     """Return hypercorn's configuration for HTTP/1.1 on a bound socket."""
     config = Config()
     config.bind = [f"fd://{descriptor}"]
-    # Longer than `RunningRequests.finish` takes, because hypercorn 0.18 raises an error
-    # when its own timeout cancels connections.
-    config.graceful_timeout = finish_timeout_s + 60.0
     config.idle_connections = IdleConnections()  # type: ignore[attr-defined]
     # A keep-alive connection is closed only when it is idle for too long or at a drain.
     config.keep_alive_max_requests = sys.maxsize
@@ -121,7 +117,7 @@
     application: Callable[..., Any],
     host: str = "127.0.0.1",
     port: int = 0,
-    finish_timeout_s: float = 0.0,
+    finish_timeout_s: float | Callable[[], float] = 0.0,
     header_limit_bytes: int = 16_384,
     tls: TlsSettings | None = None,
     events: EventLog | None = None,
@@ -134,7 +130,8 @@
     Parameters
     ----------
     finish_timeout_s
-        Time in seconds that running requests have to finish when the context ends.
+        Time in seconds that running requests have to finish when the context ends, or a
+        function that returns it then.
     events
         The event log of the process, for errors of the listener's tasks.
     connection_meter
@@ -148,7 +145,7 @@
     listener = bind_listener(host, port)
     bound_port = listener.getsockname()[1]
     # From here on, hypercorn owns the descriptor and closes it.
-    config = create_config(listener.detach(), header_limit_bytes, finish_timeout_s, tls)
+    config = create_config(listener.detach(), header_limit_bytes, tls)
     config.connection_meter = connection_meter  # type: ignore[attr-defined]
     install_protocol()
     running = RunningRequests(application)
@@ -180,11 +177,17 @@
         try:
             yield bound_port
         finally:
+            timeout_s = (
+                finish_timeout_s() if callable(finish_timeout_s) else finish_timeout_s
+            )
+            # Longer than `RunningRequests.finish` takes, because hypercorn 0.18 raises
+            # an error when its own timeout cancels connections.
+            config.graceful_timeout = timeout_s + 60.0
             stop.set()
             with CancelScope(shield=True):
                 async with run_background(events) as closing:
                     closing.keep_running(close_idle)
-                    with move_on_after(finish_timeout_s + CLOSE_TIMEOUT_S):
-                        await running.finish(finish_timeout_s)
+                    with move_on_after(timeout_s + CLOSE_TIMEOUT_S):
+                        await running.finish(timeout_s)
                         await stopped.wait()
                 serving_scope.cancel()
