Share the step that loses a response for the configuration

features/steps/slow_links.py had a second copy of the wrapper in late_versions.py, which matched the call by the name of the object only.

--- a/features/steps/late_versions.py
+++ b/features/steps/late_versions.py
@@ -19,7 +19,8 @@
 )
 from primroseturn.failures import StoreUnavailable
 from primroseturn.kernel.kernel import Kernel
-from primroseturn.platform.wire import CONFIGURATION_NAME
+from primroseturn.platform.objects import path_of
+from primroseturn.platform.wire import CONFIGURATION_KIND
 
 # Seconds after the poller's last reading at which the other VMs query it for the last
 # time, and at which it fails. Its next reading begins after 0.7 s.
@@ -223,24 +224,29 @@
     context.portal.call(run)
 
 
-@when("its next reading of the store is going to get no response")
-def step_lose_reading(context):
-    objects = list(context.entry_fleet.kernels_by_vm.values())[-1].find("objects")
+def lose_next_reading(context, kernel):
+    """Let the next call of a VM for the configuration get no response."""
+    objects = kernel.find("objects")
     call = objects.call
     silent = iter([True])
 
     async def lose_first(method, path, timeout_s=None, **options):
-        if path.endswith(CONFIGURATION_NAME) and next(silent, False):
+        if path.startswith(path_of(CONFIGURATION_KIND)) and next(silent, False):
             await sleep(timeout_s)
             failure = StoreUnavailable(f"{method} {path}", "no response", False)
             objects.notify_failure(failure)
             raise failure
         return await call(method, path, timeout_s, **options)
 
-    context.portal.call(sleep, STABLE_S)
     replace(context, objects, "call", lose_first)
 
 
+@when("its next reading of the store is going to get no response")
+def step_lose_reading(context):
+    context.portal.call(sleep, STABLE_S)
+    lose_next_reading(context, list(context.entry_fleet.kernels_by_vm.values())[-1])
+
+
 @then(
     "no view is older than {age:g} s in {seconds:g} s, in which the store gets at most "
     "{limit:d} calls"
--- a/features/steps/slow_links.py
+++ b/features/steps/slow_links.py
@@ -12,7 +12,7 @@
 from features.entry_fleet import LOOPBACK
 from features.slow_link import BYTES_PER_MBIT, run_slow_link
 from features.steps.entry_view import start_fleet
-from features.steps.late_versions import replace
+from features.steps.late_versions import lose_next_reading, replace
 from features.steps.relayed_documents import wait_version
 from primroseturn.entry.watch_position import WatchPosition
 from primroseturn.failures import StoreUnavailable
@@ -219,26 +219,7 @@
 def lose_response(context):
     """Let each VM's next call for the configuration get no response."""
     for kernel in context.entry_fleet.kernels_by_vm.values():
-        objects = kernel.find("objects")
-        silent = iter([True])
-
-        async def lose_first(
-            method,
-            path,
-            timeout_s=None,
-            objects=objects,
-            call=objects.call,
-            silent=silent,
-            **options,
-        ):
-            if path.startswith(CONFIGURATION_PATH) and next(silent, False):
-                await sleep(timeout_s or objects.call_limit_s)
-                failure = StoreUnavailable(f"{method} {path}", "no response", False)
-                objects.notify_failure(failure)
-                raise failure
-            return await call(method, path, timeout_s, **options)
-
-        replace(context, objects, "call", lose_first)
+        lose_next_reading(context, kernel)
 
 
 @condition("while watches miss it and the history is lost")
