State in the log how far a response of the store came

Event 1105 now states how many bytes had arrived, and event 1100 how long a configuration took and its size.

--- a/features/slow_links.feature
+++ b/features/slow_links.feature
@@ -20,6 +20,11 @@
       | 3000000  | with its length                  | 50    | no body  | 2.5     |
       | 3000000  | in chunks                        | 50    | no body  | 2.5     |
 
+  # The log stated the same for a store that did not respond and for a slow body.
+  Scenario: The failure of a call states how much of the body had arrived
+    Given a store that sends a body of 3000000 bytes with its length at 50 kB/s
+    Then the failure of a call names the bytes that had arrived
+
   Scenario Outline: VMs start beside <count> odd entries behind links of <rate> Mbit/s
     Given <count> odd entries of 1040000 bytes among those of 2 targets
     When 2 VMs start behind links of <rate> Mbit/s
--- a/features/steps/slow_links.py
+++ b/features/steps/slow_links.py
@@ -1,5 +1,6 @@
 """Steps for large values in the store and VMs with slow links."""
 
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -17,7 +18,7 @@
 from primroseturn.entry.watch_position import WatchPosition
 from primroseturn.failures import StoreUnavailable
 from primroseturn.platform.objects import ObjectClient, path_of
-from primroseturn.platform.pages import StoreRevision
+from primroseturn.platform.pages import StoredValue, StoreRevision
 from primroseturn.platform.wire import CONFIGURATION_KIND
 from primroseturn.serving.asgi import serve_application
 
@@ -61,25 +62,36 @@
     context.paced_store = respond
 
 
+async def read_from(store, timeout_s):
+    """Read the configuration from a store, and return it or the failure."""
+    async with (
+        serve_application(store, LOOPBACK, 0) as port,
+        AsyncClient(base_url=f"http://{LOOPBACK}:{port}") as http,
+    ):
+        try:
+            return await ObjectClient(http, timeout_s).read("config", "main")
+        except StoreUnavailable as failure:
+            return failure
+
+
 @then("a call with a timeout of {timeout:g} s gets {result} within {seconds:g} s")
 def step_paced_call(context, timeout, result, seconds):
     async def run():
-        async with (
-            serve_application(context.paced_store, LOOPBACK, 0) as port,
-            AsyncClient(base_url=f"http://{LOOPBACK}:{port}") as http,
-        ):
-            began_at = current_time()
-            try:
-                found = await ObjectClient(http, timeout).read("config", "main")
-            except StoreUnavailable:
-                found = None
-            return found, current_time() - began_at
+        began_at = current_time()
+        found = await read_from(context.paced_store, timeout)
+        return found, current_time() - began_at
 
     found, took_s = context.portal.call(run)
-    assert (found is not None) == (result == "the body"), took_s
+    assert isinstance(found, StoredValue) == (result == "the body"), (found, took_s)
     assert took_s <= seconds, took_s
 
 
+@then("the failure of a call names the bytes that had arrived")
+def step_failure(context):
+    failure = context.portal.call(read_from, context.paced_store, 0.8)
+    assert re.search(r"after [1-9]\d* bytes of the body", str(failure)), failure
+
+
 @given("{count:d} odd entries of {size:d} bytes among those of {targets:d} targets")
 def step_odd_entries(context, count, size, targets):
     fleet = start_fleet(context)
@@ -312,7 +324,7 @@
     @for_all(pauses)
     def check(pauses_s):
         position, now = WatchPosition(), 0.0
-        position.set(StoreRevision(0, 0), now)
+        position.restart(StoreRevision(0, 0), now)
         for pause_s in pauses_s:
             now += pause_s
             # The store's revision is its age in milliseconds.
--- a/primroseturn/entry/polling.py
+++ b/primroseturn/entry/polling.py
@@ -195,10 +195,10 @@
         self.adapt_timeout(timing.response_s)
         is_valid = self.receive(stored, requested_at, timing)
         if stored is None or not self.reads_changes:
-            self.position.set(NO_REVISION, current_time())
+            self.position.restart(NO_REVISION, current_time())
         elif self.position.revision < stored.revision:
             # The store may still have the history since the last change.
-            self.position.set(stored.revision, current_time())
+            self.position.restart(stored.revision, current_time())
         return is_valid
 
     async def read_listed(self) -> bool:
@@ -207,7 +207,7 @@
         revision, values = await self.store.list_values(CONFIGURATION_KIND)
         timing = self.timing_of(path_of(CONFIGURATION_KIND))
         self.adapt_timeout(timing.response_s)
-        self.position.set(revision, current_time())
+        self.position.restart(revision, current_time())
         found = [stored for stored in values if stored.name == CONFIGURATION_NAME]
         return self.receive(found[0] if found else None, requested_at, timing)
 
@@ -226,7 +226,7 @@
         timing = self.timing_of(path_of(CONFIGURATION_KIND))
         self.adapt_timeout(timing.response_s - CHANGES_WAIT_S)
         if changes:
-            self.position.set(revision, current_time())
+            self.position.restart(revision, current_time())
         else:
             self.position.advance(revision, current_time())
         for change in reversed(changes):
@@ -309,6 +309,8 @@
                 version=version,
                 previous=previous,
                 source=STORE_SOURCE,
+                transfer_s=round(self.received.transfer_s, 3),
+                size_bytes=self.received.size_bytes,
             )
         self.last_read = ReadVersion(revision, version)
         self.confirm(version, requested_at, STORE_SOURCE)
--- a/primroseturn/entry/watch_position.py
+++ b/primroseturn/entry/watch_position.py
@@ -27,7 +27,7 @@
         self.revision = self.next_revision = NO_REVISION
         self.stated_at = 0.0
 
-    def set(self, revision: StoreRevision, now: float) -> None:
+    def restart(self, revision: StoreRevision, now: float) -> None:
         """Start the next watch at a revision up to which all changes are known."""
         self.revision = self.next_revision = revision
         self.stated_at = now
--- a/primroseturn/platform/objects.py
+++ b/primroseturn/platform/objects.py
@@ -398,15 +398,19 @@
         started = perf_counter()
         has_own_timeout = timeout_s is not None
         timeout_s = timeout_s or self.call_limit_s
+        body = bytearray()
         try:
             # The timeout of httpx applies to the time between bytes only.
             with fail_after(timeout_s) as scope:
-                response = await self.exchange(method, path, timeout_s, options, scope)
+                response = await self.exchange(
+                    method, path, timeout_s, options, scope, body
+                )
         except (HTTPError, TimeoutError) as error:
             STORE_CALLS.labels(method, "lost").inc()
+            progress = f" after {len(body)} bytes of the body" if body else ""
             failure = StoreUnavailable(
                 operation,
-                type(error).__name__,
+                f"{type(error).__name__}{progress}",
                 is_write,
                 waited_s=perf_counter() - started,
                 was_watch=is_watch,
@@ -447,6 +451,7 @@
         timeout_s: float,
         options: dict[str, Any],
         scope: CancelScope,
+        body: bytearray,
     ) -> Response:
         """Send a request and return the response with its whole body.
 
@@ -454,12 +459,18 @@
         takes its time over a slow link. An endless body ends the call, since it arrives
         too slowly or becomes too large.
 
+        Parameters
+        ----------
+        scope
+            Ends the call; its deadline is moved.
+        body
+            The body is added to it as it arrives.
+
         Raises
         ------
         ReadError
             If the body is too large.
         """
-        body = bytearray()
         started_at = current_time()
         timeout = Timeout(timeout_s, read=max(timeout_s, STALL_TIMEOUT_S))
         async with self.http.stream(
