--- a/features/slow_links.feature
+++ b/features/slow_links.feature
@@ -25,17 +25,18 @@
     Given a store that sends a body of 3000000 bytes with its length at 50 kB/s
     Then the failure of a call names the bytes that had arrived
 
-  Scenario Outline: VMs start beside <count> odd entries behind links of <rate> Mbit/s
-    Given <count> odd entries of 1040000 bytes among those of 2 targets
+  Scenario Outline: VMs start beside <count> odd <kind> behind links of <rate> Mbit/s
+    Given 2 targets and <count> odd <kind> of 1040000 bytes of another writer
     When 2 VMs start behind links of <rate> Mbit/s
     Then all VMs are ready within 15 s of their start
     And all VMs know 2 targets
 
     Examples:
-      | count | rate |
-      | 1     | 10   |
-      | 2     | 5    |
-      | 5     | 10   |
+      | count | kind            | rate |
+      | 1     | target entries  | 10   |
+      | 2     | target entries  | 5    |
+      | 5     | target entries  | 10   |
+      | 5     | objects of VMs  | 10   |
 
   # Each reading of the whole value took 1.7 s, and a change just after its begin waited
   # for the next one: 3.7 s, and longer after a lost response.
--- a/features/steps/slow_links.py
+++ b/features/steps/slow_links.py
@@ -15,11 +15,12 @@
 from features.steps.entry_view import start_fleet
 from features.steps.late_versions import lose_next_reading, replace
 from features.steps.relayed_documents import wait_version
+from primroseturn.entry.registry import VMS_KIND
 from primroseturn.entry.watch_position import WatchPosition
 from primroseturn.failures import StoreUnavailable
 from primroseturn.platform.objects import ObjectClient, path_of
 from primroseturn.platform.pages import StoredValue, StoreRevision
-from primroseturn.platform.wire import CONFIGURATION_KIND
+from primroseturn.platform.wire import CONFIGURATION_KIND, TARGETS_KIND
 from primroseturn.serving.asgi import serve_application
 
 PART_S = 0.05
@@ -92,8 +93,13 @@
     assert re.search(r"after [1-9]\d* bytes of the body", str(failure)), failure
 
 
-@given("{count:d} odd entries of {size:d} bytes among those of {targets:d} targets")
-def step_odd_entries(context, count, size, targets):
+KINDS_BY_NAME = {"target entries": TARGETS_KIND, "objects of VMs": VMS_KIND}
+
+
+@given(
+    "{targets:d} targets and {count:d} odd {kind} of {size:d} bytes of another writer"
+)
+def step_odd_objects(context, targets, count, kind, size):
     fleet = start_fleet(context)
 
     async def run():
@@ -101,7 +107,7 @@
             await fleet.add_entry_target(f"t{number}")
         for number in range(count):
             odd = {"service": "core", "note": "x" * size}
-            fleet.store.write(f"servers/odd{number}", odd)
+            fleet.store.write(f"{KINDS_BY_NAME[kind]}/odd{number}", odd)
 
     context.portal.call(run)
 
