Let the store of the tests keep each version as it was written

What callers saw: nothing; this is a fault of the tests. The stand-in of the store kept a reference to the configuration of a scenario, so a withdrawal also took the key out of the version in a copy of the store. "A withdrawn key stays withdrawn" in features/store_rollback.feature could then not see that a VM served a key of the copy.

Change: EntryFleet.publish stores a copy. The step that withdraws a key is a function, for other steps.

Measured: the scenarios of store_rollback.feature that are not listed as known red pass with it, as before (20 passed).

--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from copy import deepcopy
 from itertools import count
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -82,7 +83,8 @@
         """Write the configuration to the store as the next version."""
         number = int(self.configuration["version"][1:]) + 1
         self.configuration = {**self.configuration, "version": f"r{number}"}
-        self.store.write("config/main", self.configuration)
+        # The store must keep the version as it is when scenarios change it further.
+        self.store.write("config/main", deepcopy(self.configuration))
 
     def list_target(self, target_id: str, **fields: Any) -> None:
         """Write the entry of a target to the store."""
--- a/features/steps/entry_view.py
+++ b/features/steps/entry_view.py
@@ -247,14 +247,19 @@
 @when("the configuration withdraws the key of a caller")
 def step_withdraw(context):
     async def run():
-        for workspace in context.entry_fleet.configuration["tenants"]:
-            workspace["api_keys"] = ["another-key"]
-        context.entry_fleet.publish()
+        withdraw_key(context.entry_fleet)
         context.changed_at = current_time()
 
     context.portal.call(run)
 
 
+def withdraw_key(fleet):
+    """Withdraw the key of a caller in a new version."""
+    for workspace in fleet.configuration["tenants"]:
+        workspace["api_keys"] = ["another-key"]
+    fleet.publish()
+
+
 @then("every VM refuses the key within {seconds:g} s")
 def step_refused(context, seconds):
     fleet = context.entry_fleet
