Confirm the configuration in a new era of the store only on evidence

Cause: a reading of the store confirmed the view whatever the reader knew. After a drill the store holds an older copy, and a VM that has just started has nothing to compare it with. Only a newer version that another VM had stated before stood against it (`newest_version`). So a VM that started confirmed the copy, its view was then young, and a young view asks no VM but the store poller of the data centre; other VMs that started learned the copy from it. A VM that was cut off since before the withdrawal, and now reads its own version in the copy, did the same.

Ruled out: a matter of the kill or of tenths of a second. The case fails also with an orderly stop, and till the operator writes again when the VMs restart in turn.

Change: `EraTrust` decides whether the store holds the newest configuration in its present era. The evidence is a view that was confirmed at most 2 s before the era, the status of a VM with evidence (which also states its version), a configuration that was written in this era, 10 s since the VM learned of the era, a record of this in the store that can't be in an older copy, or the first start of the system in an empty store. Eras of stores that state none need no evidence. Until then readings are kept and confirm nothing, the VM is not ready and refuses with 503, and it asks VMs of all data centres each 0.2 s. An age that stands for no confirmation no longer confirms a view. A VM that stops in an era that is not settled leaves its object in the store.

Why it works: an older copy can hold nothing that was written in its era, and VMs without evidence cannot convince each other.

--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -137,6 +137,7 @@
             reads_per_s=2000,
             writes_per_s=400,
             bounds=FleetBounds(**{**default_bounds, **bounds}),
+            is_first_start=True,
         )
 
     async def start_entry(self, settings: EntrySettings) -> Kernel:
--- a/primroseturn/entry/events.py
+++ b/primroseturn/entry/events.py
@@ -118,6 +118,16 @@
     "evacuation-kept",
     "An evacuation is kept for a time since the store's older copy lacks it.",
 )
+STORE_TRUSTED = define_event(
+    1146,
+    "store-trusted",
+    "There is evidence that the store holds the newest configuration in its era.",
+)
+ERA_RECORD_UNREADABLE = define_event(
+    1147,
+    "era-record-unreadable",
+    "The record of the settled era in the store can't be decoded and is replaced.",
+)
 VIEW_WAS_STALE = define_event(
     1132,
     "view-was-stale",
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -7,6 +7,7 @@
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.confirmations import ConfirmationLog
 from primroseturn.entry.contact import LeaseTerms, StoreContact
+from primroseturn.entry.eras import EraTrust, VERSION_RETURN_S
 from primroseturn.entry.evacuations import EvacuationFollower
 from primroseturn.entry.events import STORE_ERA_BEGUN, STORE_ERA_INVALID
 from primroseturn.entry.metrics import INVALID_ERAS
@@ -21,9 +22,6 @@
 
 # Seconds in which a starting VM looks for a VM that already polls the store.
 START_PAUSE_S = 1.5
-# Seconds after the begin of an era of the store for which another VM's version of the
-# configuration is believed, although the store holds an older one.
-VERSION_RETURN_S = 10.0
 
 
 class StoreFollower:
@@ -45,6 +43,8 @@
 
     Attributes
     ----------
+    trust
+        Whether readings of the store show the newest configuration.
     configuration
         Polls the configuration.
     targets
@@ -77,8 +77,9 @@
         store.response_listeners.append(self.contact.record_response)
         store.era_listeners.append(self.begin_era)
         store.invalid_era_listeners.append(self.record_invalid_era)
+        self.trust = EraTrust(events)
         self.configuration = ConfigurationPoller(
-            store, view, events, confirmations, self.polling_pause
+            store, view, events, confirmations, self.polling_pause, self.trust
         )
         self.targets = TargetFollower(
             store, view, events, self.contact, self.polling_pause, data_centers
@@ -109,6 +110,8 @@
         now = current_time()
         self.events.emit(STORE_ERA_BEGUN, era=era)
         self.configuration.believed_until = now + VERSION_RETURN_S
+        booted_s = time_since_boot()
+        self.trust.begin(era, self.view.age_s(booted_s), booted_s)
         self.targets.begin_era(now)
         if self.evacuations is not None:
             self.evacuations.begin_era(now)
--- a/primroseturn/entry/polling.py
+++ b/primroseturn/entry/polling.py
@@ -7,6 +7,7 @@
 
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.confirmations import ConfirmationLog, STORE_SOURCE
+from primroseturn.entry.eras import EraTrust, Evidence
 from primroseturn.entry.events import CONFIGURATION_APPLIED, CONFIGURATION_UNREADABLE
 from primroseturn.entry.view import VmView
 from primroseturn.entry.watch_position import WatchPosition
@@ -89,6 +90,20 @@
     version: int
 
 
+class UnconfirmedReading(NamedTuple):
+    """A reading of the store that does not confirm the view yet.
+
+    Attributes
+    ----------
+    requested_at
+        Time since boot in seconds.
+    """
+
+    era: int
+    version: int
+    requested_at: float
+
+
 class ConfigurationPoller:
     """Keeps the configuration of the view up to date from the store.
 
@@ -96,9 +111,15 @@
     ----------
     confirmations
         Logs from whom confirmations of the configuration come.
+    trust
+        Whether readings of the store show the newest configuration.
 
     Attributes
     ----------
+    unconfirmed
+        The last reading in an era that was not trusted.
+    first_revision
+        Revision of the configuration that was seen first in the present era.
     last_read
         The last configuration that this VM has read from the store.
     newest_version
@@ -125,11 +146,16 @@
         events: EventLog,
         confirmations: ConfirmationLog,
         polling_pause: PollingPause,
+        trust: EraTrust,
     ) -> None:
         self.store = store
         self.view = view
         self.events = events
         self.confirmations = confirmations
+        self.trust = trust
+        trust.listeners.append(self.confirm_reading)
+        self.unconfirmed: UnconfirmedReading | None = None
+        self.first_revision = NO_REVISION
         self.polling_pause = polling_pause
         self.read_timeout_s = MIN_READ_TIMEOUT_S
         self.newest_version = 0
@@ -231,6 +257,7 @@
         timing = self.timing_of(path_of(CONFIGURATION_KIND))
         self.adapt_timeout(timing.response_s - CHANGES_WAIT_S)
         if changes:
+            self.note_revision(self.position.revision)
             self.position.restart(revision, current_time())
         else:
             self.position.advance(revision, current_time())
@@ -304,6 +331,8 @@
         self.is_large = (
             timing.transfer_s >= SLOW_TRANSFER_S and timing.size_bytes >= LARGE_BYTES
         )
+        if stored is not None:
+            self.note_revision(stored.revision)
         if stored is None:
             self.is_current = False
         elif (
@@ -380,11 +409,36 @@
                 peer=peer,
             )
 
+    def note_revision(self, revision: StoreRevision) -> None:
+        """Note a revision of the configuration, the first one of an era."""
+        if revision.era == self.trust.era != self.first_revision.era:
+            self.first_revision = revision
+
+    def settle_era(self, version: int) -> None:
+        """Settle the present era if a version that the store holds gives evidence.
+
+        It gives none while this VM or another one is known to have a newer version: the
+        operator has not yet written that one again.
+        """
+        if version < max(self.newest_version, self.view.version):
+            return
+        first, last = self.first_revision, self.last_read.revision
+        if first.era == last.era == self.trust.era and first < last:
+            # The operator writes the newest version only.
+            self.trust.settle(last.era, Evidence.REWRITTEN)
+        self.trust.settle_by_time(time_since_boot())
+
+    def confirm_reading(self) -> None:
+        """Confirm the view by the last reading, now that its era is trusted."""
+        reading, self.unconfirmed = self.unconfirmed, None
+        if reading is not None and reading.era == self.trust.era:
+            self.confirm(reading.version, reading.requested_at, STORE_SOURCE)
+
     def confirm(self, version: int, requested_at: float, source: str) -> None:
         """Record and log that `version` was the newest one when it was requested.
 
-        A store that has just come back from an older copy does not confirm a version
-        while a VM is known to have a newer one.
+        A store that has come back from an older copy confirms no version before its era
+        is trusted, and for some time none below one that another VM has stated.
 
         Parameters
         ----------
@@ -394,6 +448,13 @@
             Name of the VM that states so, or `STORE_SOURCE`.
         """
         self.view.record_reading(requested_at)
+        if source == STORE_SOURCE:
+            self.settle_era(version)
+            if not self.trust.is_trusted:
+                self.unconfirmed = UnconfirmedReading(
+                    self.trust.era, version, requested_at
+                )
+                return
         if version < self.newest_version and current_time() < self.believed_until:
             return
         age_s = self.view.age_s(time_since_boot())
--- a/primroseturn/entry/readiness.py
+++ b/primroseturn/entry/readiness.py
@@ -47,6 +47,8 @@
             return "stopping"
         if self.view.configuration is None:
             return "no configuration"
+        if not self.view.is_confirmed():
+            return "configuration not confirmed"
         if not self.view.targets_by_id:
             return "no targets"
         if self.view.is_awaiting_evacuations():
--- a/primroseturn/entry/registry.py
+++ b/primroseturn/entry/registry.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 from msgspec import convert, to_builtins, ValidationError
 
+from primroseturn.entry.eras import EraTrust
 from primroseturn.entry.events import VM_REGISTERED, VM_REMOVED, VM_UNREADABLE
 from primroseturn.failures import Failure, StoreUnavailable, VersionConflict
 from primroseturn.membership.fleet import Fleet, RegisteredVm
@@ -52,6 +53,8 @@
     ----------
     apply_vms
         Called with each list of the registered VMs.
+    trust
+        Whether the present era of the store is settled.
 
     Attributes
     ----------
@@ -59,6 +62,11 @@
         Monotonic time in seconds of this VM's last registration, infinity before it.
     is_leaving
         Whether this VM has begun to remove its object.
+    empty_era
+        Era of the store in which it held no VM before this one registered; None if it
+        held one, or before that is known.
+    counted
+        Set when that is known.
     kept_until
         Monotonic time in seconds until which VMs that lists lack are kept.
     era_begun
@@ -71,8 +79,12 @@
         fleet: Fleet,
         events: EventLog,
         apply_vms: Callable[[list[RegisteredVm]], None],
+        trust: EraTrust,
     ) -> None:
         self.store = store
+        self.trust = trust
+        self.empty_era: int | None = None
+        self.counted = Event()
         self.fleet = fleet
         self.events = events
         self.apply_vms = apply_vms
@@ -142,6 +154,8 @@
         names = [value.name for value in values]
         if names:
             self.apply_vms(self.read_vms(values))
+        if not self.counted.is_set():
+            await self.count_first(values)
         if self.registered_at == inf:
             await self.register(self.fleet.own.name in names)
         # VMs that start at the same time register during this pause. Of two such VMs,
@@ -160,6 +174,25 @@
             stale = True
             await sleep(self.interval_s())
 
+    async def count_first(self, values: list[StoredValue]) -> None:
+        """Count the VMs that the store holds before this one registers.
+
+        Parameters
+        ----------
+        values
+            A list that may be seconds old.
+        """
+        if not values and not self.trust.is_trusted:
+            values = await self.list_vms(stale=False)
+        if not values:
+            self.empty_era = self.trust.era
+        self.counted.set()
+
+    async def was_empty_in(self, era: int) -> bool:
+        """Return whether the store held no VM in an era before this one registered."""
+        await self.counted.wait()
+        return self.empty_era == era
+
     def interval_s(self) -> float:
         """Return the time in seconds until the next list."""
         if self.fleet.size <= 1:
@@ -210,8 +243,14 @@
         return vms
 
     async def unregister(self) -> None:
-        """Remove this VM's object, with a single call that may fail."""
+        """Remove this VM's object, with a single call that may fail.
+
+        While the era of the store is not settled, the object shows VMs that start later
+        that this is not the first start of the system.
+        """
         self.is_leaving = True
+        if not self.trust.is_settled:
+            return
         with CancelScope(shield=True), suppress(StoreUnavailable):
             # The store client logs a failure. The object is then replaced by the next
             # start of this VM or removed by another VM.
--- a/primroseturn/entry/service.py
+++ b/primroseturn/entry/service.py
@@ -19,6 +19,7 @@
 from primroseturn.entry.connections import run_target_pools
 from primroseturn.entry.contact import LeaseTerms
 from primroseturn.entry.digests import DigestExchange
+from primroseturn.entry.era_record import EraRecord
 from primroseturn.entry.events import (
     ENTRY_STARTED,
     ENTRY_STOPPED,
@@ -299,6 +300,7 @@
     "vm-registry",
     needs=(
         "objects",
+        "follower",
         "fleet",
         "peers",
         "datagrams",
@@ -344,13 +346,31 @@
     exchange.start_listeners.extend((set_address, apply_owners))
     quota.fleet_size, budget.fleet_size = fleet.size, fleet.registered_count
     events = kernel.find("events")
-    registry = VmRegistry(kernel.find("objects"), fleet, events, apply_vms)
+    store, trust = kernel.find("objects"), kernel.find("follower").trust
+    registry = VmRegistry(store, fleet, events, apply_vms, trust)
     async with run_background(events) as background:
         background.keep_running(registry.follow)
         background.keep_running(registry.write_again_forever)
         yield registry
 
 
+@service("era-record", needs=("settings", "objects", "follower", "vm-registry"))
+@asynccontextmanager
+async def provide_era_record(kernel: Kernel) -> AsyncIterator[EraRecord]:
+    """Read and write the record of the settled era for the life of the context."""
+    events = kernel.find("events")
+    record = EraRecord(
+        kernel.find("objects"),
+        kernel.find("follower").trust,
+        kernel.find("vm-registry"),
+        events,
+        kernel.find("settings").is_first_start,
+    )
+    async with run_background(events) as background:
+        background.keep_running(record.follow_eras)
+        yield record
+
+
 @service("stop-schedule", needs=("settings",))
 @asynccontextmanager
 async def provide_stop_schedule(kernel: Kernel) -> AsyncIterator[StopSchedule]:
@@ -373,6 +393,7 @@
         "digest-exchange",
         "sharing",
         "vm-registry",
+        "era-record",
         "memory",
         "entry-readiness",
         "entry-metrics",
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -29,6 +29,7 @@
     DocumentHead,
     encode_document,
 )
+from primroseturn.entry.eras import Evidence
 from primroseturn.entry.following import START_PAUSE_S, StoreFollower
 from primroseturn.entry.reliance import query_pause_s
 from primroseturn.entry.view import VmView
@@ -50,6 +51,11 @@
 # Age in seconds from which more of them do: a VM whose data centre is cut off from the
 # store must learn of evacuations from another one.
 OLD_AGE_S, OLD_ALL_CENTERS_SHARE = 2.0, 0.7
+# Seconds between the queries to random VMs in an era of the store that is trusted and
+# not settled: another VM may know a newer version.
+UNSETTLED_INTERVAL_S = 0.5
+# Age in seconds that is stated for a configuration without any confirmation.
+UNCONFIRMED_AGE_S = 1e6
 # Longest time in seconds that the rest of a configuration may take to come from another
 # VM so that this VM does not read it from the store at the same time, as all VMs would.
 MAX_RELAY_LEFT_S = 2.0
@@ -101,6 +107,10 @@
         and its era; 0 if it reads the whole again and again.
     is_receiving
         Whether the sender is receiving a large configuration from the store.
+    trusted_era, settled_era
+        The newest era in which the sender trusts the store to hold no newer
+        configuration than `version` or the one that it states, and the newest one that
+        is settled; 0 if the sender does not have the newest version that it knows of.
     """
 
     version: int
@@ -116,6 +126,8 @@
     changes_revision: int = 0
     changes_era: int = 0
     is_receiving: bool = False
+    trusted_era: int = 0
+    settled_era: int = 0
 
     @property
     def listed_at(self) -> StoreRevision:
@@ -274,11 +286,15 @@
         while True:
             await self.query_store_poller()
             pause_s = STALE_INTERVAL_S
-            if self.view.age_s(time_since_boot()) >= STALE_AGE_S:
+            trust = self.follower.trust
+            age_s = self.view.age_s(time_since_boot())
+            if age_s >= STALE_AGE_S or not trust.is_settled:
                 await self.query_random_vm()
-            else:
                 age_s = self.view.age_s(time_since_boot())
+            if age_s < STALE_AGE_S and trust.is_trusted:
                 pause_s = query_pause_s(age_s, self.random.random())
+                if not trust.is_settled:
+                    pause_s = min(pause_s, UNSETTLED_INTERVAL_S)
             with move_on_after(pause_s):
                 await self.query_requested.wait()
 
@@ -314,9 +330,11 @@
         """Query a random VM, which may reach the store when others do not."""
         vms = self.fleet.data_center_peers()
         share = ALL_CENTERS_SHARE
-        if self.view.follows_evacuations and (
-            self.view.age_s(time_since_boot()) >= OLD_AGE_S
-        ):
+        is_old = self.view.age_s(time_since_boot()) >= OLD_AGE_S
+        if (
+            self.view.follows_evacuations and is_old
+        ) or not self.follower.trust.is_settled:
+            # The VMs of a data centre often restart together and then know no more.
             share = OLD_ALL_CENTERS_SHARE
         if not vms or self.random.random() < share:
             vms = list(self.fleet.vms_by_name.values())
@@ -345,9 +363,10 @@
             await self.datagrams.send(peer, self.own_status())
         if status.version != self.view.version or status.revision == 0:
             return status
-        self.follower.configuration.confirm(
-            status.version, requested_at - status.age_s, peer
-        )
+        if status.age_s < UNCONFIRMED_AGE_S:
+            self.follower.configuration.confirm(
+                status.version, requested_at - status.age_s, peer
+            )
         age_s = status.age_s if status.read_age_s is None else status.read_age_s
         self.view.record_reading(requested_at - age_s)
         age_s += time_since_boot() - requested_at
@@ -376,10 +395,13 @@
     def own_status(self) -> ViewStatus:
         """Return the versions that this VM has."""
         view = self.view
-        age_s = min(1e6, view.age_s(time_since_boot()))
+        age_s = min(UNCONFIRMED_AGE_S, view.age_s(time_since_boot()))
         reaches_store = self.follower.reaches_store()
         lapsed_count = len(self.follower.targets.lapsed.ends_by_id)
         changes_from = self.follower.configuration.stated_position()
+        trust = self.follower.trust
+        # A newer version than this VM's would be unknown to those that it informs.
+        has_newest = view.version >= self.newest_version.number
         return ViewStatus(
             view.version,
             age_s,
@@ -387,13 +409,15 @@
             reaches_store,
             lapsed_count,
             self.stated_evacuations_revision(),
-            min(1e6, view.read_age_s(time_since_boot())),
+            min(UNCONFIRMED_AGE_S, view.read_age_s(time_since_boot())),
             self.follower.store.era,
             view.revision.era,
             view.evacuations_revision.era,
             changes_from.number,
             changes_from.era,
             self.follower.configuration.is_receiving,
+            trust.trusted_era if has_newest else 0,
+            trust.settled_era if has_newest else 0,
         )
 
     def stated_evacuations_revision(self) -> int:
@@ -486,6 +510,13 @@
                 await self.fetch_configuration(peer)
             if self.has_newer_list(status) or self.has_newer_evacuations(status):
                 await self.fetch_targets(peer)
+        # Only now, since the last reading of the store may then confirm the view: this
+        # VM has been told of the sender's version and has what else is newer there.
+        trust = self.follower.trust
+        if status.settled_era:
+            trust.settle(status.settled_era, Evidence.VM)
+        if status.trusted_era:
+            trust.trust(status.trusted_era, Evidence.VM)
         if self.is_behind():
             self.follower.polling_pause.end()
 
--- a/primroseturn/entry/validation.py
+++ b/primroseturn/entry/validation.py
@@ -62,9 +62,9 @@
         """
         check_headers(headers)
         configuration = self.view.configuration
-        if configuration is None:
+        if configuration is None or not self.view.is_confirmed():
             raise self.refusals.retryable(
-                "not-ready", "this VM has no configuration yet"
+                "not-ready", "this VM does not know the newest configuration yet"
             )
         check_sizes(headers, body, configuration.limits)
         path_and_query = scope["raw_path"]
--- a/primroseturn/entry/view.py
+++ b/primroseturn/entry/view.py
@@ -180,6 +180,10 @@
         self.confirmed_at = requested_at
         return True
 
+    def is_confirmed(self) -> bool:
+        """Return whether the configuration is known to have been the newest one."""
+        return self.confirmed_at is not None
+
     def is_complete(self) -> bool:
         """Return whether this VM has a confirmed configuration and targets.
 
@@ -187,7 +191,7 @@
         """
         if self.is_awaiting_evacuations():
             return False
-        return self.confirmed_at is not None and bool(self.targets_by_id)
+        return self.is_confirmed() and bool(self.targets_by_id)
 
     def is_awaiting_evacuations(self) -> bool:
         """Return whether this VM must still learn which data centres are evacuated."""
--- a/primroseturn/platform/boot.py
+++ b/primroseturn/platform/boot.py
@@ -36,6 +36,8 @@
     zone: str
     region: str
     limits: LimitsTable = LimitsTable()
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 class ListenTable(Struct, frozen=True):
@@ -194,6 +196,7 @@
         ),
         heartbeat_s=platform_settings.platform.heartbeat_s,
         memory_bytes=int(own.limits.memory_mb * 1_000_000),
+        is_first_start=own.bootstrap,
     )
 
 
--- a/primroseturn/settings/entry.py
+++ b/primroseturn/settings/entry.py
@@ -87,6 +87,8 @@
         Seconds between two writes of a target to its entry in the store.
     memory_bytes
         Memory of the VM, beyond which the platform ends the process.
+    is_first_start
+        Whether the whole system starts for the first time.
     """
 
     identity: Identity
@@ -103,3 +105,4 @@
     bounds: FleetBounds
     heartbeat_s: float = 1.5
     memory_bytes: int = 300_000_000
+    is_first_start: bool = False
