Let VMs that start after a drill learn what the copy lacks of targets and evacuations

What callers saw: after a drill of the store, VMs that had started sent requests to a target that had left or was leaving, did not use one that had joined after the copy, and sent work into an evacuated data centre. They also made the VMs that had gone on forget a target that these kept.

Cause: only a VM that had lists when the era began remembers what the older copy lacks. One that starts reads the copy itself, and applied another VM's list only if that was newer; so what the others remembered never reached it, although it took the configuration from them. Its list, of the same revision and without kept targets, then counted as the newer one, since fewer kept targets stand for one that was dropped.

Change: each VM states the era whose begin its lists remember. One that does not remember it adopts from one that does which unchanged entries of the copy are not used, which targets are leaving, and which targets and evacuations are kept, whichever list is newer. Until then it takes neither trust nor a confirmation from that VM.

Why it works: nothing that such a VM knows lies in the copy, so it is handed on apart from the lists' revisions; a target whose entry is written in the new era is used again as before.

Evidence: features/drill_starts.feature, "VMs that start ...", four cases. On all four failed: 'a1' and 'a2' used the target that left or was leaving, t3 was not used within 3 s, 'a1' took "b" for usable.

--- a/features/drill_starts.feature
+++ b/features/drill_starts.feature
@@ -49,6 +49,32 @@
     And the VMs of "a" end before the store comes back from the copy and start again
     Then for 3 s no VM serves the key later than 5 s after the withdrawal
 
+  Scenario Outline: VMs that start do not use a target that <change> until it <return>
+    Given 2 entry VMs in each data centre whose store was copied
+    When the first target <change> and all VMs know
+    And the VMs of "a" end before the store comes back from the copy and start again
+    Then no VM that serves uses the first target for 4 s
+    When in the new era the first target <return>
+    Then all VMs use the first target within 2.5 s
+
+    Examples:
+      | change     | return           |
+      | is leaving | starts again     |
+      | has left   | writes its entry |
+
+  Scenario: VMs that start keep a target that the copy lacks
+    Given 2 entry VMs in each data centre whose store was copied
+    And entries return within 6 s
+    When another target "t3" joins and all VMs know
+    And the VMs of "a" end before the store comes back from the copy and start again
+    Then all VMs use "t3" within 3 s
+
+  Scenario: VMs that start keep an evacuation that the copy lacks
+    Given 2 entry VMs in each data centre with evacuations whose store was copied
+    When all VMs learn that data centre "b" is evacuated
+    And the VMs of "a" end before the store comes back from the copy and start again
+    Then all VMs treat "b" as evacuated within 4 s, and none that serves does not for 3 s
+
   Scenario: VMs that start alone serve once the operator has had the time to write again
     Given 2 entry VMs in each data centre whose store was copied
     And the operator has 2 s to write again
--- a/features/steps/drill_starts.py
+++ b/features/steps/drill_starts.py
@@ -10,7 +10,7 @@
 from features.steps.entry_requests import start_fleet
 from features.steps.entry_view import wait_settled, withdraw_key
 from features.steps.late_versions import inject_by_fault, silence_peers, silence_store
-from features.steps.store_rollback import roll_back
+from features.steps.store_rollback import hold_views, roll_back, uses, wait_views
 from primroseturn.clock import time_since_boot
 from primroseturn.entry.confirmations import STORE_SOURCE
 from primroseturn.entry.era_record import EraRecord, ERAS_KIND, SETTLED_NAME
@@ -33,7 +33,7 @@
 }
 
 
-def start_vms(context, era, key_limit_s=5.0):
+def start_vms(context, era, key_limit_s=5.0, **bounds):
     """Start two VMs in each data centre and copy the store, which states an era."""
     fleet = start_fleet(context)
 
@@ -44,7 +44,7 @@
         await fleet.add_entry_target("t1", zone="a")
         await fleet.add_entry_target("t2", zone="b")
         for vm, center in CENTERS_BY_VM.items():
-            await fleet.add_entry(vm, center, revoked_key_limit_s=key_limit_s)
+            await fleet.add_entry(vm, center, revoked_key_limit_s=key_limit_s, **bounds)
         await fleet.wait_entries()
         with fail_after(TIMEOUT_S):
             for kernel in fleet.kernels_by_vm.values():
@@ -64,6 +64,11 @@
     start_vms(context, 1, seconds)
 
 
+@given("2 entry VMs in each data centre with evacuations whose store was copied")
+def step_with_evacuations(context):
+    start_vms(context, 1, evacuation_limit_s=5.0)
+
+
 @given("2 entry VMs in each data centre whose store states {era}")
 def step_era(context, era):
     start_vms(context, None if era == "era 0" else 3)
@@ -86,6 +91,13 @@
     context.cleanups.append(change.stop)
 
 
+@given("entries return within {seconds:g} s")
+def step_entry_return(context, seconds):
+    change = patch("primroseturn.entry.lapsed.LAPSED_ENTRY_RETURN_S", seconds)
+    change.start()
+    context.cleanups.append(change.stop)
+
+
 async def end(context, vms):
     """End VMs without an orderly stop, as far as the store and the others can see."""
     fleet = context.entry_fleet
@@ -287,6 +299,53 @@
     context.portal.call(run)
 
 
+@then("no VM that serves uses the first target for {seconds:g} s")
+def step_unused(context, seconds):
+    def holds(view):
+        return not view.is_confirmed() or not uses(view, "t1")
+
+    context.portal.call(hold_views, context, holds, seconds)
+
+
+@when('another target "t3" joins and all VMs know')
+def step_joins(context):
+    async def run():
+        await context.entry_fleet.add_entry_target("t3")
+        await wait_views(context, lambda view: uses(view, "t3"))
+
+    context.portal.call(run)
+
+
+@then('all VMs use "t3" within {seconds:g} s')
+def step_known(context, seconds):
+    context.portal.call(wait_views, context, lambda view: uses(view, "t3"), seconds)
+
+
+@when('all VMs learn that data centre "b" is evacuated')
+def step_evacuated(context):
+    async def run():
+        context.entry_fleet.store.write("evacuations/b", {})
+        await wait_views(context, lambda view: view.evacuated == {"b"})
+
+    context.portal.call(run)
+
+
+@then(
+    'all VMs treat "b" as evacuated within {seconds:g} s, and none that serves does '
+    "not for {held:g} s"
+)
+def step_still_evacuated(context, seconds, held):
+    async def run():
+        await hold_views(
+            context,
+            lambda view: not view.is_complete() or view.evacuated == {"b"},
+            held,
+        )
+        await wait_views(context, lambda view: view.evacuated == {"b"}, seconds - held)
+
+    context.portal.call(run)
+
+
 RECORDS = {
     "a former era's record": {"era": 6},
     "the era's record": {"era": 7},
--- a/primroseturn/entry/eras.py
+++ b/primroseturn/entry/eras.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from math import inf
 
 from anyio import Event
 
@@ -38,6 +39,44 @@
     FIRST_START = "first-start"
 
 
+class EraMemory:
+    """What a VM knows of the store's objects from before the present era.
+
+    A VM that had lists when the era began knows what the store's older copy lacks. One
+    that starts later gets that from it.
+
+    Attributes
+    ----------
+    era
+        The newest era whose begin the lists remember, 0 for none.
+    begun_at
+        Monotonic time in seconds when this VM learned of the present era.
+    """
+
+    def __init__(self) -> None:
+        self.era = 0
+        self.begun_at = -inf
+
+    def begin(self, era: int, now: float, knows_former: bool) -> None:
+        """Let an era begin.
+
+        Parameters
+        ----------
+        knows_former
+            Whether this VM knows the newest lists of the era before.
+        """
+        self.begun_at = now
+        if knows_former:
+            self.era = era
+
+    def is_recent(self, now: float) -> bool:
+        """Return whether other VMs' lists may lack what this VM remembers.
+
+        After `VERSION_RETURN_S` the objects that the copy lacked are written again.
+        """
+        return now - self.begun_at < VERSION_RETURN_S
+
+
 class EraTrust:
     """Whether readings of the store in its present era show the newest configuration.
 
--- a/primroseturn/entry/evacuations.py
+++ b/primroseturn/entry/evacuations.py
@@ -179,6 +179,22 @@
         for data_center in self.data_centers:
             EVACUATED.labels(data_center).set(data_center in evacuated)
 
+    def adopt_kept(self, ends_by_data_center: Mapping[str, float], source: str) -> None:
+        """Keep evacuations that another VM keeps, since the store's copy lacks them.
+
+        Parameters
+        ----------
+        source
+            Name of that VM.
+        """
+        known = self.view.evacuated or frozenset()
+        for data_center, ends_at in ends_by_data_center.items():
+            if data_center not in known:
+                self.ends_by_data_center.setdefault(data_center, ends_at)
+        if self.view.evacuated is not None:
+            listed = known - self.ends_by_data_center.keys()
+            self.put_in_force(listed, self.view.evacuations_revision, source)
+
     async def drop_forever(self) -> None:
         """Drop the kept evacuations that were not written again in time.
 
--- a/primroseturn/entry/following.py
+++ b/primroseturn/entry/following.py
@@ -112,7 +112,7 @@
         self.configuration.believed_until = now + VERSION_RETURN_S
         booted_s = time_since_boot()
         self.trust.begin(era, self.view.age_s(booted_s), booted_s)
-        self.targets.begin_era(now)
+        self.targets.begin_era(era, now, self.trust.is_trusted)
         if self.evacuations is not None:
             self.evacuations.begin_era(now)
         self.updated.set()
--- a/primroseturn/entry/lapsed.py
+++ b/primroseturn/entry/lapsed.py
@@ -107,6 +107,10 @@
             else:
                 listed[target_id] = known[target_id]
 
+    def keep_until(self, target_id: str, ends_at: float) -> None:
+        """Keep another VM's target that a list lacks until a monotonic time."""
+        self.keep(target_id, ends_at, self.own_ends_by_id)
+
     def keep(
         self,
         target_id: str,
--- a/primroseturn/entry/sharing.py
+++ b/primroseturn/entry/sharing.py
@@ -111,6 +111,8 @@
         The newest era in which the sender trusts the store to hold no newer
         configuration than `version` or the one that it states, and the newest one that
         is settled; 0 if the sender does not have the newest version that it knows of.
+    remembered_era
+        The newest era whose begin the sender's lists remember, 0 for none.
     """
 
     version: int
@@ -128,6 +130,7 @@
     is_receiving: bool = False
     trusted_era: int = 0
     settled_era: int = 0
+    remembered_era: int = 0
 
     @property
     def listed_at(self) -> StoreRevision:
@@ -187,6 +190,10 @@
         have not changed since.
     kept_s_by_data_center
         Seconds for which evacuations are kept although their objects are missing.
+    remembered_era
+        As in the status.
+    own_lapsed_s_by_id
+        Seconds for which the sender keeps targets that another VM's list lacked.
     """
 
     revision: int
@@ -199,6 +206,8 @@
     first_number: int = 0
     unchanged_ids: tuple[str, ...] = ()
     kept_s_by_data_center: dict[str, float] = field(default_factory=dict)
+    remembered_era: int = 0
+    own_lapsed_s_by_id: dict[str, float] = field(default_factory=dict)
 
 
 class SeenNumber(NamedTuple):
@@ -208,6 +217,16 @@
     seen_at: float
 
 
+def seconds_until(ends_by_name: dict[str, float], now: float) -> dict[str, float]:
+    """Return the seconds that are left until monotonic times."""
+    return {name: ends_at - now for name, ends_at in ends_by_name.items()}
+
+
+def ends_after(seconds_by_name: dict[str, float], now: float) -> dict[str, float]:
+    """Return the monotonic times after seconds that were left."""
+    return {name: now + seconds for name, seconds in seconds_by_name.items()}
+
+
 class ViewSharing:
     """Replies to the queries of other VMs and queries the store poller.
 
@@ -361,7 +380,11 @@
         if status.era < known_era or (known_era and status.version < self.view.version):
             # The store may have lost what the peer does not know of.
             await self.datagrams.send(peer, self.own_status())
-        if status.version != self.view.version or status.revision == 0:
+        if (
+            status.version != self.view.version
+            or status.revision == 0
+            or self.lacks_memory_of(status)
+        ):
             return status
         if status.age_s < UNCONFIRMED_AGE_S:
             self.follower.configuration.confirm(
@@ -379,6 +402,7 @@
             not reads_for_others
             and self.can_poll_for(status)
             and not self.is_behind()
+            and not self.must_ignore_lists(status.remembered_era)
             and not self.has_newer_list(status)
             and not self.has_newer_evacuations(status)
         ):
@@ -418,6 +442,7 @@
             self.follower.configuration.is_receiving,
             trust.trusted_era if has_newest else 0,
             trust.settled_era if has_newest else 0,
+            self.follower.targets.memory.era,
         )
 
     def stated_evacuations_revision(self) -> int:
@@ -471,10 +496,45 @@
             revision.number > view.revision and listed_at < revision.seen_at
         )
 
+    def must_ignore_lists(self, remembered_era: int) -> bool:
+        """Return whether another VM's lists may lack what this VM remembers.
+
+        Parameters
+        ----------
+        remembered_era
+            The era that the other VM states.
+        """
+        memory = self.follower.targets.memory
+        return memory.era > remembered_era and memory.is_recent(current_time())
+
     def has_newer_list(self, status: ViewStatus) -> bool:
         """Return whether the sender of a status has a newer list of targets."""
+        if self.must_ignore_lists(status.remembered_era):
+            return False
         return (status.listed_at, -status.lapsed_count) > self.own_list()
 
+    def lacks_memory_of(self, status: ViewStatus) -> bool:
+        """Return whether the sender knows what was listed before the present era.
+
+        This VM does not, as it has started or was cut off.
+        """
+        era = self.follower.store.era
+        return self.follower.targets.memory.era < era <= status.remembered_era
+
+    def can_adopt_memory(self, reply: TargetsReply) -> bool:
+        """Return whether a peer's reply tells what it knew before the present era.
+
+        Only lists of the present era show what the peer does not use of them.
+        """
+        era = self.follower.store.era
+        listed_era = reply.revision_era
+        if self.view.follows_evacuations and reply.evacuations_revision >= 0:
+            listed_era = min(listed_era, reply.evacuations_era)
+        return (
+            self.follower.targets.memory.era < era
+            and min(reply.remembered_era, listed_era) >= era
+        )
+
     def own_list(self) -> tuple[StoreRevision, int]:
         """Return what orders lists of targets, newer ones last, of this VM's list."""
         return self.view.revision, -len(self.follower.targets.lapsed.ends_by_id)
@@ -482,8 +542,10 @@
     def has_newer_evacuations(self, status: ViewStatus) -> bool:
         """Return whether the sender of a status has newer evacuations."""
         view = self.view
-        return view.follows_evacuations and (
-            status.evacuated_at > view.evacuations_revision
+        return (
+            view.follows_evacuations
+            and status.evacuated_at > view.evacuations_revision
+            and not self.must_ignore_lists(status.remembered_era)
         )
 
     def record_versions(self, status: ViewStatus) -> None:
@@ -508,17 +570,26 @@
         async with self.fetching:
             if status.version > self.view.version:
                 await self.fetch_configuration(peer)
-            if self.has_newer_list(status) or self.has_newer_evacuations(status):
+            if (
+                self.lacks_memory_of(status)
+                or self.has_newer_list(status)
+                or self.has_newer_evacuations(status)
+            ):
                 await self.fetch_targets(peer)
         # Only now, since the last reading of the store may then confirm the view: this
         # VM has been told of the sender's version and has what else is newer there.
+        if not self.lacks_memory_of(status):
+            self.adopt_trust(status)
+        if self.is_behind():
+            self.follower.polling_pause.end()
+
+    def adopt_trust(self, status: ViewStatus) -> None:
+        """Trust the store in its present era if the sender of a status does."""
         trust = self.follower.trust
         if status.settled_era:
             trust.settle(status.settled_era, Evidence.VM)
         if status.trusted_era:
             trust.trust(status.trusted_era, Evidence.VM)
-        if self.is_behind():
-            self.follower.polling_pause.end()
 
     async def fetch_configuration(self, peer: str) -> None:
         """Fetch and apply a peer's configuration.
@@ -559,35 +630,48 @@
     async def fetch_targets(self, peer: str) -> None:
         """Fetch and apply a peer's list of targets and its evacuations.
 
-        Either may be older than this VM's and is then left out.
+        Either may be older than this VM's and is then left out, except for what the
+        peer remembers from before the present era.
         """
         requested_at = current_time()
         reply = await self.bus.request(peer, TargetsRequest(), REPLY_TIMEOUT_S)
         if reply.is_error() or not isinstance(reply.ok, TargetsReply):
             return
-        self.apply_peer_evacuations(peer, reply.ok, requested_at)
         revision = StoreRevision(reply.ok.revision_era, reply.ok.revision)
         self.follower.store.advance_era(revision.era)
-        if (revision, -len(reply.ok.lapsed_s_by_id)) <= self.own_list():
+        if self.must_ignore_lists(reply.ok.remembered_era):
+            return
+        adopts_memory = self.can_adopt_memory(reply.ok)
+        self.apply_peer_evacuations(peer, reply.ok, requested_at, adopts_memory)
+        is_newer = (revision, -len(reply.ok.lapsed_s_by_id)) > self.own_list()
+        if not is_newer and not adopts_memory:
             return
         fetched = await self.documents.fetch(peer, reply.ok.head)
         targets = fetched.bind(decode_targets)
         if targets.is_error():
             return
-        lapses_end_by_id = {
-            target_id: requested_at + seconds
-            for target_id, seconds in reply.ok.lapsed_s_by_id.items()
-        }
-        self.follower.targets.apply_peer_targets(
-            targets.ok,
-            revision,
-            lapses_end_by_id,
-            reply.ok.first_number,
-            reply.ok.unchanged_ids,
-        )
+        lapses_end_by_id = ends_after(reply.ok.lapsed_s_by_id, requested_at)
+        followed = self.follower.targets
+        if is_newer:
+            followed.apply_peer_targets(
+                targets.ok,
+                revision,
+                lapses_end_by_id,
+                reply.ok.first_number,
+                reply.ok.unchanged_ids,
+            )
+        if adopts_memory:
+            own_ends_by_id = ends_after(reply.ok.own_lapsed_s_by_id, requested_at)
+            followed.adopt_memory(
+                targets.ok, own_ends_by_id | lapses_end_by_id, reply.ok.unchanged_ids
+            )
 
     def apply_peer_evacuations(
-        self, peer: str, reply: TargetsReply, requested_at: float
+        self,
+        peer: str,
+        reply: TargetsReply,
+        requested_at: float,
+        adopts_memory: bool,
     ) -> None:
         """Apply a peer's evacuations, unless this VM's are newer."""
         evacuations = self.follower.evacuations
@@ -595,12 +679,11 @@
             return
         revision = StoreRevision(reply.evacuations_era, reply.evacuations_revision)
         self.follower.store.advance_era(revision.era)
-        kept = {
-            data_center: requested_at + seconds
-            for data_center, seconds in reply.kept_s_by_data_center.items()
-        }
+        kept = ends_after(reply.kept_s_by_data_center, requested_at)
         evacuated = set(reply.evacuated) - kept.keys()
         evacuations.put_in_force(evacuated, revision, peer, kept)
+        if adopts_memory:
+            evacuations.adopt_kept(kept, peer)
 
     async def reply_with_configuration(
         self, sender: Sender, body: Message
@@ -615,9 +698,6 @@
         """Describe the list of targets."""
         now = current_time()
         lapsed = self.follower.targets.lapsed
-        lapsed_s_by_id = {
-            target_id: ends_at - now for target_id, ends_at in lapsed.ends_by_id.items()
-        }
         document = encode_document(list(self.view.targets_by_id.values()))
         head = self.documents.keep(document)
         targets, evacuations = self.follower.targets, self.follower.evacuations
@@ -628,7 +708,7 @@
         ends = {} if evacuations is None else evacuations.ends_by_data_center
         return TargetsReply(
             self.view.revision.number,
-            lapsed_s_by_id,
+            seconds_until(lapsed.ends_by_id, now),
             replace(head, first_part=first_part),
             self.stated_evacuations_revision(),
             tuple(sorted(self.view.evacuated or ())),
@@ -636,7 +716,9 @@
             self.view.evacuations_revision.era,
             targets.first_number,
             unchanged_ids,
-            {name: ends_at - now for name, ends_at in ends.items()},
+            seconds_until(ends, now),
+            targets.memory.era,
+            seconds_until(lapsed.own_ends_by_id, now),
         )
 
     async def push_forever(self) -> None:
--- a/primroseturn/entry/target_following.py
+++ b/primroseturn/entry/target_following.py
@@ -5,6 +5,7 @@
 from anyio import current_time
 
 from primroseturn.entry.contact import StoreContact
+from primroseturn.entry.eras import EraMemory
 from primroseturn.entry.events import (
     ENTRY_SKIPPED,
     START_HELD_BACK,
@@ -46,6 +47,10 @@
     unchanged_ids
         Ids of the listed entries that have not changed since that list, so that they
         may be those of the store's older copy.
+    memory
+        The era whose begin the list remembers.
+    held_back_ids
+        Ids of unchanged entries that the VM whose memory this VM has got does not use.
     """
 
     kind = TARGETS_KIND
@@ -67,13 +72,23 @@
         self.skipped = SkippedObjects(events, ENTRY_SKIPPED, SKIPPED_ENTRIES)
         self.first_number = 0
         self.unchanged_ids: set[str] = set()
+        self.memory = EraMemory()
+        self.held_back_ids: set[str] = set()
 
     async def follow_targets(self) -> None:
         """Follow the list of targets; logs name background tasks by this method."""
         await self.follow_forever()
 
-    def begin_era(self, now: float) -> None:
-        """Let no target return to an earlier state in a new era of the store."""
+    def begin_era(self, era: int, now: float, is_recent: bool) -> None:
+        """Let no target return to an earlier state in a new era of the store.
+
+        Parameters
+        ----------
+        is_recent
+            Whether the view was up to date a short time ago.
+        """
+        self.held_back_ids = set()
+        self.memory.begin(era, now, is_recent and bool(self.view.targets_by_id))
         self.view.keep_leaving()
         self.lapsed.begin_era(now)
         self.end_watch()
@@ -137,7 +152,9 @@
 
         Such an entry is in the store's older copy, and is used once it has changed.
         """
-        return target.id in self.unchanged_ids and self.view.has_left(target)
+        return target.id in self.unchanged_ids and (
+            target.id in self.held_back_ids or self.view.has_left(target)
+        )
 
     def apply_peer_targets(
         self,
@@ -183,6 +200,44 @@
         self.lapsed.keep_own(listed, is_first)
         self.apply_targets(listed, revision)
 
+    def adopt_memory(
+        self,
+        targets: Iterable[Target],
+        lapses_end_by_id: dict[str, float],
+        unchanged_ids: Collection[str],
+    ) -> None:
+        """Adopt what another VM knew of targets before the present era of the store.
+
+        This VM may have a newer list, in which nothing is known of targets that left or
+        began to leave after the store was copied, or that the copy lacks.
+
+        Parameters
+        ----------
+        targets
+            The targets that the other VM uses.
+        lapses_end_by_id
+            Monotonic times in seconds until which the other VM keeps targets that its
+            list, or that of its store poller, lacks.
+        unchanged_ids
+            The attribute of this name at the other VM.
+        """
+        peers_by_id = {target.id: target for target in targets}
+        self.unchanged_ids &= set(unchanged_ids)
+        self.held_back_ids = set(unchanged_ids) - peers_by_id.keys()
+        for target in peers_by_id.values():
+            if target.leaving:
+                self.view.record_leaving(target)
+        listed = dict(self.view.targets_by_id)
+        for target_id in self.held_back_ids & listed.keys():
+            if self.must_hold_back(listed[target_id]):
+                del listed[target_id]
+                self.events.emit(START_HELD_BACK, target=target_id)
+        for target_id in lapses_end_by_id.keys() & peers_by_id.keys() - listed.keys():
+            self.lapsed.keep_until(target_id, lapses_end_by_id[target_id])
+            listed[target_id] = peers_by_id[target_id]
+        self.apply_targets(listed, self.view.revision)
+        self.memory.era = self.view.revision.era
+
     def drop_targets(self, target_ids: Collection[str]) -> None:
         """Drop targets from the view, at an unchanged revision."""
         listed = {
