Pass the method of a request on as the caller wrote it

Cause: methods are case-sensitive, and both libraries on the way convert them to capitals: hypercorn in the scope, httpx in the request to the target.

Change: the method is set again as received in `Http11Protocol._create_stream`, and on the requests that entry VMs and daemons build. A daemon's route lists its methods, so `get` gets 405 there where only `GET` is listed.

--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -29,6 +29,20 @@
       | a connection option that hides Host   | 400    | header-invalid       |
       | two keys                              | 401    | key-refused          |
 
+  # Guards against methods that reach the target in capitals, as another request.
+  Scenario Outline: The method <method> goes on as the caller wrote it
+    Given an entry VM with 1 target
+    When a caller sends a request with the method <method>
+    Then the target received the method <method>, and the caller gets 200
+
+    Examples:
+      | method |
+      | GET    |
+      | patch  |
+      | Post   |
+      | get    |
+      | mKcol  |
+
   Scenario Outline: <input> runs on no target
     Given an entry VM with 1 target
     When a caller sends the bytes of <input>
--- a/features/keys.feature
+++ b/features/keys.feature
@@ -57,3 +57,20 @@
     Given 1 targets behind relays and 1 daemon
     When a caller sends the raw request GET /open HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n
     Then the raw response has status 200
+
+  # Guards against methods that reach the upstream in capitals, as another request.
+  Scenario Outline: A daemon passes the method <method> on as the caller wrote it
+    Given 1 targets behind relays and 1 daemon
+    When a caller sends the raw request <method> /small HTTP/1.1\r\nHost: a\r\n\r\n
+    Then the raw response has status 200, and the upstream got the method <method>
+
+    Examples:
+      | method |
+      | GET    |
+      | patch  |
+
+  Scenario: A daemon refuses a method that its route lists in capitals only
+    Given 1 targets behind relays and 1 daemon
+    When a caller sends the raw request get /small HTTP/1.1\r\nHost: a\r\n\r\n
+    Then the raw response has status 405
+    And no upstream ran a request
--- a/features/steps/entry_input.py
+++ b/features/steps/entry_input.py
@@ -141,6 +141,29 @@
     context.cleanups.append(lambda: context.portal.call(context.stream.aclose))
 
 
+@when("a caller sends a request with the method {method}")
+def step_method(context, method):
+    data = GET.replace("GET", method, 1) + "\r\n"
+
+    async def run():
+        port = context.entry_fleet.entry_ports_by_vm["vm1"]
+        with fail_after(RESPONSE_TIMEOUT_S):
+            async with await connect_tcp(LOOPBACK, port) as stream:
+                await stream.send(data.encode())
+                context.received = b""
+                while not is_whole(context.received):
+                    context.received += await stream.receive(READ_BYTES)
+
+    context.portal.call(run)
+
+
+@then("the target received the method {method}, and the caller gets 200")
+def step_method_kept(context, method):
+    (target,) = context.entry_fleet.entry_targets_by_id.values()
+    assert [head[0] for head in target.heads] == [method], target.heads
+    assert context.received.split()[1] == b"200", context.received
+
+
 @then("only the first request ran")
 def step_only_first(context):
     targets = context.entry_fleet.entry_targets_by_id.values()
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -23,6 +23,7 @@
     "quick": {"hedge": True},
     "brief": {"deadline_s": 0.3},
     "open": {"open": True},
+    "small": {"open": True, "methods": ["patch", "GET"]},
     "doc": {"download": True, "deadline_s": 1.0},
     "docs-page": {},
     "upload": {"methods": ["POST"], "deadline_s": 20.0},
@@ -371,6 +372,15 @@
     assert context.raw.split()[1] == str(status).encode(), context.raw
 
 
+@then(
+    "the raw response has status {status:d}, and the upstream got the method {method}"
+)
+def step_raw_method(context, status, method):
+    step_raw_status(context, status)
+    (upstream,) = context.fleet.upstreams_by_name.values()
+    assert list(upstream.received_methods) == [method], upstream.received_methods
+
+
 @then('target "{name}" cancelled {count:d} request within {limit_s:g} s')
 def step_cancelled(context, name, count, limit_s):
     upstream = context.fleet.upstreams_by_name[name]
--- a/primroseturn/entry/attempt.py
+++ b/primroseturn/entry/attempt.py
@@ -231,7 +231,7 @@
             headers.forwarded, CONTENT_LENGTH
         )
         workspace = request.workspace.name if request.workspace else None
-        return Request(
+        built = Request(
             request.line.method,
             self.pool.url,
             headers=attempt_headers(
@@ -240,6 +240,9 @@
             stream=request.body,
             extensions={"target": request.line.path_and_query},
         )
+        # httpx converts it to capitals, but methods are case-sensitive.
+        built.method = request.line.method
+        return built
 
     async def read_head(self) -> ResponseHead:
         """Read the status and headers of the response to this request.
--- a/primroseturn/requestpath/exchange.py
+++ b/primroseturn/requestpath/exchange.py
@@ -143,7 +143,7 @@
             names = {name for name, _ in extra_headers}
             headers = [item for item in headers if item[0] not in names]
             headers += extra_headers
-        return Request(
+        request = Request(
             context.method,
             pool.url,
             headers=headers,
@@ -154,6 +154,9 @@
                 "note_sent": context.note_sent,
             },
         )
+        # httpx converts it to capitals, but methods are case-sensitive.
+        request.method = context.method
+        return request
 
     def check_head(self) -> None:
         """Read and check the head of the response."""
--- a/primroseturn/serving/protocol.py
+++ b/primroseturn/serving/protocol.py
@@ -286,7 +286,10 @@
         await super()._create_stream(request)
         if isinstance(self.stream, HTTPStream):
             # The application's task starts only once this one waits.
-            self.stream.scope["extensions"][CALLER_LINK] = self.link  # type: ignore
+            scope: dict = self.stream.scope  # type: ignore
+            scope["extensions"][CALLER_LINK] = self.link
+            # hypercorn converts it to capitals, but methods are case-sensitive.
+            scope["method"] = request.method.decode("ascii")
 
     async def _check_protocol(self, event: Request) -> None:
         """Ignore offers of HTTP/2.
--- a/primroseturn/standins/upstream.py
+++ b/primroseturn/standins/upstream.py
@@ -98,6 +98,8 @@
         Number of executions by Idempotency-Key.
     received_headers
         Headers of the newest requests.
+    received_methods
+        Their methods.
     last_response
         Id and value of the last response with a JSON value.
     requests, cancelled, abandoned, shed
@@ -117,6 +119,7 @@
         self.received_headers: deque[list[tuple[bytes, bytes]]] = deque(
             maxlen=MAX_RECEIVED_HEADERS
         )
+        self.received_methods: deque[str] = deque(maxlen=MAX_RECEIVED_HEADERS)
         self.last_response: tuple[bytes, bytes] | None = None
         self.connections: set[Any] = set()
         self.stalled_connections: set[Any] = set()
@@ -183,6 +186,7 @@
         self.requests += 1
         self.connections.add(tuple(scope["client"]))
         self.received_headers.append(list(scope["headers"]))
+        self.received_methods.append(scope["method"])
         body = await read_body(receive)
         async with create_task_group() as tasks:
             tasks.start_soon(self.watch_caller, receive, tasks.cancel_scope)
