Explain refusals of an unconfirmed configuration by the missing confirmation

What operators saw: since a request to a VM whose configuration is not confirmed is refused as not-ready in place of keys-stale, and the explanation from the logs named the version only, as if there had been no configuration.

Cause: the explanation of not-ready did not look at the age of the view. It now says that the version was not confirmed since the start, and by which events to find out why.

--- a/primroseturn/observation/explanation.py
+++ b/primroseturn/observation/explanation.py
@@ -200,6 +200,14 @@
 def explain_configuration(end: Record, request_records: list[Record]) -> str:
     """Explain a refusal that follows from the configuration or from its absence."""
     version = end.fields.get("version")
+    is_unconfirmed = float(end.fields.get("view_age_s") or 0.0) >= NEVER_CONFIRMED_S
+    if end.fields.get("kind") == "not-ready" and version and is_unconfirmed:
+        return (
+            f"Version {version} of the VM's configuration had not been confirmed since "
+            "its start (event 1120), so it may not be the newest one: the store was "
+            "out of its reach (event 1105), or had come back from an older copy (event "
+            "1142) and nothing showed that it holds the newest one (event 1146)."
+        )
     return (
         f"The VM decided by version {version} of the configuration (0 if it had none): "
         f"{end.fields['detail']}."
